--- /dev/null
+++ b/adapter/src/admin.rs
@@ -0,0 +1,213 @@
+//! The operators' port: files, status, reports, health and metrics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use wagtailbeam_decision::burn::Ledger;
+use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::ini::Fault;
+use wagtailbeam_decision::manifest::Manifest;
+use wagtailbeam_decision::read;
+use wagtailbeam_decision::register::Acceptance;
+use wagtailbeam_decision::register::Decision;
+use wagtailbeam_decision::trace::Trace;
+
+use crate::front;
+use crate::front::View;
+use crate::http;
+use crate::status::Status;
+
+/// Largest operators' file, in bytes.
+const FILE_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest time to send a head.
+const HEAD_MAX: Duration = Duration::from_secs(10);
+
+/// What the port asks of the loop.
+#[derive(Debug)]
+pub enum Report {
+    /// Have a file accepted.
+    Apply(Arc<str>, oneshot::Sender<Decision>),
+    /// The daemon's status.
+    Status(oneshot::Sender<Status>),
+    /// What a recent request did.
+    Explain(String, oneshot::Sender<Option<Trace>>),
+    /// The daemon's answers by service and caller.
+    Burn(oneshot::Sender<Ledger>),
+    /// Metrics.
+    Metrics(oneshot::Sender<String>),
+}
+
+/// The answer to an applied file.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Applied {
+    /// The voters decided.
+    Decided {
+        /// Its version.
+        version: u64,
+        /// What they decided.
+        acceptance: Acceptance,
+    },
+    /// The file has faults and was not proposed.
+    Faulty(Vec<Fault>),
+    /// No majority answered in time; the file may or may not be accepted.
+    Unknown,
+}
+
+/// What is read at the operators' port.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Burn {
+    /// The daemon's answers.
+    pub ledger: Ledger,
+    /// The file in force, for its objectives.
+    pub manifest: Manifest,
+    /// The daemon's clock, in minutes since the epoch.
+    pub minute: u64,
+}
+
+/// The operators' port.
+pub struct Admin {
+    /// What the daemon shows.
+    pub view: watch::Receiver<View>,
+    /// Where calls go.
+    pub reports: mpsc::Sender<Report>,
+    /// Digest of the operators' key.
+    pub key: Digest,
+}
+
+/// Serves operators until the loop ends.
+pub async fn listen(listener: TcpListener, admin: Arc<Admin>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = admin.reports.closed() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let admin = admin.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let admin = admin.clone();
+                async move { Ok::<_, std::convert::Infallible>(admin.handle(request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_MAX)
+                .serve_connection(TokioIo::new(stream), service);
+            drop(connection.await);
+        });
+    }
+}
+
+impl Admin {
+    async fn handle(&self, request: Request<Incoming>) -> http::Reply {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            "/live" => return http::text(StatusCode::OK, "live\n"),
+            "/ready" => return front::ready(&self.view.borrow()),
+            "/metrics" => return self.metrics().await,
+            _ => {}
+        }
+        if http::bearer(request.headers()) != Some(self.key) {
+            return http::text(
+                StatusCode::UNAUTHORIZED,
+                "the operators' bearer key is needed\n",
+            );
+        }
+        let get = request.method() == Method::GET;
+        match path.as_str() {
+            "/apply" if request.method() == Method::POST => self.apply(request).await,
+            "/status" if get => self.call(Report::Status).await,
+            "/burn" if get => self.burn().await,
+            _ if get && path.starts_with("/explain/") => {
+                let id = path["/explain/".len()..].to_owned();
+                self.call(|answer| Report::Explain(id, answer)).await
+            }
+            _ => http::text(StatusCode::NOT_FOUND, "no such resource\n"),
+        }
+    }
+
+    async fn ask<T>(&self, report: impl FnOnce(oneshot::Sender<T>) -> Report) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        self.reports.send(report(answer)).await.ok()?;
+        answered.await.ok()
+    }
+
+    async fn call<T: Serialize>(
+        &self,
+        report: impl FnOnce(oneshot::Sender<T>) -> Report,
+    ) -> http::Reply {
+        match self.ask(report).await {
+            Some(value) => http::json(StatusCode::OK, &value),
+            None => http::text(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping\n"),
+        }
+    }
+
+    async fn metrics(&self) -> http::Reply {
+        let text = self.ask(Report::Metrics).await.unwrap_or_default();
+        http::text(StatusCode::OK, &text)
+    }
+
+    async fn burn(&self) -> http::Reply {
+        let ledger = self.ask(Report::Burn).await.unwrap_or_default();
+        let manifest = self.view.borrow().manifest.as_ref().clone();
+        let burn = Burn {
+            ledger,
+            manifest,
+            minute: minute(),
+        };
+        http::json(StatusCode::OK, &burn)
+    }
+
+    async fn apply(&self, request: Request<Incoming>) -> http::Reply {
+        let body = Limited::new(request.into_body(), FILE_MAX_BYTES)
+            .collect()
+            .await;
+        let Ok(body) = body else {
+            return http::text(StatusCode::PAYLOAD_TOO_LARGE, "the file is too large\n");
+        };
+        let Ok(text) = String::from_utf8(body.to_bytes().to_vec()) else {
+            return http::text(StatusCode::BAD_REQUEST, "the file is not UTF-8\n");
+        };
+        let version = match read::manifest(&text) {
+            Ok(manifest) => manifest.version,
+            Err(faults) => {
+                return http::json(StatusCode::UNPROCESSABLE_ENTITY, &Applied::Faulty(faults));
+            }
+        };
+        let decision = self.ask(|answer| Report::Apply(text.into(), answer)).await;
+        let applied = match decision {
+            Some(Decision::File(acceptance)) => Applied::Decided {
+                version,
+                acceptance,
+            },
+            _ => Applied::Unknown,
+        };
+        http::json(StatusCode::OK, &applied)
+    }
+}
+
+/// Minutes since the epoch.
+pub fn minute() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_secs() / 60)
+}
--- /dev/null
+++ b/adapter/src/cli.rs
@@ -0,0 +1,576 @@
+//! The command lines of both programs.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use serde::Serialize;
+use tokio::sync::oneshot;
+use tracing_subscriber::EnvFilter;
+use wagtailbeam_decision::burn::Ledger;
+use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::read;
+use wagtailbeam_decision::register::Acceptance;
+
+use crate::admin::Applied;
+use crate::client::Client;
+use crate::client::Error;
+use crate::node;
+use crate::report::Report;
+use crate::settings::Config;
+use crate::settings::Format;
+use crate::status::Status;
+
+/// Exit code of success.
+pub const EXIT_OK: u8 = 0;
+
+/// Exit code if a daemon can't be reached or a process can't run.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Exit code of faults in a file or command line.
+pub const EXIT_FAULTY: u8 = 2;
+
+/// Exit code if a file was refused.
+pub const EXIT_REFUSED: u8 = 3;
+
+/// Exit code if the outcome is unknown; the same file may be sent again.
+pub const EXIT_UNKNOWN: u8 = 4;
+
+/// Exit code if a file was accepted but isn't yet in force everywhere.
+pub const EXIT_PARTIAL: u8 = 5;
+
+/// Time within which an accepted file must be in force everywhere.
+const IN_FORCE_MAX: Duration = Duration::from_secs(6);
+
+/// Time between two looks of `status --watch`.
+const WATCH_EVERY: Duration = Duration::from_secs(1);
+
+/// The daemon's command line.
+pub fn daemon_command() -> Command {
+    Command::new("wagtailbeamd")
+        .about("Query tier over many shards: the daemon of one entry host")
+        .version(clap::crate_version!())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("INI file with the settings of this host"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("check")
+                .help("Write the first state of a voter in a new group and exit; never for a replaced disk"),
+        )
+}
+
+/// The operators' client's command line.
+pub fn client_command() -> Command {
+    let file = || {
+        Arg::new("file")
+            .value_name("FILE")
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+            .help("The operators' file")
+    };
+    let report = Command::new("report")
+        .about("Reports")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("burn")
+                .about("Service-level burn by service and caller")
+                .arg(
+                    Arg::new("out")
+                        .long("out")
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Also write an HTML page"),
+                ),
+        );
+    let status = Command::new("status").about("State of the daemons").arg(
+        Arg::new("watch")
+            .long("watch")
+            .action(ArgAction::SetTrue)
+            .help("Print again every second"),
+    );
+    let explain = Command::new("explain")
+        .about("What each sub-request of a recent slow or incomplete request did")
+        .arg(Arg::new("request").value_name("REQUEST-ID").required(true));
+    let digest = Command::new("digest")
+        .about("The digest of a key, for settings and the operators' file")
+        .arg(file().help("File that holds the key"));
+    Command::new("wagtailbeam")
+        .about("Operators' client of wagtailbeam")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg(
+            Arg::new("daemon")
+                .long("daemon")
+                .value_name("IP:PORT")
+                .global(true)
+                .default_value("127.0.0.1:7002")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Operators' address of any daemon"),
+        )
+        .arg(
+            Arg::new("key-file")
+                .long("key-file")
+                .value_name("FILE")
+                .global(true)
+                .default_value("operator.key")
+                .value_parser(value_parser!(PathBuf))
+                .help("File that holds the operators' key"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .global(true)
+                .help("Print JSON"),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Check a file without a daemon")
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Have a file accepted")
+                .arg(file()),
+        )
+        .subcommand(status)
+        .subcommand(explain)
+        .subcommand(report)
+        .subcommand(digest)
+}
+
+/// Runs `future` on a runtime of one thread.
+fn block_on<T>(future: impl Future<Output = T>) -> std::io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let value = runtime.block_on(future);
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    Ok(value)
+}
+
+/// Runs the daemon.
+pub fn daemon_main() -> ExitCode {
+    let matches = daemon_command().get_matches();
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return EXIT_FAULTY.into();
+    };
+    let config = match Config::load(path) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("{error}");
+            return EXIT_FAULTY.into();
+        }
+    };
+    if matches.get_flag("check") {
+        println!(
+            "{}: settings of host {} are usable",
+            path.display(),
+            config.host
+        );
+        return EXIT_OK.into();
+    }
+    if matches.get_flag("format") {
+        return finish(node::format(&config));
+    }
+    log(&config);
+    match block_on(serve(config)) {
+        Ok(result) => finish(result),
+        Err(error) => finish(Err(error)),
+    }
+}
+
+fn finish<E: std::fmt::Display>(result: std::result::Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => EXIT_OK.into(),
+        Err(error) => {
+            eprintln!("{error}");
+            EXIT_FAILED.into()
+        }
+    }
+}
+
+fn log(config: &Config) {
+    let filter = EnvFilter::try_new(&config.log_filter).unwrap_or_default();
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match config.log_format {
+        Format::Text => builder.init(),
+        Format::Json => builder.json().init(),
+    }
+}
+
+async fn serve(config: Config) -> node::Result<()> {
+    let sockets = node::Sockets::bind(&config).await?;
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(async move {
+        if terminated().await.is_ok() {
+            stop.send(()).unwrap_or_default();
+        }
+    });
+    node::run(config, sockets, stopped).await
+}
+
+async fn terminated() -> std::io::Result<()> {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Runs the operators' client.
+pub fn client_main() -> ExitCode {
+    let matches = client_command().get_matches();
+    match block_on(client(&matches)) {
+        Ok(Ok(code)) => code.into(),
+        Ok(Err(error)) => {
+            eprintln!("{error}");
+            EXIT_FAILED.into()
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            EXIT_FAILED.into()
+        }
+    }
+}
+
+type Code = std::result::Result<u8, Error>;
+
+async fn client(matches: &ArgMatches) -> Code {
+    match matches.subcommand() {
+        Some(("check", sub)) => check(sub),
+        Some(("apply", sub)) => apply(sub).await,
+        Some(("status", sub)) => status(sub).await,
+        Some(("explain", sub)) => explain(sub).await,
+        Some(("digest", sub)) => digest(sub),
+        Some(("report", report)) => match report.subcommand() {
+            Some(("burn", sub)) => burn(sub).await,
+            _ => Ok(EXIT_FAULTY),
+        },
+        _ => Ok(EXIT_FAULTY),
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn file(matches: &ArgMatches) -> PathBuf {
+    matches
+        .get_one::<PathBuf>("file")
+        .cloned()
+        .unwrap_or_default()
+}
+
+fn connect(matches: &ArgMatches) -> Result<Client, Error> {
+    let path = matches
+        .get_one::<PathBuf>("key-file")
+        .cloned()
+        .unwrap_or_default();
+    let key = read_file(&path)?.trim().to_owned();
+    let fallback = SocketAddr::from(([127, 0, 0, 1], 7002));
+    let address = matches
+        .get_one::<SocketAddr>("daemon")
+        .copied()
+        .unwrap_or(fallback);
+    Ok(Client { address, key })
+}
+
+fn print_json<T: Serialize>(value: &T) {
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
+
+fn digest(matches: &ArgMatches) -> Code {
+    let key = read_file(&file(matches))?;
+    println!("{}", Digest::of(key.trim().as_bytes()));
+    Ok(EXIT_OK)
+}
+
+fn check(matches: &ArgMatches) -> Code {
+    let path = file(matches);
+    match read::manifest(&read_file(&path)?) {
+        Ok(manifest) if matches.get_flag("json") => print_json(&manifest),
+        Ok(manifest) => {
+            let shards = manifest
+                .services
+                .values()
+                .map(|service| service.shards.len());
+            println!(
+                "{}: version {}, {} services, {} shards, {} failure domains, {} callers: no faults",
+                path.display(),
+                manifest.version,
+                manifest.services.len(),
+                shards.sum::<usize>(),
+                manifest.domains.len(),
+                manifest.callers.len()
+            );
+        }
+        Err(faults) if matches.get_flag("json") => {
+            print_json(&faults);
+            return Ok(EXIT_FAULTY);
+        }
+        Err(faults) => {
+            faults
+                .iter()
+                .for_each(|fault| eprintln!("{}:{fault}", path.display()));
+            return Ok(EXIT_FAULTY);
+        }
+    }
+    Ok(EXIT_OK)
+}
+
+/// What `apply` prints as JSON.
+#[derive(Serialize)]
+struct Outcome<'a> {
+    applied: &'a Applied,
+    in_force: usize,
+    daemons: usize,
+}
+
+async fn apply(matches: &ArgMatches) -> Code {
+    let path = file(matches);
+    let text = read_file(&path)?;
+    if read::manifest(&text).is_err() {
+        return check(matches);
+    }
+    let client = connect(matches)?;
+    let applied = match client.apply(&text).await {
+        Ok(applied) => applied,
+        Err(error @ Error::Unreachable { .. }) => {
+            eprintln!("{error}");
+            println!("outcome unknown: send the same file again");
+            return Ok(EXIT_UNKNOWN);
+        }
+        Err(error) => return Err(error),
+    };
+    let accepted = match &applied {
+        Applied::Decided {
+            version,
+            acceptance,
+        } => match acceptance {
+            Acceptance::Accepted | Acceptance::Already => Some(*version),
+            _ => None,
+        },
+        Applied::Faulty(_) | Applied::Unknown => None,
+    };
+    let (in_force, daemons) = match accepted {
+        Some(version) => client.wait_in_force(version, IN_FORCE_MAX).await,
+        None => (0, 0),
+    };
+    if matches.get_flag("json") {
+        print_json(&Outcome {
+            applied: &applied,
+            in_force,
+            daemons,
+        });
+    } else {
+        print_applied(&applied, in_force, daemons);
+    }
+    Ok(match applied {
+        _ if accepted.is_some() && in_force == daemons => EXIT_OK,
+        _ if accepted.is_some() => EXIT_PARTIAL,
+        Applied::Decided { .. } => EXIT_REFUSED,
+        Applied::Faulty(_) => EXIT_FAULTY,
+        Applied::Unknown => EXIT_UNKNOWN,
+    })
+}
+
+fn print_applied(applied: &Applied, in_force: usize, daemons: usize) {
+    match applied {
+        Applied::Decided {
+            version,
+            acceptance,
+        } => {
+            println!("version {version}: {acceptance}");
+            if matches!(acceptance, Acceptance::Accepted | Acceptance::Already) {
+                println!("in force on {in_force} of {daemons} daemons");
+            }
+        }
+        Applied::Faulty(faults) => faults.iter().for_each(|fault| println!("{fault}")),
+        Applied::Unknown => println!("outcome unknown: send the same file again"),
+    }
+}
+
+async fn status(matches: &ArgMatches) -> Code {
+    let client = connect(matches)?;
+    loop {
+        let status = client.status().await?;
+        if matches.get_flag("json") {
+            print_json(&status);
+        } else {
+            print!("{}", status_text(&status));
+        }
+        if !matches.get_flag("watch") {
+            return Ok(EXIT_OK);
+        }
+        tokio::time::sleep(WATCH_EVERY).await;
+        println!();
+    }
+}
+
+/// The status for people.
+pub fn status_text(status: &Status) -> String {
+    let newest = status
+        .members
+        .iter()
+        .map(|member| member.version)
+        .max()
+        .unwrap_or_default();
+    let mut lines = vec![format!(
+        "daemon {}: file version {}, {}",
+        status.host,
+        status.version,
+        if status.ready {
+            "ready".to_owned()
+        } else {
+            status.causes.join("; ")
+        }
+    )];
+    for member in &status.members {
+        let stale = if member.version < newest {
+            ", stale"
+        } else {
+            ""
+        };
+        let leaving = if member.leaving { ", stopping" } else { "" };
+        lines.push(format!(
+            "  member {} in {}: version {}{stale}{leaving}",
+            member.host, member.domain, member.version
+        ));
+    }
+    let voters = status
+        .voters
+        .iter()
+        .map(|voter| format!("  voter {}: {}", voter.host, voter.state));
+    lines.extend(voters);
+    lines.extend(
+        status
+            .domains_out
+            .iter()
+            .map(|domain| format!("  failure domain {domain}: out")),
+    );
+    lines.extend(status.replicas.iter().map(|replica| {
+        format!(
+            "  replica {} of {}/{} at {}: {}",
+            replica.address, replica.service, replica.shard, replica.owner, replica.state
+        )
+    }));
+    let suspects = status.suspects.iter();
+    lines.extend(suspects.map(|s| format!("  request {}: {}", s.fingerprint, s.standing)));
+    lines.push(String::new());
+    lines.join("\n")
+}
+
+async fn explain(matches: &ArgMatches) -> Code {
+    let client = connect(matches)?;
+    let request = matches
+        .get_one::<String>("request")
+        .cloned()
+        .unwrap_or_default();
+    let mut trace = client.explain(&request).await?;
+    if trace.is_none() {
+        for member in client.status().await?.members {
+            trace = trace.or(client
+                .at(member.admin)
+                .explain(&request)
+                .await
+                .ok()
+                .flatten());
+        }
+    }
+    let Some(trace) = trace else {
+        eprintln!("no daemon kept request {request}: it was complete and in time, or is too old");
+        return Ok(EXIT_FAILED);
+    };
+    if matches.get_flag("json") {
+        print_json(&trace);
+        return Ok(EXIT_OK);
+    }
+    println!(
+        "request {} of {} to {}: {} after {} us",
+        trace.request, trace.caller, trace.service, trace.answer, trace.took_us
+    );
+    for step in &trace.steps {
+        println!(
+            "  shard {} {} at {} by {}: sent {} us, took {} us: {}",
+            step.shard,
+            step.kind,
+            step.replica,
+            step.owner,
+            step.sent_us,
+            step.took_us,
+            step.outcome
+        );
+    }
+    Ok(EXIT_OK)
+}
+
+async fn burn(matches: &ArgMatches) -> Code {
+    let client = connect(matches)?;
+    let status = client.status().await?;
+    let mut ledger = Ledger::default();
+    let first = client.burn().await?;
+    let (mut missing, mut daemons) = (Vec::new(), 0);
+    for member in &status.members {
+        match client.at(member.admin).burn().await {
+            Ok(burn) => {
+                ledger.merge(&burn.ledger);
+                daemons += 1;
+            }
+            Err(_) => missing.push(member.host.clone()),
+        }
+    }
+    let report = Report::new(&ledger, &first.manifest, first.minute);
+    let report = Report {
+        daemons,
+        missing,
+        ..report
+    };
+    if let Some(path) = matches.get_one::<PathBuf>("out") {
+        let written = std::fs::write(path, report.page());
+        written.map_err(|source| Error::File {
+            path: path.clone(),
+            source,
+        })?;
+    }
+    if matches.get_flag("json") {
+        print_json(&report);
+    } else {
+        print!("{}", report.table());
+    }
+    Ok(EXIT_OK)
+}
--- /dev/null
+++ b/adapter/src/client.rs
@@ -0,0 +1,184 @@
+//! The operators' client: calls a daemon's operators' port.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header;
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use wagtailbeam_decision::trace::Trace;
+
+use crate::admin::Applied;
+use crate::admin::Burn;
+use crate::status::Status;
+
+/// Longest time for one call.
+const CALL_MAX: Duration = Duration::from_secs(5);
+
+/// Time between two looks at how many daemons have a file in force.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Why a call failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A file can't be read or written.
+    #[snafu(display("{}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The daemon can't be reached.
+    #[snafu(display("{address}: {cause}"))]
+    Unreachable {
+        /// Its address.
+        address: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+    /// The daemon refused the call.
+    #[snafu(display("{address}: status {status}: {detail}"))]
+    Refused {
+        /// Its address.
+        address: SocketAddr,
+        /// The HTTP status.
+        status: u16,
+        /// What it said.
+        detail: String,
+    },
+    /// The answer can't be read.
+    #[snafu(display("unreadable answer: {source}"))]
+    Answer {
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+/// A result of the client.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A daemon's operators' port with the operators' key.
+#[derive(Clone, Debug)]
+pub struct Client {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The key.
+    pub key: String,
+}
+
+impl Client {
+    /// A client of another daemon with the same key.
+    pub fn at(&self, address: SocketAddr) -> Client {
+        Client {
+            address,
+            key: self.key.clone(),
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T> {
+        let answer = tokio::time::timeout(CALL_MAX, self.exchange(method, path, body)).await;
+        let (status, body) = match answer {
+            Ok(answer) => answer?,
+            Err(_) => {
+                let cause = "no answer in time".to_owned();
+                return Err(Error::Unreachable {
+                    address: self.address,
+                    cause,
+                });
+            }
+        };
+        if status >= 400 && status != 422 {
+            let detail = String::from_utf8_lossy(&body).trim().to_owned();
+            return Err(Error::Refused {
+                address: self.address,
+                status,
+                detail,
+            });
+        }
+        serde_json::from_slice(&body).context(AnswerSnafu)
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<(u16, Bytes)> {
+        let unreachable = |cause: String| Error::Unreachable {
+            address: self.address,
+            cause,
+        };
+        let stream = TcpStream::connect(self.address).await;
+        let stream = stream.map_err(|error| unreachable(error.to_string()))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, driver) = handshake.map_err(|error| unreachable(error.to_string()))?;
+        let driver = tokio::spawn(driver);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(Full::new(body))
+            .map_err(|error| unreachable(error.to_string()))?;
+        let response = sender.send_request(request).await;
+        let response = response.map_err(|error| unreachable(error.to_string()))?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body
+            .map_err(|error| unreachable(error.to_string()))?
+            .to_bytes();
+        driver.abort();
+        Ok((status, body))
+    }
+
+    /// Has a file accepted.
+    pub async fn apply(&self, text: &str) -> Result<Applied> {
+        self.call(Method::POST, "/apply", text.to_owned().into())
+            .await
+    }
+
+    /// The daemon's status.
+    pub async fn status(&self) -> Result<Status> {
+        self.call(Method::GET, "/status", Bytes::new()).await
+    }
+
+    /// What a recent request did, if the daemon kept it.
+    pub async fn explain(&self, request: &str) -> Result<Option<Trace>> {
+        self.call(Method::GET, &format!("/explain/{request}"), Bytes::new())
+            .await
+    }
+
+    /// The daemon's answers by service and caller.
+    pub async fn burn(&self) -> Result<Burn> {
+        self.call(Method::GET, "/burn", Bytes::new()).await
+    }
+
+    /// Waits until all daemons have `version` in force, at most for `limit`.
+    /// Returns how many have it, and of how many.
+    pub async fn wait_in_force(&self, version: u64, limit: Duration) -> (usize, usize) {
+        let started = Instant::now();
+        let mut seen = (0, 0);
+        loop {
+            if let Ok(status) = self.status().await {
+                seen = (status.in_force(version), status.members.len());
+            }
+            let done = seen.0 == seen.1 && seen.1 > 0;
+            if done || started.elapsed() >= limit {
+                return seen;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+}
--- /dev/null
+++ b/adapter/src/event.rs
@@ -0,0 +1,153 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use derive_more::Display;
+use tracing::Level;
+use wagtailbeam_decision::daemon::Note;
+use wagtailbeam_decision::suspect::Standing;
+
+/// A kind of event.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Event {
+    /// The daemon started.
+    #[display("daemon started")]
+    Started,
+    /// A planned stop began.
+    #[display("stop requested")]
+    Stopping,
+    /// The daemon ended.
+    #[display("daemon stopped")]
+    Stopped,
+    /// The lease was gained.
+    #[display("lease gained")]
+    LeaseGained,
+    /// The lease lapsed.
+    #[display("lease lapsed")]
+    LeaseLapsed,
+    /// A file came into force.
+    #[display("file in force")]
+    InForce,
+    /// An accepted file is not understood.
+    #[display("file not understood")]
+    NotUnderstood,
+    /// A replica's state changed.
+    #[display("replica state changed")]
+    Replica,
+    /// A request is suspected of stopping servers.
+    #[display("request suspected")]
+    Suspected,
+    /// A suspected request was cleared.
+    #[display("request cleared")]
+    Cleared,
+    /// A request was convicted of stopping servers.
+    #[display("request convicted")]
+    Convicted,
+    /// The voter's mode changed.
+    #[display("voter mode changed")]
+    Voter,
+    /// The daemons able to own replicas changed.
+    #[display("members changed")]
+    Members,
+    /// The disk failed.
+    #[display("disk failed")]
+    DiskFailed,
+    /// A connection of another daemon was refused.
+    #[display("peer refused")]
+    PeerRefused,
+    /// A connection to or from another daemon ended.
+    #[display("peer lost")]
+    PeerLost,
+    /// An operator applied a file.
+    #[display("file applied")]
+    Applied,
+    /// The log was replaced by a snapshot.
+    #[display("state compacted")]
+    Compacted,
+}
+
+impl Event {
+    /// All events in the order of their numbers.
+    pub const ALL: [Event; 18] = [
+        Event::Started,
+        Event::Stopping,
+        Event::Stopped,
+        Event::LeaseGained,
+        Event::LeaseLapsed,
+        Event::InForce,
+        Event::NotUnderstood,
+        Event::Replica,
+        Event::Suspected,
+        Event::Cleared,
+        Event::Convicted,
+        Event::Voter,
+        Event::Members,
+        Event::DiskFailed,
+        Event::PeerRefused,
+        Event::PeerLost,
+        Event::Applied,
+        Event::Compacted,
+    ];
+
+    /// Its number, which never changes.
+    pub const fn number(self) -> u32 {
+        match self {
+            Event::Started => 100,
+            Event::Stopping => 101,
+            Event::Stopped => 102,
+            Event::LeaseGained => 200,
+            Event::LeaseLapsed => 201,
+            Event::InForce => 202,
+            Event::NotUnderstood => 203,
+            Event::Replica => 300,
+            Event::Suspected => 310,
+            Event::Cleared => 311,
+            Event::Convicted => 312,
+            Event::Voter => 400,
+            Event::Members => 410,
+            Event::DiskFailed => 420,
+            Event::PeerRefused => 500,
+            Event::PeerLost => 501,
+            Event::Applied => 600,
+            Event::Compacted => 610,
+        }
+    }
+
+    /// Its level.
+    pub const fn level(self) -> Level {
+        match self {
+            Event::DiskFailed | Event::NotUnderstood => Level::ERROR,
+            Event::LeaseLapsed | Event::Suspected | Event::Convicted | Event::PeerRefused => {
+                Level::WARN
+            }
+            Event::Compacted => Level::DEBUG,
+            _ => Level::INFO,
+        }
+    }
+
+    /// Logs it with a detail.
+    pub fn log(self, detail: &str) {
+        let number = self.number();
+        match self.level() {
+            Level::ERROR => tracing::error!(event = number, detail, "{self}"),
+            Level::WARN => tracing::warn!(event = number, detail, "{self}"),
+            Level::DEBUG => tracing::debug!(event = number, detail, "{self}"),
+            _ => tracing::info!(event = number, detail, "{self}"),
+        }
+    }
+}
+
+/// Logs a note of the decision package.
+pub fn note(note: &Note) {
+    let event = match note {
+        Note::LeaseGained => Event::LeaseGained,
+        Note::LeaseLapsed => Event::LeaseLapsed,
+        Note::InForce(_) => Event::InForce,
+        Note::NotUnderstood(_) => Event::NotUnderstood,
+        Note::Replica(..) => Event::Replica,
+        Note::Standing(_, Standing::Suspect) => Event::Suspected,
+        Note::Standing(_, Standing::Cleared) => Event::Cleared,
+        Note::Standing(_, Standing::Convicted) => Event::Convicted,
+        Note::Voter(_) => Event::Voter,
+        Note::Members(_) => Event::Members,
+    };
+    event.log(&note.to_string());
+}
--- /dev/null
+++ b/adapter/src/front.rs
@@ -0,0 +1,515 @@
+//! The callers' port: checks a request's head and body, and writes its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::manifest::Manifest;
+use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::query::Envelope;
+use wagtailbeam_decision::query::Reply;
+use wagtailbeam_decision::request;
+use wagtailbeam_decision::request::Cause;
+use wagtailbeam_decision::request::Ran;
+
+use crate::http;
+
+/// Longest idempotency key, in bytes.
+const KEY_MAX_BYTES: usize = 256;
+
+/// Largest head of a request, in bytes.
+const HEAD_MAX_BYTES: usize = 16 * 1024;
+
+/// Longest time for a caller to send a head.
+const HEAD_MAX: Duration = Duration::from_secs(10);
+
+/// Longest time for a caller to send a body.
+const BODY_MAX: Duration = Duration::from_secs(10);
+
+/// What the daemon shows to its ports.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The file in force.
+    pub manifest: Arc<Manifest>,
+    /// Whether the balancer should send callers here.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub leaving: bool,
+    /// Whether listeners are closing.
+    pub closing: bool,
+}
+
+/// What the port tells the loop.
+#[derive(Debug)]
+pub enum Report {
+    /// A request to be answered.
+    Request(u64, Arc<request::Request>, oneshot::Sender<Reply>),
+    /// The caller of a request went away.
+    Abandoned(u64),
+}
+
+/// The callers' port.
+pub struct Front {
+    /// What the daemon shows.
+    pub view: watch::Receiver<View>,
+    /// Where requests go.
+    pub reports: mpsc::Sender<Report>,
+    /// Prefix of request identifiers.
+    pub prefix: String,
+    /// Largest body, in bytes.
+    pub body_max: usize,
+    /// Most connections.
+    pub connections_max: usize,
+    /// Number of the last request.
+    pub last: AtomicU64,
+}
+
+/// A refusal as problem details (RFC 9457).
+#[derive(Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    request: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_s: Option<u64>,
+}
+
+/// Coverage as it stands in an envelope.
+#[derive(Serialize)]
+struct Coverage {
+    asked: usize,
+    answered: usize,
+    missing: Vec<Missing>,
+}
+
+#[derive(Serialize)]
+struct Missing {
+    shard: Name,
+    cause: String,
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    request: &'a str,
+    snapshot: Option<u64>,
+    coverage: Coverage,
+    results: std::collections::BTreeMap<&'a str, &'a RawValue>,
+}
+
+/// Why a request is refused before it reaches the loop.
+struct Fault {
+    status: StatusCode,
+    title: &'static str,
+    detail: String,
+}
+
+fn fault(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Fault {
+    Fault {
+        status,
+        title,
+        detail: detail.into(),
+    }
+}
+
+/// Serves callers until `closing`, then ends each connection after its answer.
+pub async fn listen(listener: TcpListener, front: Arc<Front>) {
+    let slots = Arc::new(tokio::sync::Semaphore::new(front.connections_max));
+    let mut view = front.view.clone();
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = view.wait_for(|view| view.closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        drop(stream.set_nodelay(true));
+        let front = front.clone();
+        tokio::spawn(async move {
+            serve(stream, front).await;
+            drop(slot);
+        });
+    }
+}
+
+async fn serve(stream: tokio::net::TcpStream, front: Arc<Front>) {
+    let mut view = front.view.clone();
+    let service = service_fn(move |request| {
+        let front = front.clone();
+        async move { Ok::<_, std::convert::Infallible>(front.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_MAX)
+        .max_buf_size(HEAD_MAX_BYTES)
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = view.wait_for(|view| view.closing) => connection.as_mut().graceful_shutdown(),
+    }
+    drop(connection.await);
+}
+
+/// Tells the loop that a caller went away, unless it was answered.
+struct Guard {
+    id: u64,
+    answered: bool,
+    reports: mpsc::Sender<Report>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.answered {
+            drop(self.reports.try_send(Report::Abandoned(self.id)));
+        }
+    }
+}
+
+impl Front {
+    async fn handle(&self, request: Request<Incoming>) -> http::Reply {
+        let view = self.view.borrow().clone();
+        let mut reply = match request.uri().path() {
+            "/live" => http::text(StatusCode::OK, "live\n"),
+            "/ready" => ready(&view),
+            _ => self.ask(&view, request).await,
+        };
+        if view.leaving {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(header::CONNECTION, close);
+        }
+        reply
+    }
+
+    async fn ask(&self, view: &View, request: Request<Incoming>) -> http::Reply {
+        let id = self.last.fetch_add(1, Ordering::Relaxed) + 1;
+        let name = format!("{}-{id}", self.prefix);
+        let head_only = request.method() == Method::HEAD;
+        let reply = match self.check(view, request, &name).await {
+            Ok(request) => self.pass(id, request).await,
+            Err(fault) => refuse_early(&fault, &name),
+        };
+        if !head_only {
+            return reply;
+        }
+        reply.map(|_| http_body_util::Full::default())
+    }
+
+    async fn pass(&self, id: u64, request: request::Request) -> http::Reply {
+        let request = Arc::new(request);
+        let (answer, answered) = oneshot::channel();
+        let report = Report::Request(id, request.clone(), answer);
+        if self.reports.send(report).await.is_err() {
+            return refuse(&request.id, Cause::Stopping, Ran::No, None);
+        }
+        let mut guard = Guard {
+            id,
+            answered: false,
+            reports: self.reports.clone(),
+        };
+        let reply = answered.await;
+        guard.answered = true;
+        match reply {
+            Ok(Reply::Envelope(envelope)) => envelope_reply(&request.id, &envelope),
+            Ok(Reply::Job { answer, replayed }) => job_reply(&request.id, answer, replayed),
+            Ok(Reply::Refusal {
+                cause,
+                ran,
+                retry_after,
+            }) => refuse(&request.id, cause, ran, retry_after),
+            Err(_) => refuse(&request.id, Cause::Stopping, Ran::Maybe, None),
+        }
+    }
+
+    /// Checks a request whole before any of it goes further.
+    async fn check(
+        &self,
+        view: &View,
+        request: Request<Incoming>,
+        id: &str,
+    ) -> Result<request::Request, Fault> {
+        let (head, body) = request.into_parts();
+        if view.manifest.version == 0 {
+            let detail = "no configuration is in force here yet";
+            return Err(fault(StatusCode::SERVICE_UNAVAILABLE, "not-ready", detail));
+        }
+        let caller = http::bearer(&head.headers).and_then(|key| view.manifest.caller(&key));
+        let Some(caller) = caller else {
+            let detail = "a known bearer key is needed";
+            return Err(fault(StatusCode::UNAUTHORIZED, "unknown-caller", detail));
+        };
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let (service, rest) = split_path(path);
+        if !view.manifest.services.contains_key(service) {
+            let detail = format!("no service '{service}'");
+            return Err(fault(StatusCode::NOT_FOUND, "unknown-service", detail));
+        }
+        if !caller.may_use(service) {
+            let detail = format!("service '{service}' is not granted to {}", caller.name);
+            return Err(fault(StatusCode::FORBIDDEN, "not-granted", detail));
+        }
+        let repeatable = matches!(head.method, Method::GET | Method::HEAD);
+        let key = read_key(&head.headers, repeatable)?;
+        let shards = read_shards(&head.headers, view, service)?;
+        let deadline = read_deadline(&head.headers)?;
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        Ok(request::Request {
+            id: id.into(),
+            caller: caller.name.clone(),
+            service: service.into(),
+            method: if repeatable {
+                "GET".to_owned()
+            } else {
+                head.method.to_string()
+            },
+            path: rest,
+            content_type: content_type
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_owned),
+            body: self.read_body(body).await?,
+            key,
+            shards,
+            deadline,
+        })
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Fault> {
+        let body = Limited::new(body, self.body_max).collect();
+        match tokio::time::timeout(BODY_MAX, body).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                let detail = format!("the body has more than {} bytes", self.body_max);
+                Err(fault(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body-too-large",
+                    detail,
+                ))
+            }
+            Ok(Err(_)) => Err(fault(
+                StatusCode::BAD_REQUEST,
+                "bad-body",
+                "the body was cut short",
+            )),
+            Err(_) => Err(fault(
+                StatusCode::REQUEST_TIMEOUT,
+                "slow-body",
+                "the body took too long",
+            )),
+        }
+    }
+}
+
+/// The answer to the balancer's check.
+pub fn ready(view: &View) -> http::Reply {
+    if view.ready {
+        return http::text(StatusCode::OK, "ready\n");
+    }
+    http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+}
+
+/// The service and the rest of a path, which begins with a slash.
+fn split_path(path: &str) -> (&str, String) {
+    let path = path.trim_start_matches('/');
+    let end = path.find(['/', '?']).unwrap_or(path.len());
+    let (service, rest) = path.split_at(end);
+    let slash = if rest.starts_with('/') { "" } else { "/" };
+    (service, format!("{slash}{rest}"))
+}
+
+fn read_key(headers: &HeaderMap, repeatable: bool) -> Result<Option<String>, Fault> {
+    if repeatable {
+        return Ok(None);
+    }
+    let key = http::header_text(headers, http::KEY).filter(|key| !key.is_empty());
+    let Some(key) = key else {
+        let detail = "a request that may not be repeated needs an Idempotency-Key";
+        return Err(fault(StatusCode::BAD_REQUEST, "missing-key", detail));
+    };
+    if key.len() > KEY_MAX_BYTES {
+        let detail = format!("the Idempotency-Key has more than {KEY_MAX_BYTES} bytes");
+        return Err(fault(StatusCode::BAD_REQUEST, "key-too-long", detail));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn read_shards(headers: &HeaderMap, view: &View, service: &str) -> Result<Vec<Name>, Fault> {
+    let Some(text) = http::header_text(headers, http::SHARDS) else {
+        return Ok(Vec::new());
+    };
+    let known = view
+        .manifest
+        .services
+        .get(service)
+        .map(|service| &service.shards);
+    let known = known
+        .into_iter()
+        .flatten()
+        .map(|shard| shard.name.clone())
+        .collect::<Vec<_>>();
+    let read = |part: &str| {
+        known
+            .iter()
+            .find(|name| **name == part.trim().into())
+            .cloned()
+    };
+    let shards = text.split(',').map(read).collect::<Option<Vec<_>>>();
+    shards.ok_or_else(|| {
+        let detail = format!(
+            "{} names a shard that service '{service}' lacks",
+            http::SHARDS
+        );
+        fault(StatusCode::BAD_REQUEST, "unknown-shard", detail)
+    })
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Span>, Fault> {
+    let Some(text) = http::header_text(headers, http::DEADLINE) else {
+        return Ok(None);
+    };
+    match text.parse::<u64>() {
+        Ok(ms) if ms > 0 => Ok(Some(Span::from_ms(ms))),
+        _ => {
+            let detail = format!("{} must be a positive number", http::DEADLINE);
+            Err(fault(StatusCode::BAD_REQUEST, "bad-deadline", detail))
+        }
+    }
+}
+
+fn problem(status: StatusCode, problem: &Problem<'_>) -> http::Reply {
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let mut reply = http::reply(status, http::PROBLEM, body);
+    if let Some(seconds) = problem.retry_after_s {
+        reply
+            .headers_mut()
+            .insert(header::RETRY_AFTER, seconds.into());
+    }
+    reply
+}
+
+fn refuse_early(fault: &Fault, id: &str) -> http::Reply {
+    let unavailable = fault.status == StatusCode::SERVICE_UNAVAILABLE;
+    let details = Problem {
+        r#type: format!("urn:wagtailbeam:{}", fault.title),
+        title: fault.title,
+        status: fault.status.as_u16(),
+        detail: &fault.detail,
+        request: id,
+        ran: Ran::No,
+        retry_after_s: unavailable.then_some(1),
+    };
+    problem(fault.status, &details)
+}
+
+/// The HTTP status of a refusal.
+fn status(cause: Cause, ran: Ran) -> StatusCode {
+    match cause {
+        Cause::Conflict | Cause::Convicted => StatusCode::UNPROCESSABLE_ENTITY,
+        Cause::Unknown | Cause::Unkept => StatusCode::CONFLICT,
+        Cause::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Cause::Garbled | Cause::Died | Cause::Status(_) => StatusCode::BAD_GATEWAY,
+        _ if ran == Ran::No => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn refuse(id: &str, cause: Cause, ran: Ran, retry_after: Option<Span>) -> http::Reply {
+    let status = status(cause, ran);
+    let title = cause.to_string();
+    let details = Problem {
+        r#type: format!("urn:wagtailbeam:{title}"),
+        title: &title,
+        status: status.as_u16(),
+        detail: match ran {
+            Ran::No => "the request did not run",
+            Ran::Maybe => "the request may have run",
+            Ran::Yes => "the request ran",
+        },
+        request: id,
+        ran,
+        retry_after_s: retry_after.map(Span::as_secs_ceil),
+    };
+    problem(status, &details)
+}
+
+fn envelope_reply(id: &str, envelope: &Envelope) -> http::Reply {
+    let parsed = envelope.results.iter().map(|(shard, body)| {
+        let raw = serde_json::from_slice::<&RawValue>(body).ok()?;
+        Some((&**shard as &str, raw))
+    });
+    let missing = envelope.missing.iter().map(|(shard, cause)| Missing {
+        shard: shard.clone(),
+        cause: cause.to_string(),
+    });
+    let results = parsed
+        .flatten()
+        .collect::<std::collections::BTreeMap<_, _>>();
+    let answered = results.len();
+    let asked = envelope.results.len() + envelope.missing.len();
+    let coverage = Coverage {
+        asked,
+        answered,
+        missing: missing.collect(),
+    };
+    let document = Document {
+        request: id,
+        snapshot: envelope.snapshot,
+        coverage,
+        results,
+    };
+    let mut reply = http::json(StatusCode::OK, &document);
+    let headers = reply.headers_mut();
+    insert(headers, http::COVERAGE, &format!("{answered}/{asked}"));
+    insert(headers, http::REQUEST, id);
+    reply
+}
+
+fn job_reply(id: &str, answer: request::Answer, replayed: bool) -> http::Reply {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let kind = answer
+        .content_type
+        .as_deref()
+        .unwrap_or("application/octet-stream");
+    let mut reply = http::reply(status, kind, answer.body);
+    let headers = reply.headers_mut();
+    insert(headers, http::REQUEST, id);
+    if replayed {
+        insert(headers, http::REPLAYED, "yes");
+    }
+    reply
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/adapter/src/metric.rs
@@ -0,0 +1,113 @@
+//! Metrics through opentelemetry, exposed for scraping.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use snafu::Snafu;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::entry::Counts;
+use wagtailbeam_decision::query::Reply;
+
+/// Upper edges of latency buckets, in seconds.
+const EDGES_S: [f64; 11] = [
+    0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.073, 0.1, 0.2, 0.5, 2.0,
+];
+
+/// Why metrics can't be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics: {cause}"))]
+pub struct Error {
+    cause: String,
+}
+
+/// A result of the metrics.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The instruments of one daemon.
+pub struct Metric {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    latency: Histogram<f64>,
+    subrequests: Counter<u64>,
+    connections: Gauge<u64>,
+    version: Gauge<u64>,
+    leased: Gauge<u64>,
+    counted: Counts,
+}
+
+impl Metric {
+    /// Sets the instruments up.
+    pub fn new() -> Result<Metric> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        let exporter = exporter.map_err(|error| Error {
+            cause: error.to_string(),
+        })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("wagtailbeam");
+        let latency = meter.f64_histogram("wagtailbeam_latency").with_unit("s");
+        Ok(Metric {
+            answers: meter.u64_counter("wagtailbeam_answers").build(),
+            latency: latency.with_boundaries(EDGES_S.to_vec()).build(),
+            subrequests: meter.u64_counter("wagtailbeam_subrequests").build(),
+            connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
+            version: meter.u64_gauge("wagtailbeam_file_version").build(),
+            leased: meter.u64_gauge("wagtailbeam_leased").build(),
+            registry,
+            _provider: provider,
+            counted: Counts::default(),
+        })
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answer(&self, service: &str, latency: Span, reply: &Reply) {
+        let kind = match reply {
+            Reply::Envelope(envelope) if envelope.missing.is_empty() => "complete",
+            Reply::Envelope(_) => "partial",
+            Reply::Job { replayed: true, .. } => "replayed",
+            Reply::Job { .. } => "job",
+            Reply::Refusal { .. } => "refused",
+        };
+        let service = KeyValue::new("service", service.to_owned());
+        self.answers
+            .add(1, &[service.clone(), KeyValue::new("kind", kind)]);
+        self.latency
+            .record(latency.as_us() as f64 / 1e6, &[service]);
+    }
+
+    /// Brings gauges and counts up to date.
+    pub fn observe(&mut self, counts: Counts, connections: u32, version: u64, leased: bool) {
+        let add = |kind: &'static str, now: u64, before: u64| {
+            self.subrequests
+                .add(now - before, &[KeyValue::new("kind", kind)]);
+        };
+        add("first", counts.first, self.counted.first);
+        add("again", counts.again, self.counted.again);
+        add("hedge", counts.hedges, self.counted.hedges);
+        self.counted = counts;
+        self.connections.record(u64::from(connections), &[]);
+        self.version.record(version, &[]);
+        self.leased.record(u64::from(leased), &[]);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        if TextEncoder::new()
+            .encode(&self.registry.gather(), &mut bytes)
+            .is_err()
+        {
+            return String::new();
+        }
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/adapter/src/node.rs
@@ -0,0 +1,691 @@
+//! The daemon's loop: owns all state, and speaks to its tasks over channels.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use std::time::Instant;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use wagtailbeam_decision::burn::Ledger;
+use wagtailbeam_decision::burn::Subject;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::daemon::Action;
+use wagtailbeam_decision::daemon::Addresses;
+use wagtailbeam_decision::daemon::Daemon;
+use wagtailbeam_decision::daemon::Event;
+use wagtailbeam_decision::daemon::Identity;
+use wagtailbeam_decision::gate::Health;
+use wagtailbeam_decision::manifest::Manifest;
+use wagtailbeam_decision::query::Reply;
+use wagtailbeam_decision::register::Decision;
+use wagtailbeam_decision::request::Request;
+use wagtailbeam_decision::voter::Record;
+use wagtailbeam_decision::voter::Voter;
+
+use crate::admin;
+use crate::admin::Admin;
+use crate::backend;
+use crate::backend::Pool;
+use crate::event;
+use crate::front;
+use crate::front::Front;
+use crate::front::View;
+use crate::metric;
+use crate::metric::Metric;
+use crate::peer;
+use crate::peer::Links;
+use crate::settings::Config;
+use crate::status;
+use crate::status::Status;
+use crate::store;
+use crate::store::Store;
+use crate::wire;
+
+/// Events waiting for the loop at most, for each of its sources.
+const CHANNEL_MAX: usize = 8_192;
+
+/// Longest time between two ticks.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Largest datagram, in bytes.
+const DATAGRAM_MAX_BYTES: usize = 64 * 1024;
+
+/// Time between two writes of the burn ledger.
+const LEDGER_EVERY: Duration = Duration::from_secs(10);
+
+/// Name of the burn ledger in the data folder.
+const LEDGER_FILE: &str = "burn.json";
+
+/// Why a daemon can't run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address can't be bound.
+    #[snafu(display("{address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The data folder can't be used.
+    #[snafu(display("{source}"))]
+    Disk {
+        /// The cause.
+        source: store::Error,
+    },
+    /// Metrics can't be set up.
+    #[snafu(display("{source}"))]
+    Meter {
+        /// The cause.
+        source: metric::Error,
+    },
+}
+
+/// A result of the daemon.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Sockets bound for one daemon.
+pub struct Sockets {
+    callers: TcpListener,
+    admin: TcpListener,
+    peer: TcpListener,
+    datagrams: UdpSocket,
+}
+
+impl Sockets {
+    /// Binds the addresses of `config`.
+    pub async fn bind(config: &Config) -> Result<Sockets> {
+        let tcp = async |address| {
+            TcpListener::bind(address)
+                .await
+                .context(BindSnafu { address })
+        };
+        let address = config.peer;
+        Ok(Sockets {
+            callers: tcp(config.callers).await?,
+            admin: tcp(config.admin).await?,
+            peer: tcp(config.peer).await?,
+            datagrams: UdpSocket::bind(address)
+                .await
+                .context(BindSnafu { address })?,
+        })
+    }
+}
+
+/// Orders to the disk task.
+enum Order {
+    Append(u64, Record),
+    Compact(Vec<Record>),
+}
+
+/// What the disk task tells the loop.
+enum Disk {
+    Synced(u64),
+    WantsCompaction,
+    Failed(store::Error),
+}
+
+/// Writes the first state of a new voter; refused where state exists.
+pub fn format(config: &Config) -> Result<()> {
+    let position = config.voters.keys().position(|voter| *voter == config.host);
+    let Some((position, folder)) = position.zip(config.data.as_ref()) else {
+        return Ok(());
+    };
+    let records = Voter::format(position as u8, rand::random());
+    Store::format(folder, &records).context(DiskSnafu)
+}
+
+struct Sources {
+    backends: mpsc::Receiver<backend::Report>,
+    peers: mpsc::Receiver<peer::Report>,
+    callers: mpsc::Receiver<front::Report>,
+    operators: mpsc::Receiver<admin::Report>,
+    disk: mpsc::Receiver<Disk>,
+    datagrams: Arc<UdpSocket>,
+    stop: oneshot::Receiver<()>,
+}
+
+struct Pending {
+    request: Arc<Request>,
+    answer: oneshot::Sender<Reply>,
+    started: Instant,
+}
+
+struct Node {
+    config: Config,
+    origin: Instant,
+    daemon: Daemon,
+    pool: Pool,
+    links: Links,
+    datagrams: Arc<UdpSocket>,
+    key: wire::Key,
+    orders: Option<mpsc::UnboundedSender<Order>>,
+    pending: BTreeMap<u64, Pending>,
+    operators: BTreeMap<u64, oneshot::Sender<Decision>>,
+    view: watch::Sender<View>,
+    metric: Metric,
+    ledger: Ledger,
+    ledger_at: Instant,
+    last: u64,
+    stopping: Option<Instant>,
+    connections: BTreeMap<SocketAddr, u32>,
+}
+
+/// Runs a daemon until `stop` is told and its work is finished.
+pub async fn run(config: Config, sockets: Sockets, stop: oneshot::Receiver<()>) -> Result<()> {
+    let (records, disk_task) = match config.data.clone().filter(|_| config.is_voter()) {
+        Some(folder) => {
+            let (store, records) = Store::open(&folder).context(DiskSnafu)?;
+            (Some(records), Some(store))
+        }
+        None => (None, None),
+    };
+    let origin = Instant::now();
+    let identity = Identity {
+        host: config.host.clone(),
+        domain: config.domain.clone(),
+        boot: rand::random(),
+        addresses: Some(Addresses {
+            peer: config.peer,
+            admin: config.admin,
+        }),
+        voters: config.voters.clone(),
+    };
+    let boot = identity.boot;
+    let daemon = Daemon::new(Time::default(), identity, records);
+    let key = wire::Key::new(&config.peer_key);
+    let (backend_reports, backends) = mpsc::channel(CHANNEL_MAX);
+    let (peer_reports, peers) = mpsc::channel(CHANNEL_MAX);
+    let (caller_reports, callers) = mpsc::channel(CHANNEL_MAX);
+    let (operator_reports, operators) = mpsc::channel(CHANNEL_MAX);
+    let (disk_reports, disk) = mpsc::channel(CHANNEL_MAX);
+    let (view, seen) = watch::channel(View::default());
+    tokio::spawn(peer::listen(
+        sockets.peer,
+        key.clone(),
+        peer_reports.clone(),
+    ));
+    let front = Front {
+        view: seen.clone(),
+        reports: caller_reports,
+        prefix: format!("{}-{:08x}", config.host, boot as u32),
+        body_max: config.body_max,
+        connections_max: config.connections_max,
+        last: AtomicU64::new(0),
+    };
+    let serving = tokio::spawn(front::listen(sockets.callers, Arc::new(front)));
+    let admin = Admin {
+        view: seen,
+        reports: operator_reports,
+        key: config.operator_key,
+    };
+    tokio::spawn(admin::listen(sockets.admin, Arc::new(admin)));
+    let orders = disk_task.map(|store| write_in_background(store, disk_reports));
+    let datagrams = Arc::new(sockets.datagrams);
+    let sources = Sources {
+        backends,
+        peers,
+        callers,
+        operators,
+        disk,
+        datagrams: datagrams.clone(),
+        stop,
+    };
+    event::Event::Started.log(&format!("host {} domain {}", config.host, config.domain));
+    let mut node = Node {
+        pool: Pool::new(backend_reports, config.answer_max),
+        links: Links::new(config.host.clone(), key.clone(), peer_reports),
+        ledger: load_ledger(&config),
+        metric: Metric::new().context(MeterSnafu)?,
+        config,
+        origin,
+        daemon,
+        datagrams,
+        key,
+        orders,
+        pending: BTreeMap::new(),
+        operators: BTreeMap::new(),
+        view,
+        ledger_at: origin,
+        last: 0,
+        stopping: None,
+        connections: BTreeMap::new(),
+    };
+    node.turn(sources).await;
+    drop(serving);
+    event::Event::Stopped.log(&node.config.host);
+    Ok(())
+}
+
+/// Appends and syncs on a thread of its own; ends when the orders' channel closes.
+fn write_in_background(
+    mut store: Store,
+    reports: mpsc::Sender<Disk>,
+) -> mpsc::UnboundedSender<Order> {
+    let (orders, mut waiting) = mpsc::unbounded_channel();
+    tokio::task::spawn_blocking(move || {
+        while let Some(first) = waiting.blocking_recv() {
+            let mut batch = vec![first];
+            while let Ok(order) = waiting.try_recv() {
+                batch.push(order);
+            }
+            if let Err(error) = write(&mut store, batch, &reports) {
+                drop(reports.blocking_send(Disk::Failed(error)));
+                return;
+            }
+        }
+    });
+    orders
+}
+
+fn write(store: &mut Store, batch: Vec<Order>, reports: &mpsc::Sender<Disk>) -> store::Result<()> {
+    let mut records = Vec::new();
+    let mut number = None;
+    for order in batch {
+        match order {
+            Order::Append(at, record) => {
+                records.push(record);
+                number = Some(at);
+            }
+            Order::Compact(snapshot) => {
+                store.append(&std::mem::take(&mut records))?;
+                store.compact(&snapshot)?;
+                event::Event::Compacted.log("");
+            }
+        }
+    }
+    if !records.is_empty() {
+        store.append(&records)?;
+    }
+    if let Some(number) = number {
+        drop(reports.blocking_send(Disk::Synced(number)));
+    }
+    if store.wants_compaction() {
+        drop(reports.blocking_send(Disk::WantsCompaction));
+    }
+    Ok(())
+}
+
+fn ledger_path(config: &Config) -> Option<PathBuf> {
+    config.data.as_ref().map(|folder| folder.join(LEDGER_FILE))
+}
+
+fn load_ledger(config: &Config) -> Ledger {
+    let bytes = ledger_path(config).and_then(|path| std::fs::read(path).ok());
+    bytes
+        .and_then(|bytes| serde_json::from_slice(&bytes).ok())
+        .unwrap_or_default()
+}
+
+impl Node {
+    fn now(&self) -> Time {
+        Time::from_us(self.origin.elapsed().as_micros() as u64)
+    }
+
+    async fn turn(&mut self, mut sources: Sources) {
+        let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+        let mut next_tick = Instant::now();
+        loop {
+            let timer = self.wake_at(next_tick);
+            tokio::select! {
+                biased;
+                () = tokio::time::sleep_until(timer.into()) => {
+                    self.step(Event::Tick);
+                    next_tick = Instant::now() + TICK;
+                    self.housekeep();
+                    if self.is_finished() {
+                        break;
+                    }
+                }
+                Some(report) = sources.disk.recv() => self.disk(report),
+                Ok((size, from)) = sources.datagrams.recv_from(&mut buffer) => {
+                    if let Ok(datagram) = wire::open(&self.key, &buffer[..size]) {
+                        self.step(Event::Datagram(from, datagram));
+                    }
+                }
+                Some(report) = sources.backends.recv() => {
+                    if let Some((ticket, exchange)) = self.pool.take(report) {
+                        self.step(Event::Exchange(ticket, exchange));
+                    }
+                }
+                Some(report) = sources.peers.recv() => self.peer(report),
+                Some(report) = sources.callers.recv() => self.caller(report),
+                Some(report) = sources.operators.recv() => self.operator(report),
+                Ok(()) = &mut sources.stop, if self.stopping.is_none() => {
+                    self.stopping = Some(Instant::now());
+                    event::Event::Stopping.log(&self.config.host);
+                    self.step(Event::Stop);
+                }
+            }
+            self.show();
+        }
+        self.save_ledger();
+    }
+
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        let timer = self.daemon.entry.next_timer();
+        let timer = timer.map(|time| self.origin + Duration::from_micros(time.as_us()));
+        timer.map_or(next_tick, |timer| timer.min(next_tick))
+    }
+
+    /// Shows the daemon's state to its ports if it changed.
+    fn show(&self) {
+        let manifest = self.daemon.manifest();
+        let ready = self.daemon.is_ready();
+        let leaving = self.stopping.is_some();
+        let drain = Duration::from_micros(self.config.drain.as_us());
+        let closing = self.stopping.is_some_and(|since| since.elapsed() >= drain);
+        self.view.send_if_modified(|view| {
+            let same = Arc::ptr_eq(&view.manifest, manifest);
+            let flags = (view.ready, view.leaving, view.closing) == (ready, leaving, closing);
+            if same && flags {
+                return false;
+            }
+            *view = View {
+                manifest: manifest.clone(),
+                ready,
+                leaving,
+                closing,
+            };
+            true
+        });
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        let idle = self.daemon.is_idle() && self.pending.is_empty();
+        let drain = Duration::from_micros(self.config.drain.as_us());
+        let stop_max = Duration::from_micros(self.config.stop_max.as_us());
+        let drained = since.elapsed() >= drain + TICK && idle;
+        drained && self.view.receiver_count() <= 2 || since.elapsed() >= stop_max
+    }
+
+    fn housekeep(&mut self) {
+        if self.ledger_at.elapsed() >= LEDGER_EVERY {
+            self.ledger_at = Instant::now();
+            self.save_ledger();
+        }
+    }
+
+    fn save_ledger(&self) {
+        let Some(path) = ledger_path(&self.config) else {
+            return;
+        };
+        let bytes = serde_json::to_vec(&self.ledger).unwrap_or_default();
+        let new = path.with_extension("new");
+        if std::fs::write(&new, bytes).is_ok() {
+            drop(std::fs::rename(new, path));
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now();
+        let actions = self.daemon.step(now, event);
+        actions.into_iter().for_each(|action| self.act(action));
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Reply(id, reply) => self.reply(id, reply),
+            Action::Message(host, address, message) => {
+                if let Some(message) = self.links.send(&host, address, message) {
+                    self.step(Event::Unsent(host, message));
+                }
+            }
+            Action::Datagram(to, datagram) => {
+                if let Ok(bytes) = wire::seal(&self.key, to, datagram) {
+                    drop(self.datagrams.try_send_to(&bytes, to));
+                }
+            }
+            Action::Call(call) => {
+                let connections = self.connections.get(&call.replica).copied().unwrap_or(1);
+                self.pool.call(call, connections);
+            }
+            Action::Abort(ticket) => self.pool.abort(ticket),
+            Action::Release(replica) => self.pool.release(&replica),
+            Action::Persist(number, record) => {
+                if let Some(orders) = &self.orders {
+                    drop(orders.send(Order::Append(number, record)));
+                }
+            }
+            Action::Applied(id, decision) => {
+                event::Event::Applied.log(&format!("{decision:?}"));
+                if let Some(answer) = self.operators.remove(&id) {
+                    drop(answer.send(decision));
+                }
+            }
+            Action::Note(note) => {
+                event::note(&note);
+                self.connections = connection_limits(self.daemon.manifest());
+            }
+        }
+    }
+
+    fn reply(&mut self, id: u64, reply: Reply) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let latency = Span::from_us(pending.started.elapsed().as_micros() as u64);
+        let service = &pending.request.service;
+        self.metric.answer(service, latency, &reply);
+        if let Some(service) = self.daemon.manifest().services.get(service) {
+            let caller = pending.request.caller.clone();
+            let subject = Subject {
+                service: service.name.clone(),
+                caller,
+            };
+            self.ledger.record(
+                admin::minute(),
+                subject,
+                &service.objective,
+                latency,
+                &reply,
+            );
+        }
+        drop(pending.answer.send(reply));
+    }
+
+    fn disk(&mut self, report: Disk) {
+        match report {
+            Disk::Synced(number) => self.step(Event::Synced(number)),
+            Disk::WantsCompaction => {
+                if let (Some(voter), Some(orders)) = (self.daemon.voter(), &self.orders) {
+                    drop(orders.send(Order::Compact(voter.snapshot())));
+                }
+            }
+            Disk::Failed(error) => {
+                event::Event::DiskFailed.log(&error.to_string());
+                self.orders = None;
+                self.step(Event::DiskFailed);
+            }
+        }
+    }
+
+    fn peer(&mut self, report: peer::Report) {
+        match report {
+            peer::Report::Message(host, message) => self.step(Event::Message(host, message)),
+            peer::Report::Joined(host) => self.step(Event::Joined(host)),
+            peer::Report::Lost(host) => self.step(Event::Lost(host)),
+            peer::Report::Unsent(host, message) => self.step(Event::Unsent(host, message)),
+            peer::Report::Ended(host, address) => self.links.ended(&host, address),
+        }
+    }
+
+    fn caller(&mut self, report: front::Report) {
+        match report {
+            front::Report::Request(id, request, answer) => {
+                let pending = Pending {
+                    request: request.clone(),
+                    answer,
+                    started: Instant::now(),
+                };
+                self.pending.insert(id, pending);
+                self.step(Event::Request(id, request));
+            }
+            front::Report::Abandoned(id) => self.step(Event::Abandoned(id)),
+        }
+    }
+
+    fn operator(&mut self, report: admin::Report) {
+        match report {
+            admin::Report::Apply(text, answer) => {
+                self.last += 1;
+                self.operators.insert(self.last, answer);
+                self.step(Event::Apply(self.last, text));
+            }
+            admin::Report::Status(answer) => drop(answer.send(self.status())),
+            admin::Report::Explain(id, answer) => {
+                drop(answer.send(self.daemon.entry.recent.find(&id).cloned()));
+            }
+            admin::Report::Burn(answer) => drop(answer.send(self.ledger.clone())),
+            admin::Report::Metrics(answer) => {
+                let version = self.daemon.manifest().version;
+                let leased = self.daemon.is_leased();
+                let counts = self.daemon.entry.counts;
+                self.metric
+                    .observe(counts, self.pool.open(), version, leased);
+                drop(answer.send(self.metric.text()));
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = self.now();
+        let manifest = self.daemon.manifest();
+        let members = self.daemon.members().iter().map(|member| status::Member {
+            host: member.host.clone(),
+            domain: member.domain.clone(),
+            admin: member.admin,
+            version: member.version,
+            leaving: member.leaving,
+        });
+        let out = manifest
+            .domains
+            .iter()
+            .filter(|(name, _)| !manifest.is_in(name));
+        let owned = self
+            .daemon
+            .owner
+            .report()
+            .map(|(address, gate)| status::Owned {
+                address: address.to_string(),
+                state: gate.health().to_string(),
+                running: gate.running(),
+                waiting: gate.waiting(),
+                limit: gate.limit(),
+            });
+        let suspects = self
+            .daemon
+            .suspects(now)
+            .into_iter()
+            .map(|(fingerprint, standing)| {
+                let (fingerprint, standing) = (fingerprint.to_string(), standing.to_string());
+                status::Suspect {
+                    fingerprint,
+                    standing,
+                }
+            });
+        Status {
+            host: self.config.host.clone(),
+            version: manifest.version,
+            leased: self.daemon.is_leased(),
+            ready: self.daemon.is_ready(),
+            causes: self.causes(),
+            members: members.collect(),
+            voters: self.voters(now),
+            voter_mode: self.daemon.voter().map(|voter| voter.mode().to_string()),
+            voter_keys: self.daemon.voter().map_or(0, Voter::len),
+            domains_out: out.map(|(name, _)| name.clone()).collect(),
+            replicas: self.replicas(),
+            owned: owned.collect(),
+            suspects: suspects.collect(),
+            counts: self.daemon.entry.counts,
+            connections: self.pool.open(),
+        }
+    }
+
+    fn causes(&self) -> Vec<String> {
+        let manifest = self.daemon.manifest();
+        let in_service = manifest.may_own(&self.config.host, &self.config.domain);
+        let causes = [
+            (manifest.version == 0, "no file in force"),
+            (
+                !self.daemon.is_leased(),
+                "no majority of voters confirms the newest file",
+            ),
+            (!in_service, "host or failure domain is out"),
+            (self.stopping.is_some(), "stopping"),
+        ];
+        let causes = causes.into_iter().filter(|(holds, _)| *holds);
+        causes.map(|(_, cause)| cause.to_owned()).collect()
+    }
+
+    fn voters(&self, now: Time) -> Vec<status::Voter> {
+        let heard = self
+            .daemon
+            .voters(now)
+            .into_iter()
+            .collect::<BTreeMap<_, _>>();
+        let voters = self.config.voters.keys().map(|host| {
+            let state = match heard.get(host) {
+                Some(true) => "voting",
+                Some(false) => "not voting",
+                None => "silent",
+            };
+            status::Voter {
+                host: host.clone(),
+                state: state.to_owned(),
+            }
+        });
+        voters.collect()
+    }
+
+    fn replicas(&self) -> Vec<status::Replica> {
+        let router = &self.daemon.entry.router;
+        let mut replicas = Vec::new();
+        for service in self.daemon.manifest().services.values() {
+            for shard in &service.shards {
+                for replica in &shard.replicas {
+                    let owner = router.owner(&replica.address).cloned();
+                    let health = router.health(&replica.address);
+                    if health == Health::Ready && owner.is_some() {
+                        continue;
+                    }
+                    replicas.push(status::Replica {
+                        service: service.name.clone(),
+                        shard: shard.name.clone(),
+                        address: replica.address.to_string(),
+                        state: if owner.is_some() {
+                            health.to_string()
+                        } else {
+                            "no owner".into()
+                        },
+                        owner: owner.unwrap_or_default(),
+                    });
+                }
+            }
+        }
+        replicas
+    }
+}
+
+fn connection_limits(manifest: &Manifest) -> BTreeMap<SocketAddr, u32> {
+    let services = manifest.services.values();
+    let limits = services.flat_map(|service| {
+        let replicas = service.shards.iter().flat_map(|shard| &shard.replicas);
+        replicas.map(|replica| (replica.address, service.limits.connections))
+    });
+    limits.collect()
+}
--- /dev/null
+++ b/adapter/src/peer.rs
@@ -0,0 +1,233 @@
+//! Connections between daemons: each one carries messages one way.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use wagtailbeam_decision::daemon::Message;
+use wagtailbeam_decision::name::Name;
+
+use crate::event::Event;
+use crate::wire::Hello;
+use crate::wire::IoSnafu;
+use crate::wire::Key;
+use crate::wire::NONCE_BYTES;
+use crate::wire::Receiver;
+use crate::wire::Result;
+use crate::wire::Sender;
+
+/// Messages waiting for one peer at most.
+const QUEUE_MAX: usize = 8_192;
+
+/// Longest time to open a connection.
+const DIAL_MAX: Duration = Duration::from_millis(500);
+
+/// Longest time for one write to a peer.
+const WRITE_MAX: Duration = Duration::from_millis(1_000);
+
+/// Longest time for a dialing daemon to introduce itself.
+const HELLO_MAX: Duration = Duration::from_secs(2);
+
+/// What connections tell the loop.
+#[derive(Debug)]
+pub enum Report {
+    /// A message came.
+    Message(Name, Message),
+    /// A connection from a daemon opened.
+    Joined(Name),
+    /// A connection to or from a daemon ended.
+    Lost(Name),
+    /// A message was not sent; no byte of it was.
+    Unsent(Name, Message),
+    /// The connection to a daemon at an address is to be opened anew.
+    Ended(Name, SocketAddr),
+}
+
+struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<Message>,
+}
+
+/// Outgoing connections.
+pub struct Links {
+    me: Name,
+    key: Key,
+    reports: mpsc::Sender<Report>,
+    links: BTreeMap<Name, Link>,
+}
+
+impl Links {
+    /// No connections yet; they are opened when needed.
+    pub fn new(me: Name, key: Key, reports: mpsc::Sender<Report>) -> Links {
+        Links {
+            me,
+            key,
+            reports,
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Sends a message; one that can't be queued is returned.
+    pub fn send(&mut self, host: &Name, address: SocketAddr, message: Message) -> Option<Message> {
+        let usable = |link: &Link| link.address == address && !link.queue.is_closed();
+        if !self.links.get(host).is_some_and(usable) {
+            self.open(host, address);
+        }
+        let link = self.links.get(host)?;
+        match link.queue.try_send(message) {
+            Ok(()) => None,
+            Err(mpsc::error::TrySendError::Full(message))
+            | Err(mpsc::error::TrySendError::Closed(message)) => Some(message),
+        }
+    }
+
+    fn open(&mut self, host: &Name, address: SocketAddr) {
+        let (queue, messages) = mpsc::channel(QUEUE_MAX);
+        self.links.insert(host.clone(), Link { address, queue });
+        let (me, key, reports) = (self.me.clone(), self.key.clone(), self.reports.clone());
+        let host = host.clone();
+        tokio::spawn(async move {
+            let mut messages = messages;
+            let sent = carry(&me, &key, address, &mut messages).await;
+            messages.close();
+            while let Some(message) = messages.recv().await {
+                drop(reports.send(Report::Unsent(host.clone(), message)).await);
+            }
+            if sent {
+                drop(reports.send(Report::Lost(host.clone())).await);
+            }
+            drop(reports.send(Report::Ended(host, address)).await);
+        });
+    }
+
+    /// Forgets an ended connection.
+    pub fn ended(&mut self, host: &Name, address: SocketAddr) {
+        let gone = |link: &Link| link.address == address && link.queue.is_closed();
+        if self.links.get(host).is_some_and(gone) {
+            self.links.remove(host);
+        }
+    }
+}
+
+/// Carries messages until the connection fails; true if it ever opened.
+async fn carry(
+    me: &Name,
+    key: &Key,
+    address: SocketAddr,
+    messages: &mut mpsc::Receiver<Message>,
+) -> bool {
+    let Ok(Ok((mut sender, mut end))) = timeout(DIAL_MAX, dial(me, key, address)).await else {
+        return false;
+    };
+    let mut byte = [0];
+    loop {
+        tokio::select! {
+            _ = end.read(&mut byte) => return true,
+            message = messages.recv() => {
+                let Some(message) = message else { return true };
+                if !matches!(timeout(WRITE_MAX, sender.send(&message)).await, Ok(Ok(()))) {
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+type Halves = (
+    Sender<tokio::net::tcp::OwnedWriteHalf>,
+    tokio::net::tcp::OwnedReadHalf,
+);
+
+async fn dial(me: &Name, key: &Key, address: SocketAddr) -> Result<Halves> {
+    let stream = TcpStream::connect(address).await.context(IoSnafu)?;
+    stream.set_nodelay(true).context(IoSnafu)?;
+    let (mut read, mut write) = stream.into_split();
+    let mut theirs = [0; NONCE_BYTES];
+    read.read_exact(&mut theirs).await.context(IoSnafu)?;
+    let ours = rand::random::<[u8; NONCE_BYTES]>();
+    write.write_all(&ours).await.context(IoSnafu)?;
+    let mut sender = Sender::new(write, key.session(&theirs, &ours));
+    sender.send(&Hello { host: me.clone() }).await?;
+    Ok((sender, read))
+}
+
+/// Takes connections of other daemons until the loop ends.
+pub async fn listen(listener: TcpListener, key: Key, reports: mpsc::Sender<Report>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = reports.closed() => return,
+        };
+        let Ok((stream, address)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let (key, reports) = (key.clone(), reports.clone());
+        tokio::spawn(async move {
+            match timeout(HELLO_MAX, welcome(stream, &key)).await {
+                Ok(Ok((host, receiver))) => receive(host, receiver, reports).await,
+                Ok(Err(error)) => Event::PeerRefused.log(&format!("{address}: {error}")),
+                Err(_) => Event::PeerRefused.log(&format!("{address}: silent")),
+            }
+        });
+    }
+}
+
+type Incoming = Receiver<tokio::net::tcp::OwnedReadHalf>;
+
+/// Keeps the writing half open so that the dialing side sees this process end.
+struct Inbound {
+    receiver: Incoming,
+    _write: tokio::net::tcp::OwnedWriteHalf,
+}
+
+async fn welcome(stream: TcpStream, key: &Key) -> Result<(Name, Inbound)> {
+    stream.set_nodelay(true).context(IoSnafu)?;
+    let (mut read, mut write) = stream.into_split();
+    let ours = rand::random::<[u8; NONCE_BYTES]>();
+    write.write_all(&ours).await.context(IoSnafu)?;
+    let mut theirs = [0; NONCE_BYTES];
+    read.read_exact(&mut theirs).await.context(IoSnafu)?;
+    let mut receiver = Receiver::new(read, key.session(&ours, &theirs));
+    let hello: Hello = receiver.receive().await?;
+    Ok((
+        hello.host,
+        Inbound {
+            receiver,
+            _write: write,
+        },
+    ))
+}
+
+async fn receive(host: Name, mut inbound: Inbound, reports: mpsc::Sender<Report>) {
+    if reports.send(Report::Joined(host.clone())).await.is_err() {
+        return;
+    }
+    let cause = loop {
+        let message = tokio::select! {
+            message = inbound.receiver.receive() => message,
+            () = reports.closed() => return,
+        };
+        match message {
+            Ok(message) => {
+                if reports
+                    .send(Report::Message(host.clone(), message))
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            Err(error) => break error,
+        }
+    };
+    Event::PeerLost.log(&format!("{host}: {cause}"));
+    drop(reports.send(Report::Lost(host)).await);
+}
--- /dev/null
+++ b/adapter/src/settings.rs
@@ -0,0 +1,269 @@
+//! The daemon's settings, read from an INI file and checked as a whole.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::ini::Document;
+use wagtailbeam_decision::ini::Fault;
+use wagtailbeam_decision::ini::plain;
+use wagtailbeam_decision::ini::span;
+use wagtailbeam_decision::name::Name;
+
+/// Sections of the file.
+const SECTIONS: &str = "daemon, listen, voters, peers, operators, log, limits";
+
+/// Shortest shared key of the peers, in bytes.
+const PEER_KEY_MIN_BYTES: usize = 16;
+
+/// Why settings can't be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file has faults; all of them are listed.
+    #[snafu(display("{}", faults.iter().map(|f| format!("{}:{f}", path.display())).collect::<Vec<_>>().join("\n")))]
+    Faults {
+        /// The file.
+        path: PathBuf,
+        /// The faults.
+        faults: Vec<Fault>,
+    },
+}
+
+/// Settings, or why they can't be used.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, Serialize)]
+pub struct Config {
+    /// Host name.
+    pub host: Name,
+    /// Failure domain of the host.
+    pub domain: Name,
+    /// Folder for state that must survive; needed by voters.
+    pub data: Option<PathBuf>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators, health checks and metrics.
+    pub admin: SocketAddr,
+    /// Address for other daemons, TCP and UDP.
+    pub peer: SocketAddr,
+    /// Voters by host, with their peer addresses.
+    pub voters: BTreeMap<Name, SocketAddr>,
+    /// Key shared by all daemons, read from its file.
+    #[serde(skip)]
+    pub peer_key: Vec<u8>,
+    /// Digest of the operators' bearer key.
+    pub operator_key: Digest,
+    /// Log filter in the syntax of `tracing`.
+    pub log_filter: String,
+    /// Log format.
+    pub log_format: Format,
+    /// Time from a planned stop to the closing of listeners.
+    pub drain: Span,
+    /// Longest time of a planned stop.
+    pub stop_max: Span,
+    /// Largest body of a caller's request, in bytes.
+    pub body_max: usize,
+    /// Largest answer of a backend server, in bytes.
+    pub answer_max: usize,
+    /// Most connections of callers.
+    pub connections_max: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Config {
+            host: Name::default(),
+            domain: Name::default(),
+            data: None,
+            callers: any,
+            admin: any,
+            peer: any,
+            voters: BTreeMap::new(),
+            peer_key: Vec::new(),
+            operator_key: Digest::default(),
+            log_filter: "info".to_owned(),
+            log_format: Format::Text,
+            drain: Span::from_secs(5),
+            stop_max: Span::from_secs(30),
+            body_max: 1024 * 1024,
+            answer_max: 8 * 1024 * 1024,
+            connections_max: 4_096,
+        }
+    }
+}
+
+impl Config {
+    /// Whether this daemon is a voter.
+    pub fn is_voter(&self) -> bool {
+        self.voters.contains_key(&self.host)
+    }
+
+    /// Reads and checks the settings in `path`.
+    pub fn load(path: &Path) -> Result<Config> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        let folder = path.parent().unwrap_or(Path::new("."));
+        let read_key = |file: &str| std::fs::read(folder.join(file)).map_err(|e| e.to_string());
+        Config::parse(&text, read_key).map_err(|faults| Error::Faults {
+            path: path.to_owned(),
+            faults,
+        })
+    }
+
+    /// Reads settings from text; `read_key` reads the peers' key file.
+    pub fn parse(
+        text: &str,
+        read_key: impl Fn(&str) -> std::result::Result<Vec<u8>, String>,
+    ) -> std::result::Result<Config, Vec<Fault>> {
+        let mut document = Document::parse(text);
+        let mut config = Config::default();
+        config.read_daemon(&mut document);
+        config.read_listen(&mut document);
+        config.read_voters(&mut document);
+        config.read_keys(&mut document, read_key);
+        config.read_log(&mut document);
+        config.read_limits(&mut document);
+        document.finish(Some(config), SECTIONS)
+    }
+
+    fn read_daemon(&mut self, document: &mut Document) {
+        let mut section = document.take_one("daemon");
+        let host = section.required(document, "host", "a host name", Name::parse);
+        let domain = section.required(document, "domain", "a failure domain", Name::parse);
+        let data = section.optional(document, "data", "a folder", |text| {
+            Some(PathBuf::from(text))
+        });
+        self.host = host.unwrap_or_default();
+        self.domain = domain.unwrap_or_default();
+        self.data = data;
+        document.close(section, "host, domain, data");
+    }
+
+    fn read_listen(&mut self, document: &mut Document) {
+        const ADDRESS: &str = "an address as IP:PORT";
+        let mut section = document.take_one("listen");
+        let callers = section.required(document, "callers", ADDRESS, plain);
+        let admin = section.required(document, "admin", ADDRESS, plain);
+        let peer = section.required(document, "peer", ADDRESS, plain);
+        self.callers = callers.unwrap_or(self.callers);
+        self.admin = admin.unwrap_or(self.admin);
+        self.peer = peer.unwrap_or(self.peer);
+        document.close(section, "callers, admin, peer");
+    }
+
+    fn read_voters(&mut self, document: &mut Document) {
+        let mut section = document.take_one("voters");
+        let line = section.line;
+        for (host, address, line) in section.prefixed("") {
+            match Name::parse(&host).zip(plain(&address)) {
+                Some((host, address)) => drop(self.voters.insert(host, address)),
+                None => {
+                    let cause = "expected HOST = IP:PORT, the voter's peer address";
+                    document.fault(line, &format!("[voters] {host}"), cause);
+                }
+            }
+        }
+        if !matches!(self.voters.len(), 1 | 3 | 5) {
+            document.fault(line, "[voters]", "1, 3 or 5 voters are allowed");
+        }
+        if self.is_voter() && self.data.is_none() {
+            document.fault(line, "[daemon] data", "a voter needs a data folder");
+        }
+        if self
+            .voters
+            .get(&self.host)
+            .is_some_and(|address| *address != self.peer)
+        {
+            let cause = "differs from [listen] peer of this host";
+            document.fault(line, &format!("[voters] {}", self.host), cause);
+        }
+    }
+
+    fn read_keys(
+        &mut self,
+        document: &mut Document,
+        read_key: impl Fn(&str) -> std::result::Result<Vec<u8>, String>,
+    ) {
+        let mut section = document.take_one("peers");
+        let file = section.required(document, "key_file", "a file", |text| Some(text.to_owned()));
+        match file.as_deref().map(read_key) {
+            Some(Ok(key)) if key.len() >= PEER_KEY_MIN_BYTES => self.peer_key = key,
+            Some(Ok(_)) => {
+                let cause = format!("the key has fewer than {PEER_KEY_MIN_BYTES} bytes");
+                document.fault(section.line, "[peers] key_file", &cause);
+            }
+            Some(Err(cause)) => document.fault(section.line, "[peers] key_file", &cause),
+            None => {}
+        }
+        document.close(section, "key_file");
+        let mut section = document.take_one("operators");
+        const DIGEST: &str = "the BLAKE3 digest of the key in 64 hexadecimal digits";
+        let key = section.required(document, "key_digest", DIGEST, plain);
+        self.operator_key = key.unwrap_or_default();
+        document.close(section, "key_digest");
+    }
+
+    fn read_log(&mut self, document: &mut Document) {
+        let mut section = document.take_one("log");
+        let filter = section.optional(document, "filter", "a tracing filter", |text| {
+            let parsed = text.parse::<tracing_subscriber::filter::EnvFilter>();
+            parsed.is_ok().then(|| text.to_owned())
+        });
+        let format = section.optional(document, "format", "text, json", |text| match text {
+            "text" => Some(Format::Text),
+            "json" => Some(Format::Json),
+            _ => None,
+        });
+        self.log_filter = filter.unwrap_or_else(|| self.log_filter.clone());
+        self.log_format = format.unwrap_or_default();
+        document.close(section, "filter, format");
+    }
+
+    fn read_limits(&mut self, document: &mut Document) {
+        const SIZE: &str = "1 to 1073741824 bytes";
+        let mut section = document.take_one("limits");
+        let size = |text: &str| plain::<usize>(text).filter(|size| (1..=1 << 30).contains(size));
+        let drain = section.optional(document, "drain", "a time such as 5s", span);
+        let stop_max = section.optional(document, "stop_max", "a time such as 30s", span);
+        let body_max = section.optional(document, "body_max", SIZE, size);
+        let answer_max = section.optional(document, "answer_max", SIZE, size);
+        let connections = section.optional(document, "connections_max", "1 or more", size);
+        self.drain = drain.unwrap_or(self.drain);
+        self.stop_max = stop_max.unwrap_or(self.stop_max);
+        self.body_max = body_max.unwrap_or(self.body_max);
+        self.answer_max = answer_max.unwrap_or(self.answer_max);
+        self.connections_max = connections.unwrap_or(self.connections_max);
+        if self.stop_max < self.drain {
+            document.fault(section.line, "[limits] stop_max", "shorter than drain");
+        }
+        document.close(
+            section,
+            "drain, stop_max, body_max, answer_max, connections_max",
+        );
+    }
+}
--- /dev/null
+++ b/bins/src/bin/wagtailbeam.rs
@@ -0,0 +1,7 @@
+//! The operators' client.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wagtailbeam_adapter::cli::client_main()
+}
--- /dev/null
+++ b/decision/src/burn.rs
@@ -0,0 +1,231 @@
+//! Service-level burn: good and bad answers by service and caller, in buckets
+//! that add up over daemons and time.
+//!
+//! Source of the windows: "The Site Reliability Workbook", chapter 5, 2018.
+
+use std::collections::BTreeMap;
+
+use derive_more::Add;
+use derive_more::AddAssign;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+use crate::manifest::Objective;
+use crate::name::Name;
+use crate::query::Reply;
+
+/// Minutes kept one by one.
+const MINUTES_KEPT: u64 = 6 * 60;
+
+/// Hours kept in all, as the period of the error budget.
+const HOURS_KEPT: u64 = 30 * 24;
+
+/// Minutes in an hour.
+const MINUTES_PER_HOUR: u64 = 60;
+
+/// Upper edges of the latency buckets, in milliseconds.
+pub const EDGES_MS: [u64; 12] = [2, 5, 10, 20, 35, 50, 73, 100, 200, 500, 1_000, 5_000];
+
+/// Windows over which burn is reported: name and length in minutes.
+pub const WINDOWS: [(&str, u64); 4] = [("5m", 5), ("1h", 60), ("6h", 360), ("3d", 4_320)];
+
+/// Answers of one bucket.
+#[derive(Add, AddAssign, Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tally {
+    /// All answers.
+    pub total: u64,
+    /// Answers with no result.
+    pub refused: u64,
+    /// Answers below the objective's coverage.
+    pub partial: u64,
+    /// Complete answers above the objective's latency.
+    pub late: u64,
+}
+
+impl Tally {
+    /// Answers that miss the objective.
+    pub fn bad(&self) -> u64 {
+        self.refused + self.partial + self.late
+    }
+
+    /// Share of answers that miss the objective.
+    pub fn bad_ratio(&self) -> f64 {
+        self.bad() as f64 / self.total.max(1) as f64
+    }
+}
+
+/// Whom a series counts for.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Subject {
+    /// The service.
+    pub service: Name,
+    /// The caller.
+    pub caller: Name,
+}
+
+/// Answers to one subject over time, with their latencies.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Series {
+    minutes: BTreeMap<u64, Tally>,
+    hours: BTreeMap<u64, Tally>,
+    latencies: [u64; EDGES_MS.len() + 1],
+}
+
+impl Series {
+    fn add(&mut self, minute: u64, tally: Tally, latency: Span) {
+        *self.minutes.entry(minute).or_default() += tally;
+        *self.hours.entry(minute / MINUTES_PER_HOUR).or_default() += tally;
+        let bucket = EDGES_MS.iter().position(|edge| latency.as_ms() < *edge);
+        self.latencies[bucket.unwrap_or(EDGES_MS.len())] += 1;
+        self.trim(minute);
+    }
+
+    fn trim(&mut self, minute: u64) {
+        self.minutes = self.minutes.split_off(&minute.saturating_sub(MINUTES_KEPT));
+        self.hours = self
+            .hours
+            .split_off(&(minute / MINUTES_PER_HOUR).saturating_sub(HOURS_KEPT));
+    }
+
+    /// Adds another daemon's answers to the same subject.
+    pub fn merge(&mut self, other: &Series) {
+        for (minute, tally) in &other.minutes {
+            *self.minutes.entry(*minute).or_default() += *tally;
+        }
+        for (hour, tally) in &other.hours {
+            *self.hours.entry(*hour).or_default() += *tally;
+        }
+        let pairs = self.latencies.iter_mut().zip(&other.latencies);
+        pairs.for_each(|(ours, theirs)| *ours += theirs);
+    }
+
+    /// Answers of the last `minutes` up to and including minute `now`.
+    pub fn window(&self, now: u64, minutes: u64) -> Tally {
+        let sum = |tallies: &BTreeMap<u64, Tally>, first: u64| {
+            tallies
+                .range(first..)
+                .map(|(_, t)| *t)
+                .fold(Tally::default(), |sum, t| sum + t)
+        };
+        if minutes <= MINUTES_KEPT {
+            return sum(&self.minutes, (now + 1).saturating_sub(minutes));
+        }
+        let hours = minutes / MINUTES_PER_HOUR;
+        sum(
+            &self.hours,
+            (now / MINUTES_PER_HOUR + 1).saturating_sub(hours),
+        )
+    }
+
+    /// Answers of the whole period of the error budget.
+    pub fn period(&self, now: u64) -> Tally {
+        self.window(now, HOURS_KEPT * MINUTES_PER_HOUR)
+    }
+
+    /// Upper edge of the latency bucket that holds `quantile`, in milliseconds;
+    /// none above the last edge or without answers.
+    pub fn latency_ms(&self, quantile: f64) -> Option<u64> {
+        let total = self.latencies.iter().sum::<u64>();
+        let rank = (total as f64 * quantile).ceil() as u64;
+        let mut below = 0;
+        let bucket = self.latencies.iter().position(|count| {
+            below += count;
+            below >= rank.max(1)
+        });
+        bucket.and_then(|bucket| EDGES_MS.get(bucket).copied())
+    }
+}
+
+/// All series of a daemon, or of many added up.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ledger {
+    /// The series, as a list so that text formats can hold them.
+    #[serde(with = "serde_with::As::<Vec<(serde_with::Same, serde_with::Same)>>")]
+    pub series: BTreeMap<Subject, Series>,
+}
+
+impl Ledger {
+    /// Counts one answer in the given minute since the epoch.
+    pub fn record(
+        &mut self,
+        minute: u64,
+        subject: Subject,
+        objective: &Objective,
+        latency: Span,
+        reply: &Reply,
+    ) {
+        let tally = classify(objective, latency, reply);
+        self.series
+            .entry(subject)
+            .or_default()
+            .add(minute, tally, latency);
+    }
+
+    /// Adds another daemon's ledger.
+    pub fn merge(&mut self, other: &Ledger) {
+        for (subject, series) in &other.series {
+            self.series
+                .entry(subject.clone())
+                .or_default()
+                .merge(series);
+        }
+    }
+}
+
+fn classify(objective: &Objective, latency: Span, reply: &Reply) -> Tally {
+    let mut tally = Tally {
+        total: 1,
+        ..Tally::default()
+    };
+    match reply {
+        Reply::Refusal { .. } => tally.refused = 1,
+        Reply::Envelope(envelope) if envelope.ratio() < objective.coverage => tally.partial = 1,
+        Reply::Envelope(_) | Reply::Job { .. } if latency > objective.latency => tally.late = 1,
+        Reply::Envelope(_) | Reply::Job { .. } => {}
+    }
+    tally
+}
+
+/// Burn of one subject.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Burn {
+    /// Whom it is about.
+    pub subject: Subject,
+    /// Share of answers that must be good.
+    pub target: f64,
+    /// Burn rate by window: 1 spends the budget exactly in its period.
+    pub rates: Vec<(String, f64)>,
+    /// Share of the period's error budget that is left; negative if overspent.
+    pub budget_left: f64,
+    /// Hours until the budget is spent at the rate of the last hour.
+    pub exhausted_in_hours: Option<f64>,
+    /// Answers of the period.
+    pub period: Tally,
+    /// 99th percentile of latency, as the upper edge of its bucket.
+    pub p99_ms: Option<u64>,
+}
+
+impl Burn {
+    /// The burn of `series` at minute `now`.
+    pub fn of(subject: &Subject, series: &Series, target: f64, now: u64) -> Burn {
+        let allowed = 1.0 - target;
+        let rate = |minutes| series.window(now, minutes).bad_ratio() / allowed;
+        let period = series.period(now);
+        let budget_left = 1.0 - period.bad_ratio() / allowed;
+        let hourly = rate(MINUTES_PER_HOUR);
+        let hours = budget_left.max(0.0) * HOURS_KEPT as f64 / hourly;
+        Burn {
+            subject: subject.clone(),
+            target,
+            rates: WINDOWS
+                .iter()
+                .map(|(name, m)| ((*name).to_owned(), rate(*m)))
+                .collect(),
+            budget_left,
+            exhausted_in_hours: (hourly > 0.0).then_some(hours),
+            period,
+            p99_ms: series.latency_ms(0.99),
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/entry.rs
@@ -0,0 +1,926 @@
+//! The entry role: takes requests of callers and answers each one.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::admit::Window;
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::hedge::Policy;
+use crate::job::ANSWER_MAX_BYTES;
+use crate::job::Token;
+use crate::job::Verdict;
+use crate::manifest::Manifest;
+use crate::manifest::Service;
+use crate::name::Name;
+use crate::placement::Candidate;
+use crate::query::Next;
+use crate::query::Phase;
+use crate::query::Query;
+use crate::query::Reply;
+use crate::register::Change;
+use crate::register::Decision;
+use crate::register::Key;
+use crate::request::Batch;
+use crate::request::Cause;
+use crate::request::Index;
+use crate::request::Outcome;
+use crate::request::Piece;
+use crate::request::Ran;
+use crate::request::Request;
+use crate::route::Router;
+use crate::suspect::KEEP_CONVICTED;
+use crate::suspect::Ruling;
+use crate::suspect::Standing;
+use crate::suspect::Table;
+use crate::trace::Kind;
+use crate::trace::Recent;
+use crate::trace::Step;
+
+/// When a refused caller is told to come back.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
+/// When the caller of a job of unknown outcome is told to come back.
+const RETRY_JOB_AFTER: Span = Span::from_secs(5);
+
+/// Queries that each slot of a shard's replicas lets run at once at the start.
+const WINDOW_PER_SLOT: f64 = 2.0;
+
+/// Effects of the entry role.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send sub-requests to the owner on a host.
+    Send(Name, Batch),
+    /// Withdraw a sub-request.
+    Cancel(Name, u64),
+    /// Answer a caller.
+    Answer(u64, Reply),
+    /// Have the voters decide a change for a request.
+    Propose(u64, Key, Change),
+    /// Ask for leave to run a request as a canary.
+    Judge(u64, Digest),
+    /// Tell what a canary showed.
+    Tried(Digest, Standing),
+}
+
+#[derive(Clone, Debug)]
+struct Ask {
+    query: u64,
+    part: usize,
+    host: Name,
+    replica: SocketAddr,
+    sent: Time,
+    kind: Kind,
+}
+
+#[derive(Clone, Debug)]
+struct Desk {
+    policy: Policy,
+    window: Window,
+    indexes: BTreeMap<Name, BTreeMap<SocketAddr, Index>>,
+}
+
+/// Counts of sub-requests since the start, for metrics.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// First sub-requests.
+    pub first: u64,
+    /// Sub-requests sent again after a refusal or failure.
+    pub again: u64,
+    /// Hedges.
+    pub hedges: u64,
+}
+
+/// State of the entry role.
+#[derive(Debug, Default)]
+pub struct Entry {
+    manifest: Arc<Manifest>,
+    /// Routing to owners.
+    pub router: Router,
+    /// Counts for metrics.
+    pub counts: Counts,
+    /// Records of slow and incomplete requests.
+    pub recent: Recent,
+    desks: BTreeMap<Name, Desk>,
+    services: BTreeMap<Name, Arc<Service>>,
+    queries: BTreeMap<u64, Query>,
+    asks: BTreeMap<u64, Ask>,
+    timers: BTreeSet<(Time, u64)>,
+    last: u64,
+    seed: u64,
+    daemons: usize,
+}
+
+impl Entry {
+    /// An entry whose tokens begin with the random `seed`.
+    pub fn new(seed: u64) -> Entry {
+        Entry {
+            seed,
+            ..Entry::default()
+        }
+    }
+
+    /// Takes a configuration and the daemons that may own replicas.
+    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate]) {
+        self.daemons = candidates.len().max(1);
+        self.router.update(manifest, candidates);
+        if self.manifest == *manifest {
+            return;
+        }
+        self.manifest = manifest.clone();
+        self.desks
+            .retain(|name, _| manifest.services.contains_key(name));
+        let services = manifest.services.iter();
+        self.services = services
+            .map(|(n, s)| (n.clone(), Arc::new(s.clone())))
+            .collect();
+        for (name, desk) in &mut self.desks {
+            if let Some(service) = self.services.get(name) {
+                desk.policy.update(service.hedge);
+            }
+        }
+    }
+
+    fn desk(&mut self, service: &Service) -> &mut Desk {
+        let replicas = service
+            .shards
+            .iter()
+            .map(|shard| shard.replicas.len())
+            .max();
+        let slots = replicas.unwrap_or(1) as f64 * f64::from(service.limits.slots);
+        let daemons = self.daemons as f64;
+        self.desks
+            .entry(service.name.clone())
+            .or_insert_with(|| Desk {
+                policy: Policy::new(service.hedge),
+                window: Window::new((slots * WINDOW_PER_SLOT / daemons).max(slots)),
+                indexes: BTreeMap::new(),
+            })
+    }
+
+    /// Requests not yet answered.
+    pub fn load(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Earliest time at which [`Entry::tick`] has something to do.
+    pub fn next_timer(&self) -> Option<Time> {
+        self.timers.first().map(|(time, _)| *time)
+    }
+
+    /// Takes a request under the number `id`.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        id: u64,
+        request: Arc<Request>,
+        suspects: &Table,
+    ) -> Vec<Action> {
+        let Some(service) = self.services.get(&request.service).cloned() else {
+            return vec![Action::Answer(id, refusal(Cause::NoOwner, Ran::No))];
+        };
+        let shards = match choose_shards(&request, &service) {
+            Some(shards) => shards,
+            None => return vec![Action::Answer(id, refusal(Cause::NoOwner, Ran::No))],
+        };
+        let weight = self
+            .manifest
+            .callers
+            .get(&request.caller)
+            .map_or(1, |caller| caller.weight);
+        let caller = request.caller.clone();
+        if !self.desk(&service).window.admit(now, &caller, weight) {
+            return vec![Action::Answer(id, refusal(Cause::Full, Ran::No))];
+        }
+        let mut query = Query::new(now, request, service, shards);
+        query.pin = self.common_index(&query);
+        self.timers.insert((query.deadline, id));
+        let standing = suspects.standing(now, &query.fingerprint);
+        let job = !query.request.is_repeatable();
+        self.queries.insert(id, query);
+        match standing {
+            Some(Standing::Convicted) => self.finish(now, id, convicted(Ran::No)),
+            _ if job => self.claim(id),
+            Some(Standing::Suspect) => self.suspect(now, id),
+            Some(Standing::Cleared) | None => self.start(now, id),
+        }
+    }
+
+    /// The newest version that every shard is known to have on some replica.
+    fn common_index(&mut self, query: &Query) -> Option<Index> {
+        if !query.request.is_repeatable() {
+            return None;
+        }
+        let desk = self.desks.get(&query.service.name)?;
+        let newest = query.parts.iter().map(|part| {
+            let shard = &query.service.shards[part.shard];
+            desk.indexes.get(&shard.name)?.values().max().copied()
+        });
+        newest.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
+    fn start(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        query.phase = Phase::Running;
+        let parts = query.unanswered();
+        let service = query.service.clone();
+        self.desk(&service).policy.budget.earn(parts.len());
+        let mut actions = self.send_all(now, id, &parts, Kind::First);
+        actions.extend(self.proceed(now, id));
+        actions
+    }
+
+    /// Sends sub-requests for `parts`, batched by owner, and sets the hedge timer.
+    fn send_all(&mut self, now: Time, id: u64, parts: &[usize], kind: Kind) -> Vec<Action> {
+        let mut batches: BTreeMap<Name, Vec<Piece>> = BTreeMap::new();
+        for part in parts {
+            if let Some((host, piece)) = self.place(now, id, *part, kind) {
+                batches.entry(host).or_default().push(piece);
+            }
+        }
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let left = query.deadline.since(now);
+        let (request, priority) = (query.request.clone(), query.service.priority);
+        let service = query.service.name.clone();
+        let delay = self
+            .desks
+            .get(&service)
+            .and_then(|desk| desk.policy.delay());
+        if let Some(delay) = delay.filter(|_| kind == Kind::First && request.is_repeatable()) {
+            self.timers.insert((now.after(delay), id));
+        }
+        let send = |(host, pieces)| {
+            let batch = Batch {
+                request: request.clone(),
+                left,
+                priority,
+                pieces,
+            };
+            Action::Send(host, batch)
+        };
+        batches.into_iter().map(send).collect()
+    }
+
+    /// Chooses a replica for a part and counts the sub-request.
+    fn place(&mut self, now: Time, id: u64, part: usize, kind: Kind) -> Option<(Name, Piece)> {
+        let query = self.queries.get_mut(&id)?;
+        let shard = query.shard(part).clone();
+        let seed = id.wrapping_mul(31).wrapping_add(part as u64);
+        query.parts[part].retry_at = None;
+        let at = match self.router.choose(&shard, &query.parts[part].tried, seed) {
+            Ok(at) => at,
+            Err(cause @ (Cause::NoOwner | Cause::Out)) if kind == Kind::First => {
+                query.retry_later(now, part, cause);
+                self.timers.insert((query.parts[part].retry_at?, id));
+                return None;
+            }
+            Err(_) => return None,
+        };
+        let replica = &shard.replicas[at];
+        if kind == Kind::Hedge && !self.router.may_hedge(replica) {
+            return None;
+        }
+        let host = self.router.owner(&replica.address)?.clone();
+        self.last += 1;
+        let ask = self.last;
+        query.parts[part].tried.insert(at);
+        query.parts[part].asks.insert(ask, at);
+        query.sent += 1;
+        let pin = query.pin;
+        if kind == Kind::Canary {
+            query.phase = Phase::Canary(ask);
+        }
+        self.router.sent(replica.address);
+        self.count(kind);
+        let (replica, sent) = (replica.address, now);
+        self.asks.insert(
+            ask,
+            Ask {
+                query: id,
+                part,
+                host: host.clone(),
+                replica,
+                sent,
+                kind,
+            },
+        );
+        Some((host, Piece { ask, replica, pin }))
+    }
+
+    fn count(&mut self, kind: Kind) {
+        match kind {
+            Kind::First | Kind::Canary => self.counts.first += 1,
+            Kind::Again => self.counts.again += 1,
+            Kind::Hedge => self.counts.hedges += 1,
+        }
+    }
+
+    /// Takes the outcome of a sub-request.
+    pub fn outcome(&mut self, now: Time, ask: u64, outcome: Outcome) -> Vec<Action> {
+        let Some(sent) = self.end(now, ask, &outcome) else {
+            return Vec::new();
+        };
+        let Some(query) = self.queries.get_mut(&sent.query) else {
+            return Vec::new();
+        };
+        let died = matches!(
+            outcome,
+            Outcome::Failed {
+                cause: Cause::Died,
+                ..
+            }
+        );
+        let refused = matches!(outcome, Outcome::Failed { ran: Ran::No, .. });
+        let answered = matches!(outcome, Outcome::Answered(_));
+        let phase = query.phase;
+        query.record(now, sent.part, ask, outcome);
+        if let Some(at) = query.parts[sent.part].retry_at {
+            query.parts[sent.part].tried.clear();
+            self.timers.insert((at, sent.query));
+        }
+        match phase {
+            Phase::Canary(canary) if canary == ask => {
+                self.after_canary(now, &sent, died, answered, refused)
+            }
+            _ if !self.is_repeatable(sent.query) => self.after_job(now, &sent, refused),
+            _ if died => self.suspect(now, sent.query),
+            _ => self.after_piece(now, &sent, answered, refused),
+        }
+    }
+
+    fn is_repeatable(&self, id: u64) -> bool {
+        self.queries
+            .get(&id)
+            .is_none_or(|query| query.request.is_repeatable())
+    }
+
+    /// Ends the bookkeeping of a sub-request.
+    fn end(&mut self, now: Time, ask: u64, outcome: &Outcome) -> Option<Ask> {
+        let sent = self.asks.remove(&ask)?;
+        self.router.ended(&sent.replica);
+        let query = self.queries.get_mut(&sent.query)?;
+        let shard = query.shard(sent.part).name.clone();
+        query.steps.push(step(now, &sent, query, describe(outcome)));
+        let desk = self.desks.get_mut(&query.service.name)?;
+        if let Outcome::Answered(answer) = outcome {
+            desk.policy.latency.record(now.since(sent.sent));
+            let known = desk.indexes.entry(shard).or_default();
+            known.retain(|replica, _| self.router.owner(replica).is_some());
+            if let Some(index) = answer
+                .index
+                .filter(|index| query.pin.is_none_or(|pin| *index > pin))
+            {
+                known.insert(sent.replica, index);
+            }
+        } else if let Outcome::Moved { index: Some(index) } = outcome {
+            desk.indexes
+                .entry(shard)
+                .or_default()
+                .insert(sent.replica, *index);
+        }
+        Some(sent)
+    }
+
+    fn after_piece(&mut self, now: Time, sent: &Ask, answered: bool, refused: bool) -> Vec<Action> {
+        let id = sent.query;
+        let mut actions = Vec::new();
+        let Some(query) = self.queries.get(&id) else {
+            return actions;
+        };
+        let service = query.service.clone();
+        let idle = query.parts[sent.part].is_idle();
+        if answered {
+            actions.extend(self.withdraw(now, id, Some(sent.part)));
+        } else if idle && (refused || self.desk(&service).policy.budget.spend()) {
+            actions.extend(self.send_all(now, id, &[sent.part], Kind::Again));
+        }
+        actions.extend(self.proceed(now, id));
+        actions
+    }
+
+    /// Withdraws the outstanding sub-requests of one part, or of all.
+    fn withdraw(&mut self, now: Time, id: u64, part: Option<usize>) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let chosen = query.parts.iter_mut().enumerate();
+        let chosen = chosen.filter(|(at, _)| part.is_none_or(|part| part == *at));
+        let asks = chosen.flat_map(|(_, part)| std::mem::take(&mut part.asks).into_keys());
+        let asks = asks.collect::<Vec<_>>();
+        asks.into_iter()
+            .filter_map(|ask| self.withdraw_one(now, ask))
+            .collect()
+    }
+
+    fn withdraw_one(&mut self, now: Time, ask: u64) -> Option<Action> {
+        let sent = self.asks.remove(&ask)?;
+        self.router.ended(&sent.replica);
+        let query = self.queries.get_mut(&sent.query)?;
+        query
+            .steps
+            .push(step(now, &sent, query, "withdrawn".to_owned()));
+        if let Some(desk) = self.desks.get_mut(&query.service.name) {
+            desk.policy.latency.record(now.since(sent.sent));
+        }
+        Some(Action::Cancel(sent.host, ask))
+    }
+
+    /// Goes on after a change: waits, asks for a common version, or answers.
+    fn proceed(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        if query.phase != Phase::Running || !query.request.is_repeatable() {
+            return Vec::new();
+        }
+        match query.next(now) {
+            Next::Wait => Vec::new(),
+            Next::Finish => {
+                let reply = query.reply(RETRY_AFTER);
+                self.finish(now, id, reply)
+            }
+            Next::Align(parts) => {
+                let mut actions = self.send_all(now, id, &parts, Kind::Again);
+                actions.extend(self.proceed(now, id));
+                actions
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Time, id: u64, reply: Reply) -> Vec<Action> {
+        let mut actions = self.withdraw(now, id, None);
+        let Some(mut query) = self.queries.remove(&id) else {
+            return actions;
+        };
+        if let Some(trace) = query.trace(now, &reply) {
+            self.recent.keep(trace);
+        }
+        self.timers.remove(&(query.deadline, id));
+        if let Phase::Canary(_) = query.phase {
+            actions.push(Action::Tried(query.fingerprint, Standing::Suspect));
+        }
+        if let Some(desk) = self.desks.get_mut(&query.service.name) {
+            desk.window
+                .finish(now, &query.request.caller, query.overloaded);
+        }
+        actions.push(Action::Answer(id, reply));
+        actions
+    }
+
+    /// Handles timers that are due.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((time, id)) = self
+            .timers
+            .first()
+            .copied()
+            .filter(|(time, _)| *time <= now)
+        {
+            self.timers.remove(&(time, id));
+            actions.extend(self.wake(now, id));
+        }
+        actions
+    }
+
+    fn wake(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        if now >= query.deadline {
+            return self.expire(now, id);
+        }
+        if query.phase != Phase::Running {
+            return Vec::new();
+        }
+        let due = |part: &crate::query::Part| part.retry_at.is_some_and(|at| at <= now);
+        let parts = query.parts.iter().enumerate().filter(|(_, part)| due(part));
+        let parts = parts.map(|(at, _)| at).collect::<Vec<_>>();
+        let mut actions = self.send_all(now, id, &parts, Kind::First);
+        if self.is_repeatable(id) {
+            actions.extend(self.hedge(now, id));
+        }
+        actions.extend(self.proceed(now, id));
+        actions
+    }
+
+    fn expire(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let reply = match query.phase {
+            Phase::Claiming => refusal(Cause::Quorum, Ran::No),
+            Phase::Suspected if !query.request.is_repeatable() => {
+                refusal(Cause::Convicted, Ran::No)
+            }
+            _ => query.reply(RETRY_AFTER),
+        };
+        let job = query.request.job();
+        let give_back = matches!(&reply, Reply::Refusal { ran: Ran::No, .. });
+        let mut actions = Vec::new();
+        if give_back && !query.request.is_repeatable() {
+            let token = self.token(id);
+            actions.push(Action::Propose(
+                id,
+                Key::Job(job),
+                Change::Release { token },
+            ));
+        }
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+
+    /// Sends a second sub-request for parts that are late, within the budget.
+    fn hedge(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let service = query.service.clone();
+        let Some(delay) = self.desk(&service).policy.delay() else {
+            return Vec::new();
+        };
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let mut late = Vec::new();
+        for (at, part) in query.parts.iter_mut().enumerate() {
+            let oldest = part
+                .asks
+                .keys()
+                .filter_map(|ask| self.asks.get(ask))
+                .map(|ask| ask.sent);
+            let waits = oldest.min().is_some_and(|sent| now.since(sent) >= delay);
+            if waits && !part.hedged && part.answers.is_empty() {
+                late.push(at);
+            }
+        }
+        let mut chosen = Vec::new();
+        for part in late {
+            if !self.can_hedge(id, part) || !self.desk(&service).policy.budget.spend() {
+                continue;
+            }
+            if let Some(query) = self.queries.get_mut(&id) {
+                query.parts[part].hedged = true;
+            }
+            chosen.push(part);
+        }
+        self.send_all(now, id, &chosen, Kind::Hedge)
+    }
+
+    fn can_hedge(&self, id: u64, part: usize) -> bool {
+        let Some(query) = self.queries.get(&id) else {
+            return false;
+        };
+        let shard = query.shard(part);
+        let choice = self.router.choose(shard, &query.parts[part].tried, 1);
+        choice.is_ok_and(|at| self.router.may_hedge(&shard.replicas[at]))
+    }
+
+    /// Drops a repeatable request whose caller went away; a job goes on.
+    pub fn abandon(&mut self, now: Time, id: u64) -> Vec<Action> {
+        if !self.queries.contains_key(&id) || !self.is_repeatable(id) {
+            return Vec::new();
+        }
+        self.finish(now, id, refusal(Cause::Cancelled, Ran::Maybe))
+    }
+
+    /// Treats the sub-requests at a lost daemon as failed.
+    pub fn lose(&mut self, now: Time, host: &Name) -> Vec<Action> {
+        let lost = self.asks.iter().filter(|(_, ask)| ask.host == *host);
+        let lost = lost.map(|(ask, _)| *ask).collect::<Vec<_>>();
+        let outcome = Outcome::unsure(Cause::Lost);
+        lost.into_iter()
+            .flat_map(|ask| self.outcome(now, ask, outcome.clone()))
+            .collect()
+    }
+
+    /// Treats one sub-request as not sent, as its owner can't be reached.
+    pub fn unsent(&mut self, now: Time, ask: u64) -> Vec<Action> {
+        self.outcome(now, ask, Outcome::refused(Cause::NoOwner))
+    }
+}
+
+/// Canaries.
+impl Entry {
+    /// Stops a request's sub-requests and asks for leave to run it as a canary.
+    fn suspect(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let mut actions = self.withdraw(now, id, None);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return actions;
+        };
+        query.phase = Phase::Suspected;
+        query.parts.iter_mut().for_each(|part| part.retry_at = None);
+        actions.push(Action::Judge(id, query.fingerprint));
+        actions
+    }
+
+    /// Learns that a request may stop servers: those of its kind pause.
+    pub fn suspects(&mut self, now: Time, fingerprint: &Digest) -> Vec<Action> {
+        let running = self.queries.iter().filter(|(_, query)| {
+            let paused = query.phase == Phase::Running && query.request.is_repeatable();
+            paused && query.fingerprint == *fingerprint
+        });
+        let running = running.map(|(id, _)| *id).collect::<Vec<_>>();
+        running
+            .into_iter()
+            .flat_map(|id| self.suspect(now, id))
+            .collect()
+    }
+
+    /// Asks again for the requests that wait, as the daemon that rules may have changed.
+    pub fn suspected(&self) -> Vec<Action> {
+        let waiting = self
+            .queries
+            .iter()
+            .filter(|(_, query)| query.phase == Phase::Suspected);
+        waiting
+            .map(|(id, query)| Action::Judge(*id, query.fingerprint))
+            .collect()
+    }
+
+    /// Takes the ruling on a request that waits for it.
+    pub fn rule(&mut self, now: Time, id: u64, ruling: Ruling) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        if query.phase != Phase::Suspected {
+            return Vec::new();
+        }
+        query.parts.iter_mut().for_each(|part| part.tried.clear());
+        let job = (!query.request.is_repeatable()).then(|| query.request.job());
+        match ruling {
+            Ruling::Convicted => {
+                let ran = if query.sent == 0 { Ran::No } else { Ran::Yes };
+                let release = job.map(|job| self.release(id, job));
+                let mut actions = self.finish(now, id, convicted(ran));
+                actions.extend(release);
+                actions
+            }
+            Ruling::Cleared => self.start(now, id),
+            Ruling::Go => self.canary(now, id),
+        }
+    }
+
+    fn canary(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        for part in query.unanswered() {
+            let actions = self.send_all(now, id, &[part], Kind::Canary);
+            if !actions.is_empty() {
+                return actions;
+            }
+        }
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let mut actions = vec![Action::Tried(query.fingerprint, Standing::Suspect)];
+        let reply = query.reply(RETRY_AFTER);
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+
+    fn after_canary(
+        &mut self,
+        now: Time,
+        sent: &Ask,
+        died: bool,
+        answered: bool,
+        refused: bool,
+    ) -> Vec<Action> {
+        let id = sent.query;
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let fingerprint = query.fingerprint;
+        query.phase = Phase::Running;
+        if died {
+            let mut actions = vec![Action::Tried(fingerprint, Standing::Convicted)];
+            actions.extend(self.finish(now, id, convicted(Ran::Yes)));
+            return actions;
+        }
+        if answered {
+            let mut actions = vec![Action::Tried(fingerprint, Standing::Cleared)];
+            actions.extend(match self.is_repeatable(id) {
+                true => self.start(now, id),
+                false => self.after_job(now, sent, false),
+            });
+            return actions;
+        }
+        if refused {
+            return self.canary(now, id);
+        }
+        let reply = query.reply(RETRY_AFTER);
+        let mut actions = vec![Action::Tried(fingerprint, Standing::Suspect)];
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+}
+
+/// Requests that run at most once.
+impl Entry {
+    /// The token of this daemon's attempt at a request.
+    fn token(&self, id: u64) -> Token {
+        Token(u128::from(self.seed) << 64 | u128::from(id))
+    }
+
+    fn claim(&mut self, id: u64) -> Vec<Action> {
+        let token = self.token(id);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        query.phase = Phase::Claiming;
+        let change = Change::Claim {
+            token,
+            body: query.fingerprint,
+        };
+        vec![Action::Propose(id, Key::Job(query.request.job()), change)]
+    }
+
+    fn release(&self, id: u64, job: Digest) -> Action {
+        Action::Propose(
+            id,
+            Key::Job(job),
+            Change::Release {
+                token: self.token(id),
+            },
+        )
+    }
+
+    /// Takes the voters' decision on a request's change.
+    pub fn decided(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: &Decision,
+        suspects: &Table,
+    ) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        match query.phase {
+            Phase::Recording => {
+                let reply = query.reply(RETRY_JOB_AFTER);
+                self.finish(now, id, reply)
+            }
+            Phase::Claiming => self.claimed(now, id, decision, suspects),
+            Phase::Suspected | Phase::Canary(_) | Phase::Running => Vec::new(),
+        }
+    }
+
+    fn claimed(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: &Decision,
+        suspects: &Table,
+    ) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let (job, fingerprint) = (query.request.job(), query.fingerprint);
+        let reply = match decision {
+            Decision::Job(Verdict::Won) => {
+                return match suspects.standing(now, &fingerprint) {
+                    Some(Standing::Suspect | Standing::Convicted) => self.suspect(now, id),
+                    Some(Standing::Cleared) | None => self.start(now, id),
+                };
+            }
+            Decision::Job(Verdict::Done(Some(answer))) => Reply::Job {
+                answer: answer.clone(),
+                replayed: true,
+            },
+            Decision::Job(Verdict::Done(None)) => Reply::Refusal {
+                cause: Cause::Unkept,
+                ran: Ran::Yes,
+                retry_after: None,
+            },
+            Decision::Job(Verdict::Conflict) => Reply::Refusal {
+                cause: Cause::Conflict,
+                ran: Ran::No,
+                retry_after: None,
+            },
+            Decision::Job(Verdict::Held | Verdict::Noted) => held(),
+            Decision::Unknown | Decision::File(_) | Decision::Value(_) => {
+                let mut actions = vec![self.release(id, job)];
+                actions.extend(self.finish(now, id, refusal(Cause::Quorum, Ran::No)));
+                return actions;
+            }
+        };
+        self.finish(now, id, reply)
+    }
+
+    fn after_job(&mut self, now: Time, sent: &Ask, refused: bool) -> Vec<Action> {
+        let id = sent.query;
+        let token = self.token(id);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let job = query.request.job();
+        if let Some(answer) = query.parts[sent.part].answers.values().next().cloned() {
+            query.phase = Phase::Recording;
+            let answer = Some(answer).filter(|answer| answer.body.len() <= ANSWER_MAX_BYTES);
+            return vec![Action::Propose(
+                id,
+                Key::Job(job),
+                Change::Record { token, answer },
+            )];
+        }
+        if !refused {
+            return self.finish(now, id, held());
+        }
+        if query.parts[sent.part].retry_at.is_some() {
+            return Vec::new();
+        }
+        let again = self.send_all(now, id, &[sent.part], Kind::Again);
+        if !again.is_empty() {
+            return again;
+        }
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let reply = query.reply(RETRY_AFTER);
+        let mut actions = vec![self.release(id, job)];
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+}
+
+fn describe(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered(answer) => format!("answered {}", answer.status),
+        Outcome::Moved { index: Some(index) } => format!("has index {index}"),
+        Outcome::Moved { index: None } => "has another index".to_owned(),
+        Outcome::Failed { ran, cause } => format!("{cause}, ran {ran}"),
+    }
+}
+
+fn step(now: Time, sent: &Ask, query: &Query, outcome: String) -> Step {
+    Step {
+        shard: query.shard(sent.part).name.clone(),
+        replica: sent.replica,
+        owner: sent.host.clone(),
+        kind: sent.kind,
+        sent_us: sent.sent.since(query.started).as_us(),
+        took_us: now.since(sent.sent).as_us(),
+        outcome,
+    }
+}
+
+fn refusal(cause: Cause, ran: Ran) -> Reply {
+    Reply::Refusal {
+        cause,
+        ran,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+/// The final refusal of a request that stops servers.
+fn convicted(ran: Ran) -> Reply {
+    Reply::Refusal {
+        cause: Cause::Convicted,
+        ran,
+        retry_after: Some(KEEP_CONVICTED),
+    }
+}
+
+/// The answer to a job whose outcome is unknown.
+fn held() -> Reply {
+    let retry_after = Some(RETRY_JOB_AFTER);
+    Reply::Refusal {
+        cause: Cause::Unknown,
+        ran: Ran::Maybe,
+        retry_after,
+    }
+}
+
+/// Positions of the shards that a request goes to.
+fn choose_shards(request: &Request, service: &Service) -> Option<Vec<usize>> {
+    let position = |name: &Name| service.shards.iter().position(|shard| shard.name == *name);
+    let named = request
+        .shards
+        .iter()
+        .map(position)
+        .collect::<Option<BTreeSet<_>>>()?;
+    let named = named.into_iter().collect::<Vec<_>>();
+    if !request.is_repeatable() && named.len() > 1 {
+        return None;
+    }
+    if !named.is_empty() {
+        return Some(named);
+    }
+    if request.is_repeatable() {
+        return Some((0..service.shards.len()).collect());
+    }
+    let at = request.job().rank() % service.shards.len().max(1) as u64;
+    Some(vec![at as usize])
+}
--- /dev/null
+++ b/decision/src/gate.rs
@@ -0,0 +1,412 @@
+//! Admission to one replica at its owner: concurrency limit, slow start, short
+//! queue and detection of a server that is cold, draining or stalled.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::manifest::Limits;
+use crate::name::Name;
+use crate::request::Cause;
+
+/// Queued sub-requests per slot.
+const QUEUE_PER_SLOT: usize = 8;
+
+/// Multiple of the usual time after which a server with no success is stalled.
+const STALL_FACTOR: u64 = 8;
+
+/// Shortest time after which a server with no success is stalled.
+const STALL_MIN: Span = Span::from_ms(150);
+
+/// First wait before a stalled or unreachable server is tried again.
+const BACKOFF_MIN: Span = Span::from_ms(500);
+
+/// Longest wait before a stalled or unreachable server is tried again.
+const BACKOFF_MAX: Span = Span::from_secs(8);
+
+/// Time for which a server that said it drains gets nothing.
+const DRAIN_HOLD: Span = Span::from_secs(5);
+
+/// Time for which the limit stays lowered after a shed.
+const SHED_HOLD: Span = Span::from_ms(100);
+
+/// Usual time of a sub-request until one was measured.
+const USUAL_START: Span = Span::from_ms(5);
+
+/// Identifier of a sub-request at the owner.
+pub type Ticket = u64;
+
+/// A sub-request that asks for admission.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Work {
+    /// Its identifier.
+    pub ticket: Ticket,
+    /// Point after which its answer is of no use.
+    pub deadline: Time,
+    /// The caller, for fair shares.
+    pub caller: Name,
+    /// Priority; higher goes first.
+    pub priority: u8,
+}
+
+/// What an entry daemon should know of a replica.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub enum Health {
+    /// Takes its full load.
+    #[default]
+    #[display("ready")]
+    Ready,
+    /// Started lately: takes little.
+    #[display("cold")]
+    Cold,
+    /// Takes no new work for now.
+    #[display("draining")]
+    Draining,
+    /// Gives no answers, or accepts no connection.
+    #[display("stalled")]
+    Stalled,
+}
+
+/// What the gate decided about a sub-request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Send it to the server now.
+    Run(Ticket),
+    /// Give it up; it did not run.
+    Refuse(Ticket, Cause),
+}
+
+/// What an exchange with the server showed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Sign {
+    /// A complete answer.
+    Success {
+        /// The server's boot identifier, if stated.
+        boot: Option<Name>,
+        /// Whether the server said that it drains.
+        draining: bool,
+    },
+    /// The server refused for load.
+    Shed,
+    /// The connection was refused or broke.
+    Reset,
+    /// No answer by the deadline.
+    Timeout,
+    /// The entry daemon withdrew the sub-request.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    since: Time,
+}
+
+/// Admission to one replica.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    limits: Limits,
+    health: Health,
+    limit: u32,
+    successes: u32,
+    warm_at: Time,
+    retry_at: Time,
+    backoff: Span,
+    shed_until: Time,
+    usual: Span,
+    last_success: Time,
+    boot: Option<Name>,
+    flights: BTreeMap<Ticket, Flight>,
+    queue: Vec<Work>,
+    served: BTreeMap<Name, u64>,
+}
+
+impl Gate {
+    /// A gate for a server about which nothing is known: it counts as cold.
+    pub fn new(now: Time, limits: Limits) -> Gate {
+        Gate {
+            limits,
+            health: Health::Cold,
+            limit: limits.cold_limit,
+            successes: 0,
+            warm_at: now.after(limits.warmup),
+            retry_at: now,
+            backoff: BACKOFF_MIN,
+            shed_until: now,
+            usual: USUAL_START,
+            last_success: now,
+            boot: None,
+            flights: BTreeMap::new(),
+            queue: Vec::new(),
+            served: BTreeMap::new(),
+        }
+    }
+
+    /// The gate with sub-requests that already run at the server.
+    pub fn with_running(mut self, now: Time, running: impl Iterator<Item = Ticket>) -> Gate {
+        self.flights
+            .extend(running.map(|ticket| (ticket, Flight { since: now })));
+        self
+    }
+
+    /// Takes changed limits.
+    pub fn update(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.limit = self.limit.min(limits.slots);
+    }
+
+    /// The state to be told to entry daemons.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Sub-requests at the server now.
+    pub fn running(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Sub-requests waiting now.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Sub-requests that may be at the server at once.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// The usual time of one sub-request.
+    pub fn usual(&self) -> Span {
+        self.usual
+    }
+
+    /// Offers a sub-request; it runs, waits, or is refused.
+    pub fn offer(&mut self, now: Time, work: Work) -> Vec<Step> {
+        if let Some(cause) = self.closed(now) {
+            return vec![Step::Refuse(work.ticket, cause)];
+        }
+        let mut steps = Vec::new();
+        let wait = self.expected_wait();
+        let in_time = now.after(wait).after(self.usual) <= work.deadline;
+        let ticket = work.ticket;
+        self.queue.push(work);
+        if !in_time && !self.has_room() {
+            steps.extend(self.evict(|worst| worst.ticket == ticket));
+        }
+        if self.queue.len() > self.queue_max() {
+            steps.extend(self.evict(|_| true));
+        }
+        steps.extend(self.drain(now));
+        steps
+    }
+
+    fn queue_max(&self) -> usize {
+        self.limit as usize * QUEUE_PER_SLOT
+    }
+
+    fn has_room(&self) -> bool {
+        self.flights.len() < self.limit as usize
+    }
+
+    fn expected_wait(&self) -> Span {
+        let ahead = self.queue.len() as u64 + u64::from(!self.has_room());
+        self.usual.times(ahead).part(u64::from(self.limit.max(1)))
+    }
+
+    /// Drops the last in order among the waiting that `pick` allows.
+    fn evict(&mut self, pick: impl Fn(&Work) -> bool) -> Option<Step> {
+        let candidates = self.queue.iter().enumerate().filter(|(_, work)| pick(work));
+        let (at, _) = candidates.max_by_key(|(_, work)| self.order(work))?;
+        let work = self.queue.remove(at);
+        Some(Step::Refuse(work.ticket, Cause::Full))
+    }
+
+    /// Order in the queue: priority, then the caller served least, then deadline.
+    fn order(&self, work: &Work) -> (std::cmp::Reverse<u8>, u64, Time, Ticket) {
+        let served = self.served.get(&work.caller).copied().unwrap_or_default();
+        (
+            std::cmp::Reverse(work.priority),
+            served,
+            work.deadline,
+            work.ticket,
+        )
+    }
+
+    /// Why the server gets no new work now, if it gets none.
+    fn closed(&self, now: Time) -> Option<Cause> {
+        match self.health {
+            Health::Ready | Health::Cold => None,
+            _ if now >= self.retry_at && self.flights.is_empty() => None,
+            Health::Draining => Some(Cause::Draining),
+            Health::Stalled => Some(Cause::Stalled),
+        }
+    }
+
+    fn drain(&mut self, now: Time) -> Vec<Step> {
+        let mut steps = self.expire(now);
+        while self.has_room() && self.closed(now).is_none() {
+            let next = (0..self.queue.len()).min_by_key(|at| self.order(&self.queue[*at]));
+            let Some(at) = next else { break };
+            let work = self.queue.remove(at);
+            self.count(&work.caller);
+            self.flights.insert(work.ticket, Flight { since: now });
+            steps.push(Step::Run(work.ticket));
+        }
+        steps
+    }
+
+    /// Counts a run for its caller; one that was idle starts level with the least.
+    fn count(&mut self, caller: &Name) {
+        let waiting = |name: &Name| self.queue.iter().any(|work| work.caller == *name);
+        let active = self.served.iter().filter(|(name, _)| waiting(name));
+        let floor = active.map(|(_, served)| *served).min().unwrap_or_default();
+        let served = self.served.entry(caller.clone()).or_default();
+        *served = (*served).max(floor) + 1;
+        if self.queue.is_empty() {
+            self.served.clear();
+        }
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<Step> {
+        let usual = self.usual;
+        let late = |work: &Work| now.after(usual.part(2)) > work.deadline;
+        let (dropped, kept) = self.queue.drain(..).partition(late);
+        self.queue = kept;
+        let dropped: Vec<Work> = dropped;
+        dropped
+            .into_iter()
+            .map(|work| Step::Refuse(work.ticket, Cause::Full))
+            .collect()
+    }
+
+    /// Ends a sub-request that ran or waited.
+    pub fn finish(&mut self, now: Time, ticket: Ticket, sign: Sign) -> Vec<Step> {
+        let Some(flight) = self.flights.remove(&ticket) else {
+            self.queue.retain(|work| work.ticket != ticket);
+            return Vec::new();
+        };
+        let took = now.since(flight.since);
+        match sign {
+            Sign::Success { boot, draining } => self.succeed(now, took, boot, draining),
+            Sign::Shed => self.shed(now),
+            Sign::Reset => self.reset(now),
+            Sign::Timeout => self.stall_if_silent(now, took),
+            Sign::Cancelled => {}
+        }
+        let mut steps = self.drain(now);
+        steps.extend(self.refuse_all_if_closed(now));
+        steps
+    }
+
+    fn succeed(&mut self, now: Time, took: Span, boot: Option<Name>, draining: bool) {
+        self.last_success = now;
+        self.backoff = BACKOFF_MIN;
+        let smoothed = (self.usual.as_us() * 7 + took.as_us()) / 8;
+        self.usual = Span::from_us(smoothed);
+        let restarted = boot.is_some() && self.boot.is_some() && boot != self.boot;
+        self.boot = boot.or(self.boot.take());
+        if draining {
+            self.health = Health::Draining;
+            self.limit = self.limits.cold_limit;
+            self.retry_at = now.after(DRAIN_HOLD);
+            return;
+        }
+        if restarted || matches!(self.health, Health::Draining | Health::Stalled) {
+            return self.chill(now);
+        }
+        self.grow(now);
+    }
+
+    /// Starts the slow start of a server that is or may be cold.
+    pub fn chill(&mut self, now: Time) {
+        self.health = Health::Cold;
+        self.limit = self.limits.cold_limit;
+        self.successes = 0;
+        self.warm_at = now.after(self.limits.warmup);
+    }
+
+    fn grow(&mut self, now: Time) {
+        if self.limit >= self.limits.slots {
+            self.health = Health::Ready;
+            return;
+        }
+        let held = match self.health {
+            Health::Cold => now < self.warm_at,
+            _ => now < self.shed_until,
+        };
+        self.successes += 1;
+        if !held && self.successes >= self.limit {
+            self.successes = 0;
+            self.limit += 1;
+        }
+        if self.limit >= self.limits.slots {
+            self.health = Health::Ready;
+        }
+    }
+
+    fn shed(&mut self, now: Time) {
+        self.limit = (self.limit / 2).max(1);
+        self.successes = 0;
+        self.shed_until = now.after(SHED_HOLD);
+    }
+
+    fn reset(&mut self, now: Time) {
+        self.chill(now);
+        self.close(now);
+    }
+
+    fn close(&mut self, now: Time) {
+        self.health = Health::Stalled;
+        self.retry_at = now.after(self.backoff);
+        self.backoff = self.backoff.times(2).min(BACKOFF_MAX);
+    }
+
+    fn stall_if_silent(&mut self, now: Time, took: Span) {
+        let silent = now.since(self.last_success) >= took;
+        if silent && self.health != Health::Stalled {
+            self.limit = self.limits.cold_limit;
+            self.close(now);
+        }
+    }
+
+    /// Finds a stalled server and drops late work; to be called at short intervals.
+    pub fn tick(&mut self, now: Time) -> Vec<Step> {
+        let patience = self.usual.times(STALL_FACTOR).max(STALL_MIN);
+        let oldest = self.flights.values().map(|flight| flight.since).min();
+        let stuck = oldest.is_some_and(|since| now.since(since) >= patience);
+        let silent = now.since(self.last_success) >= patience;
+        let open = matches!(self.health, Health::Ready | Health::Cold);
+        if stuck && silent && open {
+            self.limit = self.limits.cold_limit;
+            self.close(now);
+        }
+        let mut steps = self.refuse_all_if_closed(now);
+        steps.extend(self.drain(now));
+        steps
+    }
+
+    /// Whether a closed server may be tried again.
+    pub fn is_due(&self, now: Time) -> bool {
+        matches!(self.health, Health::Stalled | Health::Draining)
+            && now >= self.retry_at
+            && self.flights.is_empty()
+    }
+
+    fn refuse_all_if_closed(&mut self, now: Time) -> Vec<Step> {
+        match self.closed(now) {
+            Some(cause) => self.refuse_all(cause),
+            None => Vec::new(),
+        }
+    }
+
+    /// Refuses all that waits, for a cause of the owner's.
+    pub fn refuse_all(&mut self, cause: Cause) -> Vec<Step> {
+        let waiting = self.queue.drain(..);
+        waiting
+            .map(|work| Step::Refuse(work.ticket, cause))
+            .collect()
+    }
+}
--- /dev/null
+++ b/decision/src/hedge.rs
@@ -0,0 +1,164 @@
+//! When to ask a second replica: a latency quantile and a budget.
+//!
+//! Source of the idea: Dean and Barroso, "The Tail at Scale", 2013.
+
+use crate::clock::Span;
+use crate::manifest::Hedge;
+
+/// Buckets per doubling of latency.
+const STEPS_PER_OCTAVE: u64 = 8;
+
+/// Doublings covered, from 64 microseconds to about 67 seconds.
+const OCTAVES: u64 = 20;
+
+/// Lower edge of the first bucket, in microseconds.
+const FLOOR_US: u64 = 64;
+
+/// Observations after which all counts are halved.
+const DECAY_AFTER: u64 = 4_096;
+
+/// Observations needed before a quantile is given.
+const SAMPLES_MIN: u64 = 64;
+
+/// Tokens kept at most, in extra sub-requests.
+const TOKENS_MAX: f64 = 32.0;
+
+/// Tokens of a new service, in extra sub-requests.
+const TOKENS_START: f64 = 4.0;
+
+/// Hedge delay until enough latencies are known.
+const DELAY_START: Span = Span::from_ms(20);
+
+/// Shortest hedge delay.
+const DELAY_MIN: Span = Span::from_ms(2);
+
+/// A decaying histogram of latencies in geometric buckets.
+#[derive(Clone, Debug)]
+pub struct Latency {
+    counts: Vec<u64>,
+    total: u64,
+    seen: u64,
+}
+
+impl Default for Latency {
+    fn default() -> Latency {
+        Latency {
+            counts: vec![0; (STEPS_PER_OCTAVE * OCTAVES) as usize],
+            total: 0,
+            seen: 0,
+        }
+    }
+}
+
+impl Latency {
+    /// Records one latency.
+    pub fn record(&mut self, span: Span) {
+        self.counts[bucket(span)] += 1;
+        self.total += 1;
+        self.seen += 1;
+        if self.seen >= DECAY_AFTER {
+            self.decay();
+        }
+    }
+
+    fn decay(&mut self) {
+        self.counts.iter_mut().for_each(|count| *count /= 2);
+        self.total = self.counts.iter().sum();
+        self.seen = 0;
+    }
+
+    /// The upper edge of the bucket that holds `quantile`, once known.
+    pub fn quantile(&self, quantile: f64) -> Option<Span> {
+        if self.total < SAMPLES_MIN {
+            return None;
+        }
+        let rank = (self.total as f64 * quantile).ceil() as u64;
+        let mut below = 0;
+        let index = self.counts.iter().position(|count| {
+            below += count;
+            below >= rank
+        });
+        index.map(|index| upper_edge(index as u64))
+    }
+}
+
+fn bucket(span: Span) -> usize {
+    let ratio = span.as_us().max(FLOOR_US) as f64 / FLOOR_US as f64;
+    let index = (ratio.log2() * STEPS_PER_OCTAVE as f64) as u64;
+    index.min(STEPS_PER_OCTAVE * OCTAVES - 1) as usize
+}
+
+fn upper_edge(index: u64) -> Span {
+    let octaves = (index + 1) as f64 / STEPS_PER_OCTAVE as f64;
+    Span::from_us((FLOOR_US as f64 * octaves.exp2()) as u64)
+}
+
+/// Tokens for extra sub-requests, earned by first ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    tokens: f64,
+    share: f64,
+}
+
+impl Budget {
+    /// A budget that earns `share` of a token for each first sub-request.
+    pub fn new(share: f64) -> Budget {
+        Budget {
+            tokens: if share > 0.0 { TOKENS_START } else { 0.0 },
+            share,
+        }
+    }
+
+    /// Earns for `n` first sub-requests.
+    pub fn earn(&mut self, n: usize) {
+        self.tokens = (self.tokens + self.share * n as f64).min(TOKENS_MAX);
+    }
+
+    /// Spends one token, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+/// Hedging of one service at one entry daemon.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Latencies of its sub-requests.
+    pub latency: Latency,
+    /// The budget of extra sub-requests, shared with retries.
+    pub budget: Budget,
+    hedge: Hedge,
+}
+
+impl Policy {
+    /// A policy by the operators' settings.
+    pub fn new(hedge: Hedge) -> Policy {
+        Policy {
+            latency: Latency::default(),
+            budget: Budget::new(hedge.budget),
+            hedge,
+        }
+    }
+
+    /// Takes new settings and keeps what was learned.
+    pub fn update(&mut self, hedge: Hedge) {
+        if self.hedge == hedge {
+            return;
+        }
+        self.hedge = hedge;
+        self.budget = Budget::new(hedge.budget);
+    }
+
+    /// Time after which a sub-request is hedged; none when hedging is off.
+    pub fn delay(&self) -> Option<Span> {
+        if self.hedge.budget <= 0.0 {
+            return None;
+        }
+        let learned = self.latency.quantile(self.hedge.quantile);
+        Some(learned.unwrap_or(DELAY_START).max(DELAY_MIN))
+    }
+}
--- /dev/null
+++ b/decision/src/ini.rs
@@ -0,0 +1,261 @@
+//! Reading of INI text in which every fault is collected with its line.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use ini::Ini;
+use ini::ParseOption;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+
+/// One fault of a text: where it stands and what is allowed there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// Line number from one; zero where the fault belongs to the whole text.
+    pub line: usize,
+    /// Section and key, as `section.key`.
+    pub key: String,
+    /// What is wrong and what is allowed.
+    pub cause: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.line, self.key, self.cause)
+    }
+}
+
+/// All faults of a text, or what was read.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+/// A value with the line it stands on.
+#[derive(Clone, Debug)]
+struct Entry {
+    value: String,
+    line: usize,
+}
+
+/// A section whose keys are taken one by one; keys left over are faults.
+#[derive(Clone, Debug)]
+pub struct Section {
+    /// The kind: the heading's first word.
+    pub kind: String,
+    /// The heading's second word, or empty.
+    pub name: String,
+    /// Line of the heading.
+    pub line: usize,
+    entries: BTreeMap<String, Entry>,
+}
+
+/// A text split into sections, with the faults found so far.
+#[derive(Debug, Default)]
+pub struct Document {
+    /// The sections in the order of the text.
+    pub sections: Vec<Section>,
+    /// The faults found so far.
+    pub faults: Vec<Fault>,
+}
+
+impl Document {
+    /// Splits `text` into sections; syntax faults are kept in the document.
+    pub fn parse(text: &str) -> Document {
+        let option = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let mut document = Document::default();
+        if let Err(error) = Ini::load_from_str_opt(text, option) {
+            document.fault(error.line + 1, "", &format!("not INI: {}", error.msg));
+            return document;
+        }
+        for (index, line) in text.lines().enumerate() {
+            document.read_line(index + 1, line.trim());
+        }
+        document
+    }
+
+    fn read_line(&mut self, number: usize, line: &str) {
+        if line.is_empty() || line.starts_with([';', '#']) {
+            return;
+        }
+        if let Some(heading) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            return self.open(number, heading.trim());
+        }
+        let Some((key, value)) = line.split_once('=') else {
+            return self.fault(number, line, "expected key = value");
+        };
+        self.put(number, key.trim(), value.trim());
+    }
+
+    fn open(&mut self, line: usize, heading: &str) {
+        let (kind, name) = heading.split_once(' ').unwrap_or((heading, ""));
+        let name = name.trim();
+        if let Some(first) = self
+            .sections
+            .iter()
+            .find(|s| s.kind == kind && s.name == name)
+        {
+            let cause = format!("the section stands twice, first on line {}", first.line);
+            self.fault(line, heading, &cause);
+        }
+        let section = Section {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            line,
+            entries: BTreeMap::new(),
+        };
+        self.sections.push(section);
+    }
+
+    fn put(&mut self, line: usize, key: &str, value: &str) {
+        let Some(section) = self.sections.last_mut() else {
+            return self.fault(line, key, "a key must stand below a section heading");
+        };
+        let entry = Entry {
+            value: value.to_owned(),
+            line,
+        };
+        if let Some(first) = section.entries.insert(key.to_owned(), entry) {
+            let key = section.path(key);
+            let cause = format!("the key stands twice, first on line {}", first.line);
+            self.fault(line, &key, &cause);
+        }
+    }
+
+    /// Records a fault.
+    pub fn fault(&mut self, line: usize, key: &str, cause: &str) {
+        let fault = Fault {
+            line,
+            key: key.to_owned(),
+            cause: cause.to_owned(),
+        };
+        self.faults.push(fault);
+    }
+
+    /// Removes and returns all sections of one kind.
+    pub fn take(&mut self, kind: &str) -> Vec<Section> {
+        let (taken, rest) = self
+            .sections
+            .drain(..)
+            .partition(|section| section.kind == kind);
+        self.sections = rest;
+        taken
+    }
+
+    /// Removes and returns the only section of a kind; a missing one is empty.
+    pub fn take_one(&mut self, kind: &str) -> Section {
+        self.take(kind)
+            .into_iter()
+            .next()
+            .unwrap_or_else(|| Section {
+                kind: kind.to_owned(),
+                name: String::new(),
+                line: 0,
+                entries: BTreeMap::new(),
+            })
+    }
+
+    /// Reports the keys left in `section` as unknown.
+    pub fn close(&mut self, section: Section, allowed: &str) {
+        for (key, entry) in &section.entries {
+            let cause = format!("unknown key; allowed: {allowed}");
+            self.fault(entry.line, &section.path(key), &cause);
+        }
+    }
+
+    /// Reports sections not taken, and returns `value` if no fault was found.
+    pub fn finish<T>(mut self, value: Option<T>, allowed: &str) -> Result<T> {
+        for section in std::mem::take(&mut self.sections) {
+            let cause = format!("unknown section; allowed: {allowed}");
+            self.fault(section.line, &section.kind, &cause);
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(self.faults),
+        }
+    }
+}
+
+impl Section {
+    /// The path of a key for messages.
+    pub fn path(&self, key: &str) -> String {
+        let name = if self.name.is_empty() {
+            String::new()
+        } else {
+            format!(" {}", self.name)
+        };
+        format!("[{}{name}] {key}", self.kind)
+    }
+
+    /// Takes an optional key; a value that `parse` refuses is a fault.
+    pub fn optional<T>(
+        &mut self,
+        document: &mut Document,
+        key: &str,
+        allowed: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let entry = self.entries.remove(key)?;
+        let value = parse(&entry.value);
+        if value.is_none() {
+            let cause = format!("'{}' is not allowed here; allowed: {allowed}", entry.value);
+            document.fault(entry.line, &self.path(key), &cause);
+        }
+        value
+    }
+
+    /// Takes a key that must be there.
+    pub fn required<T>(
+        &mut self,
+        document: &mut Document,
+        key: &str,
+        allowed: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        if !self.entries.contains_key(key) {
+            let cause = format!("missing; allowed: {allowed}");
+            document.fault(self.line, &self.path(key), &cause);
+            return None;
+        }
+        self.optional(document, key, allowed, parse)
+    }
+
+    /// Takes all keys that begin with `prefix`, without it, with their lines.
+    pub fn prefixed(&mut self, prefix: &str) -> Vec<(String, String, usize)> {
+        let keys = self.entries.keys().filter(|key| key.starts_with(prefix));
+        let keys = keys.cloned().collect::<Vec<_>>();
+        let taken = keys.into_iter().filter_map(|key| {
+            let entry = self.entries.remove(&key)?;
+            Some((key[prefix.len()..].to_owned(), entry.value, entry.line))
+        });
+        taken.collect()
+    }
+}
+
+/// Reads a value by its `FromStr`.
+pub fn plain<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+/// Reads a number within a range.
+pub fn within(low: u64, high: u64) -> impl Fn(&str) -> Option<u64> {
+    move |text| plain::<u64>(text).filter(|value| (low..=high).contains(value))
+}
+
+/// Reads a ratio from 0 to 1.
+pub fn ratio(text: &str) -> Option<f64> {
+    plain::<f64>(text).filter(|value| (0.0..=1.0).contains(value))
+}
+
+/// Reads a duration with its unit, such as `73ms`.
+pub fn span(text: &str) -> Option<Span> {
+    let duration = humantime::parse_duration(text).ok()?;
+    u64::try_from(duration.as_micros()).ok().map(Span::from_us)
+}
--- /dev/null
+++ b/decision/src/name.rs
@@ -0,0 +1,57 @@
+//! Names, held as shared immutable strings.
+
+use std::borrow::Borrow;
+use std::sync::Arc;
+
+use derive_more::Deref;
+use derive_more::Display;
+use derive_more::From;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest name accepted, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// The name of a service, shard, host, failure domain or caller.
+///
+/// # Examples
+///
+/// ```
+/// use wagtailbeam_decision::name::Name;
+///
+/// let name = Name::parse("desk-gate").expect("a plain name");
+/// assert_eq!(&*name, "desk-gate");
+/// assert!(Name::parse("two words").is_none());
+/// ```
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    Deref,
+    Deserialize,
+    Display,
+    Eq,
+    From,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[from(&str, String)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Reads a name of letters, digits, `-`, `_` and `.`, 1 to 64 bytes long.
+    pub fn parse(text: &str) -> Option<Name> {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let fits = !text.is_empty() && text.len() <= NAME_MAX_BYTES;
+        (fits && text.chars().all(plain)).then(|| Name(text.into()))
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
--- /dev/null
+++ b/decision/src/placement.rs
@@ -0,0 +1,66 @@
+//! Which daemon owns which replica, by rendezvous hashing.
+//!
+//! Source of the algorithm: Thaler and Ravishankar, "Using name-based mappings
+//! to increase hit rates", 1998.
+
+use crate::digest::Digest;
+use crate::manifest::Shard;
+use crate::name::Name;
+
+/// A daemon that may own replicas.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Host of the daemon.
+    pub host: Name,
+    /// Failure domain of the host.
+    pub domain: Name,
+}
+
+/// The owner of each replica of `shard`, in the order of its replicas.
+///
+/// The owners of one shard's replicas are different hosts in different failure
+/// domains as far as `candidates` allow. The result is empty without candidates.
+///
+/// # Examples
+///
+/// ```
+/// use wagtailbeam_decision::manifest::Shard;
+/// use wagtailbeam_decision::placement::owners;
+///
+/// let shard = Shard { name: "00".into(), replicas: Vec::new() };
+/// assert!(owners(&"desk".into(), &shard, &[]).is_empty());
+/// ```
+pub fn owners(service: &Name, shard: &Shard, candidates: &[Candidate]) -> Vec<Name> {
+    let mut ranked = rank(service, &shard.name, candidates);
+    let mut chosen: Vec<&Candidate> = Vec::new();
+    for _ in &shard.replicas {
+        let fresh_domain = |c: &&Candidate| chosen.iter().all(|other| other.domain != c.domain);
+        let at = ranked.iter().position(fresh_domain);
+        match at.or((!ranked.is_empty()).then_some(0)) {
+            Some(at) => chosen.push(ranked.remove(at)),
+            None => break,
+        }
+    }
+    let hosts = chosen.iter().cycle().take(shard.replicas.len());
+    hosts.map(|candidate| candidate.host.clone()).collect()
+}
+
+/// The host that ranks first for `key`, or none without candidates.
+pub fn first(key: &Digest, candidates: &[Candidate]) -> Option<Name> {
+    let rank =
+        |c: &&Candidate| Digest::of_parts(&[key.to_string().as_bytes(), c.host.as_bytes()]).rank();
+    candidates
+        .iter()
+        .max_by_key(rank)
+        .map(|candidate| candidate.host.clone())
+}
+
+fn rank<'a>(service: &Name, shard: &Name, candidates: &'a [Candidate]) -> Vec<&'a Candidate> {
+    let score = |c: &&Candidate| {
+        let parts: [&[u8]; 3] = [service.as_bytes(), shard.as_bytes(), c.host.as_bytes()];
+        std::cmp::Reverse(Digest::of_parts(&parts).rank())
+    };
+    let mut ranked = candidates.iter().collect::<Vec<_>>();
+    ranked.sort_by_cached_key(score);
+    ranked
+}
--- /dev/null
+++ b/decision/src/register.rs
@@ -0,0 +1,243 @@
+//! The replicated register's keys, values and changes.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::digest::Digest;
+use crate::job::Job;
+use crate::job::Token;
+use crate::job::Verdict;
+use crate::request::Answer;
+
+/// Accepted versions remembered for answers to resent files.
+const HISTORY_MAX: usize = 4_096;
+
+/// A key of the register.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Key {
+    /// The operators' file.
+    File,
+    /// A job, by the digest of caller, service and idempotency key.
+    Job(Digest),
+}
+
+/// The newest accepted file and the versions before it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct File {
+    /// Newest accepted version.
+    pub version: u64,
+    /// Digest of its text.
+    pub digest: Digest,
+    /// Its text.
+    pub text: Arc<str>,
+    /// Accepted versions with their digests, oldest first, the newest included.
+    pub history: Vec<(u64, Digest)>,
+}
+
+/// A value of the register.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Value {
+    /// The operators' file.
+    File(Arc<File>),
+    /// A job.
+    Job(Job),
+}
+
+/// A change of one key, to be decided by the register.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Change {
+    /// Read the newest value.
+    Read,
+    /// Accept a file.
+    Apply {
+        /// Its version.
+        version: u64,
+        /// Its text.
+        text: Arc<str>,
+    },
+    /// Claim a job.
+    Claim {
+        /// The attempt.
+        token: Token,
+        /// Digest of method, path and body.
+        body: Digest,
+    },
+    /// Record the answer of a job.
+    Record {
+        /// The attempt.
+        token: Token,
+        /// Its answer, unless it is too long to keep.
+        answer: Option<Answer>,
+    },
+    /// Give a claim back that certainly did not run.
+    Release {
+        /// The attempt.
+        token: Token,
+    },
+}
+
+/// What an operator is told about a file.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Acceptance {
+    /// Accepted by this call.
+    #[display("accepted")]
+    Accepted,
+    /// Accepted by an earlier call with the same content.
+    #[display("already accepted")]
+    Already,
+    /// Another file has this version.
+    #[display("refused: version {version} was accepted with digest {digest}")]
+    Taken {
+        /// The version.
+        version: u64,
+        /// Digest of the accepted file.
+        digest: Digest,
+    },
+    /// A later version is in force, and this one was never accepted.
+    #[display("refused: version {newest} is in force and this one was never accepted")]
+    Behind {
+        /// The newest version.
+        newest: u64,
+    },
+    /// The version is older than the history kept, so that nothing can be said.
+    #[display("refused: older than the history kept, which begins at version {oldest}")]
+    Forgotten {
+        /// Oldest version remembered.
+        oldest: u64,
+    },
+}
+
+/// What a change came to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Decision {
+    /// The value read.
+    Value(Option<Value>),
+    /// About a file.
+    File(Acceptance),
+    /// About a job.
+    Job(Verdict),
+    /// No majority decided in time; the change may or may not take effect.
+    Unknown,
+}
+
+impl Change {
+    /// The value after the change, or none to leave it, and the verdict.
+    pub fn decide(&self, value: Option<&Value>) -> (Option<Value>, Decision) {
+        match (self, value) {
+            (Change::Read, value) => (None, Decision::Value(value.cloned())),
+            (Change::Apply { version, text }, Some(Value::File(file))) => {
+                decide_file(Some(file), *version, text)
+            }
+            (Change::Apply { version, text }, _) => decide_file(None, *version, text),
+            (change, Some(Value::Job(job))) => decide_job(change, Some(job)),
+            (change, _) => decide_job(change, None),
+        }
+    }
+}
+
+fn decide_file(
+    file: Option<&Arc<File>>,
+    version: u64,
+    text: &Arc<str>,
+) -> (Option<Value>, Decision) {
+    let digest = Digest::of(text.as_bytes());
+    let acceptance = match file {
+        None => Acceptance::Accepted,
+        Some(file) => file.judge(version, &digest),
+    };
+    if acceptance != Acceptance::Accepted {
+        return (None, Decision::File(acceptance));
+    }
+    let mut history = file.map(|file| file.history.clone()).unwrap_or_default();
+    history.push((version, digest));
+    let surplus = history.len().saturating_sub(HISTORY_MAX);
+    history.drain(..surplus);
+    let file = File {
+        version,
+        digest,
+        text: text.clone(),
+        history,
+    };
+    (
+        Some(Value::File(Arc::new(file))),
+        Decision::File(Acceptance::Accepted),
+    )
+}
+
+impl File {
+    fn judge(&self, version: u64, digest: &Digest) -> Acceptance {
+        if version > self.version {
+            return Acceptance::Accepted;
+        }
+        let oldest = self
+            .history
+            .first()
+            .map_or(self.version, |(version, _)| *version);
+        let known = self.history.iter().find(|(known, _)| *known == version);
+        match known {
+            Some((_, known)) if known == digest => Acceptance::Already,
+            Some((_, known)) => Acceptance::Taken {
+                version,
+                digest: *known,
+            },
+            None if version < oldest => Acceptance::Forgotten { oldest },
+            None => Acceptance::Behind {
+                newest: self.version,
+            },
+        }
+    }
+}
+
+fn decide_job(change: &Change, job: Option<&Job>) -> (Option<Value>, Decision) {
+    let (value, verdict) = match change {
+        Change::Claim { token, body } => claim(*token, *body, job),
+        Change::Record { token, answer } => record(*token, answer, job),
+        Change::Release { token } => release(*token, job),
+        Change::Read | Change::Apply { .. } => (None, Verdict::Noted),
+    };
+    (value.map(Value::Job), Decision::Job(verdict))
+}
+
+fn claim(token: Token, body: Digest, job: Option<&Job>) -> (Option<Job>, Verdict) {
+    let claimed = Job::Claimed { token, body };
+    match job {
+        None => (Some(claimed), Verdict::Won),
+        Some(job) if *job.body() != body => (None, Verdict::Conflict),
+        Some(Job::Released { .. }) => (Some(claimed), Verdict::Won),
+        Some(Job::Claimed { token: holder, .. }) if *holder == token => (None, Verdict::Won),
+        Some(Job::Claimed { .. }) => (None, Verdict::Held),
+        Some(Job::Done { answer, .. }) => (None, Verdict::Done(answer.clone())),
+    }
+}
+
+fn record(token: Token, answer: &Option<Answer>, job: Option<&Job>) -> (Option<Job>, Verdict) {
+    match job {
+        Some(Job::Claimed {
+            token: holder,
+            body,
+        }) if *holder == token => {
+            let done = Job::Done {
+                token,
+                body: *body,
+                answer: answer.clone(),
+            };
+            (Some(done), Verdict::Noted)
+        }
+        Some(Job::Done { token: holder, .. }) if *holder == token => (None, Verdict::Noted),
+        _ => (None, Verdict::Held),
+    }
+}
+
+fn release(token: Token, job: Option<&Job>) -> (Option<Job>, Verdict) {
+    match job {
+        Some(Job::Claimed {
+            token: holder,
+            body,
+        }) if *holder == token => (Some(Job::Released { body: *body }), Verdict::Noted),
+        _ => (None, Verdict::Noted),
+    }
+}
--- /dev/null
+++ b/decision/src/roster.rs
@@ -0,0 +1,79 @@
+//! Which daemons are alive, as one voter has heard of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::name::Name;
+
+/// Silence after which a daemon counts as dead; longer than [`crate::lease::LEASE`].
+pub const DEAD_AFTER: Span = Span::from_ms(1_600);
+
+/// A daemon as it describes itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Its host.
+    pub host: Name,
+    /// Its host's failure domain.
+    pub domain: Name,
+    /// Where its peers reach it.
+    pub peer: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+    /// Random number of this run of the process.
+    pub boot: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Version of the operators' file that it has in force; zero for none.
+    pub version: u64,
+}
+
+/// What a voter tells of the daemons.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Whether the voter has listened long enough for an absence to mean death.
+    pub complete: bool,
+    /// The daemons alive.
+    pub members: Vec<Member>,
+}
+
+/// The daemons heard by one voter.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    heard: BTreeMap<Name, (Member, Time)>,
+    since: Time,
+}
+
+impl Roster {
+    /// An empty roster that has listened since `now`.
+    pub fn new(now: Time) -> Roster {
+        Roster {
+            heard: BTreeMap::new(),
+            since: now,
+        }
+    }
+
+    /// Hears a daemon.
+    pub fn hear(&mut self, now: Time, member: Member) {
+        self.heard.insert(member.host.clone(), (member, now));
+    }
+
+    /// The daemons alive now.
+    pub fn report(&mut self, now: Time) -> Report {
+        self.heard
+            .retain(|_, (_, last)| now.since(*last) < DEAD_AFTER);
+        let members = self
+            .heard
+            .values()
+            .map(|(member, _)| member.clone())
+            .collect();
+        Report {
+            complete: now.since(self.since) >= DEAD_AFTER,
+            members,
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/route.rs
@@ -0,0 +1,132 @@
+//! Choice of a replica and of the daemon that owns it, at an entry daemon.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::gate::Health;
+use crate::manifest::Manifest;
+use crate::manifest::Replica;
+use crate::manifest::Shard;
+use crate::name::Name;
+use crate::placement::Candidate;
+use crate::placement::owners;
+use crate::request::Cause;
+
+/// One in this many first choices goes to a cold replica beside a ready one.
+const COLD_SHARE: u64 = 4;
+
+/// What an entry daemon knows of replicas.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    owners: BTreeMap<SocketAddr, Name>,
+    health: BTreeMap<SocketAddr, Health>,
+    outstanding: BTreeMap<SocketAddr, u32>,
+    manifest: Arc<Manifest>,
+}
+
+impl Router {
+    /// Takes a configuration and the daemons that may own replicas.
+    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate]) {
+        self.manifest = manifest.clone();
+        self.owners.clear();
+        for service in manifest.services.values() {
+            for shard in &service.shards {
+                let hosts = owners(&service.name, shard, candidates);
+                let replicas = shard.replicas.iter().map(|replica| replica.address);
+                self.owners.extend(replicas.zip(hosts));
+            }
+        }
+        self.health
+            .retain(|replica, _| self.owners.contains_key(replica));
+        self.outstanding.retain(|_, count| *count > 0);
+    }
+
+    /// Takes an owner's word on a replica.
+    pub fn hint(&mut self, replica: SocketAddr, health: Health) {
+        self.health.insert(replica, health);
+    }
+
+    /// The state last told of a replica.
+    pub fn health(&self, replica: &SocketAddr) -> Health {
+        self.health.get(replica).copied().unwrap_or_default()
+    }
+
+    /// The owner of a replica.
+    pub fn owner(&self, replica: &SocketAddr) -> Option<&Name> {
+        self.owners.get(replica)
+    }
+
+    /// Replicas owned by `host`.
+    pub fn owned<'a>(&'a self, host: &'a Name) -> impl Iterator<Item = &'a SocketAddr> {
+        self.owners
+            .iter()
+            .filter(move |(_, owner)| *owner == host)
+            .map(|(replica, _)| replica)
+    }
+
+    /// Counts a sub-request sent to a replica.
+    pub fn sent(&mut self, replica: SocketAddr) {
+        *self.outstanding.entry(replica).or_default() += 1;
+    }
+
+    /// Counts a sub-request ended at a replica.
+    pub fn ended(&mut self, replica: &SocketAddr) {
+        if let Some(count) = self.outstanding.get_mut(replica) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// The position of the best replica of `shard` not yet tried, or why none is.
+    pub fn choose(
+        &self,
+        shard: &Shard,
+        tried: &BTreeSet<usize>,
+        seed: u64,
+    ) -> Result<usize, Cause> {
+        let all = shard.replicas.iter().enumerate();
+        let untried = all
+            .filter(|(at, _)| !tried.contains(at))
+            .collect::<Vec<_>>();
+        if untried.is_empty() {
+            return Err(Cause::Full);
+        }
+        let open = untried
+            .into_iter()
+            .filter(|(_, r)| self.manifest.is_in(&r.domain));
+        let open = open.collect::<Vec<_>>();
+        if open.is_empty() {
+            return Err(Cause::Out);
+        }
+        let owned = open
+            .into_iter()
+            .filter(|(_, r)| self.owners.contains_key(&r.address));
+        let best = owned.min_by_key(|(at, replica)| self.cost(*at, replica, seed));
+        best.map(|(at, _)| at).ok_or(Cause::NoOwner)
+    }
+
+    /// Rank of a replica: state, load from here, then a spread by seed.
+    fn cost(&self, at: usize, replica: &Replica, seed: u64) -> (u8, u32, u64) {
+        let health = self.health(&replica.address);
+        let turn = seed.is_multiple_of(COLD_SHARE);
+        let rank = match health {
+            Health::Cold if turn => 0,
+            Health::Ready => 1,
+            Health::Cold => 2,
+            Health::Draining => 3,
+            Health::Stalled => 4,
+        };
+        let load = self
+            .outstanding
+            .get(&replica.address)
+            .copied()
+            .unwrap_or_default();
+        (rank, load, (seed / COLD_SHARE + at as u64) % 2)
+    }
+
+    /// Whether a second replica may get a hedge: it is ready and in.
+    pub fn may_hedge(&self, replica: &Replica) -> bool {
+        self.health(&replica.address) == Health::Ready && self.manifest.is_in(&replica.domain)
+    }
+}
