--- /dev/null
+++ b/decision/src/voter.rs
@@ -0,0 +1,796 @@
+//! A voter of the replicated register: acceptor, proposer and repair.
+//!
+//! Each key is decided on its own by a ballot of a majority, without a leader
+//! or a log. Source of the algorithm: Rystsov, "CASPaxos: Replicated State
+//! Machines without logs", 2018. The incarnations, by which a voter that lost
+//! its disk is kept from voting until it has caught up, are this project's.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::propose::Proposer;
+use crate::register::Change;
+use crate::register::Decision;
+use crate::register::Key;
+use crate::register::Value;
+
+/// Time for which a restarted voter waits for all others before a majority is enough.
+const CHECK_MAX: Span = Span::from_ms(600);
+
+/// Time between two tries of an unanswered check or repair step.
+const RETRY_EVERY: Span = Span::from_ms(200);
+
+/// Cells sent in one page of a repair.
+const PAGE_CELLS: usize = 256;
+
+/// Time for which a job is kept after its last change.
+const JOB_KEEP: Span = Span::from_secs(72 * 3_600);
+
+/// Most keys held; further jobs are refused until old ones expire.
+const CELLS_MAX: usize = 200_000;
+
+/// Time between two searches for expired jobs.
+const EXPIRE_EVERY: Span = Span::from_secs(60);
+
+/// Position of a voter among all voters in the order of their names.
+pub type Id = u8;
+
+/// Number of a proposal; unique, since each voter uses its own position.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{round}.{voter}")]
+pub struct Ballot {
+    /// Round, rising with each try.
+    pub round: u64,
+    /// The proposing voter.
+    pub voter: Id,
+}
+
+/// One life of a voter's disk.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Incarnation {
+    /// Rises with each repair; zero where none is known.
+    pub epoch: u64,
+    /// Random number that tells disks of one epoch apart.
+    pub nonce: u64,
+}
+
+/// A voter's promise and accepted value for one key.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Cell {
+    /// No lower ballot will be taken.
+    pub promised: Ballot,
+    /// The value last accepted, with its ballot.
+    pub accepted: Option<(Ballot, Value)>,
+}
+
+/// A change of a voter's stored state.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Record {
+    /// All state is void, and the voter may not vote.
+    Reset,
+    /// The incarnation of a voter; its own one means that it may vote.
+    Known(Id, Incarnation),
+    /// A cell.
+    Cell(Key, Cell),
+    /// An expired key.
+    Forget(Key),
+    /// The number of records written before, at the start of a snapshot.
+    Written(u64),
+}
+
+/// What a letter says.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Body {
+    /// Asks for a promise.
+    Prepare(Key, Ballot),
+    /// A promise, with the value accepted before.
+    Promise(Key, Ballot, Option<(Ballot, Value)>),
+    /// Asks to accept a value.
+    Accept(Key, Ballot, Value),
+    /// The value was accepted and synced.
+    Accepted(Key, Ballot),
+    /// A higher ballot was promised, or the sender's incarnations are old.
+    Reject(Key, Ballot, Ballot),
+    /// A restarted voter asks how much others have seen of it.
+    Check,
+    /// Records of the asking voter that are known to have been written.
+    Seen(u64),
+    /// Asks to note the sender's new incarnation.
+    Admit,
+    /// The incarnation is noted and synced.
+    Admitted,
+    /// Asks for cells after a key.
+    Page(Option<Key>),
+    /// Cells, and whether they are the last.
+    Cells(Vec<(Key, Cell)>, bool),
+}
+
+/// A message between voters.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Letter {
+    /// The sender.
+    pub from: Id,
+    /// Records that the sender has written and synced.
+    pub synced: u64,
+    /// Incarnations known to the sender, by voter.
+    pub known: Vec<Incarnation>,
+    /// What it says.
+    pub body: Body,
+}
+
+/// Effects of a voter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Append and sync a record, then report its number with [`Voter::synced`].
+    Persist(u64, Record),
+    /// Send a letter.
+    Send(Id, Letter),
+    /// Answer a proposal.
+    Decided(u64, Decision),
+}
+
+/// Whether a voter may vote.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Mode {
+    /// It votes.
+    #[display("voting")]
+    Voting,
+    /// It was restarted and asks whether its disk is as new as it was.
+    #[display("checking")]
+    Checking,
+    /// It lost state and reads it back from the others.
+    #[display("repairing")]
+    Repairing,
+    /// Its disk failed.
+    #[display("failed")]
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    cell: Cell,
+    touched: Time,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Repair {
+    heard: BTreeSet<Id>,
+    admitted: BTreeSet<Id>,
+    next: BTreeMap<Id, Option<Key>>,
+    done: BTreeSet<Id>,
+    cells: BTreeMap<Key, Cell>,
+    incarnation: Incarnation,
+    epoch_floor: u64,
+    restored: bool,
+    started: Time,
+    tried: Option<Time>,
+}
+
+/// A voter.
+#[derive(Clone, Debug)]
+pub struct Voter {
+    me: Id,
+    count: usize,
+    nonce: u64,
+    mode: Mode,
+    known: Vec<Incarnation>,
+    seen: Vec<u64>,
+    cells: BTreeMap<Key, Held>,
+    written: u64,
+    synced: u64,
+    waiting: BTreeMap<u64, Vec<(Id, Body)>>,
+    repair: Repair,
+    proposer: Proposer,
+    expired: Time,
+}
+
+impl Voter {
+    /// The records of a new voter in a new group; never for a replaced disk.
+    pub fn format(me: Id, nonce: u64) -> Vec<Record> {
+        vec![Record::Known(me, Incarnation { epoch: 1, nonce })]
+    }
+
+    /// A voter from its stored records. Without any it repairs itself from the
+    /// others. `nonce` is a random number.
+    pub fn open(now: Time, me: Id, count: usize, nonce: u64, records: Vec<Record>) -> Voter {
+        let mut voter = Voter {
+            me,
+            count,
+            nonce,
+            mode: Mode::Checking,
+            known: vec![Incarnation::default(); count],
+            seen: vec![0; count],
+            cells: BTreeMap::new(),
+            written: 0,
+            synced: 0,
+            waiting: BTreeMap::new(),
+            repair: Repair {
+                started: now,
+                ..Repair::default()
+            },
+            proposer: Proposer::new(me, count),
+            expired: now,
+        };
+        records
+            .into_iter()
+            .for_each(|record| voter.load(now, record));
+        voter.synced = voter.written;
+        if voter.known[usize::from(me)].epoch == 0 {
+            voter.mode = Mode::Repairing;
+        }
+        voter
+    }
+
+    fn load(&mut self, now: Time, record: Record) {
+        self.written += 1;
+        match record {
+            Record::Reset => {
+                self.cells.clear();
+                self.known[usize::from(self.me)] = Incarnation::default();
+            }
+            Record::Known(id, incarnation) => {
+                if let Some(known) = self.known.get_mut(usize::from(id)) {
+                    *known = incarnation;
+                }
+            }
+            Record::Cell(key, cell) => {
+                self.cells.insert(key, Held { cell, touched: now });
+            }
+            Record::Forget(key) => {
+                self.cells.remove(&key);
+            }
+            Record::Written(count) => self.written = count,
+        }
+    }
+
+    /// Records that give the whole state, for a snapshot.
+    pub fn snapshot(&self) -> Vec<Record> {
+        let mut records = Vec::with_capacity(self.cells.len() + self.count + 1);
+        let known = self
+            .known
+            .iter()
+            .enumerate()
+            .filter(|(_, known)| known.epoch > 0);
+        records.extend(known.map(|(id, known)| Record::Known(id as Id, *known)));
+        let cells = self
+            .cells
+            .iter()
+            .map(|(key, held)| Record::Cell(*key, held.cell.clone()));
+        records.extend(cells);
+        records.push(Record::Written(self.written));
+        records
+    }
+
+    /// Whether it may vote.
+    pub fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// Keys held.
+    pub fn len(&self) -> usize {
+        self.cells.len()
+    }
+
+    /// Whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.cells.is_empty()
+    }
+
+    /// The value last accepted here, chosen or not.
+    pub fn accepted(&self, key: &Key) -> Option<&Value> {
+        self.cells
+            .get(key)?
+            .cell
+            .accepted
+            .as_ref()
+            .map(|(_, value)| value)
+    }
+
+    fn majority(&self) -> usize {
+        self.count / 2 + 1
+    }
+
+    fn majority_of_others(&self) -> usize {
+        (self.count - 1) / 2 + 1
+    }
+
+    fn others(&self) -> impl Iterator<Item = Id> + use<> {
+        let me = self.me;
+        (0..self.count as Id).filter(move |id| *id != me)
+    }
+
+    fn letter(&self, body: Body) -> Letter {
+        Letter {
+            from: self.me,
+            synced: self.synced,
+            known: self.known.clone(),
+            body,
+        }
+    }
+
+    /// Sends `body` once all that was written before is synced.
+    fn post(&mut self, to: Id, body: Body) -> Vec<Action> {
+        if self.synced < self.written {
+            self.waiting
+                .entry(self.written)
+                .or_default()
+                .push((to, body));
+            return Vec::new();
+        }
+        self.deliver(to, body)
+    }
+
+    fn deliver(&self, to: Id, body: Body) -> Vec<Action> {
+        vec![Action::Send(to, self.letter(body))]
+    }
+
+    fn persist(&mut self, record: Record) -> Action {
+        self.written += 1;
+        Action::Persist(self.written, record)
+    }
+
+    /// Takes word that all records up to `number` are synced.
+    pub fn synced(&mut self, now: Time, number: u64) -> Vec<Action> {
+        self.synced = self.synced.max(number);
+        let later = self.waiting.split_off(&(number + 1));
+        let ready = std::mem::replace(&mut self.waiting, later);
+        let ready = ready.into_values().flatten().collect::<Vec<_>>();
+        let mut actions = Vec::new();
+        for (to, body) in ready {
+            actions.extend(self.deliver(to, body));
+        }
+        self.finish_repair();
+        self.loop_back(now, actions)
+    }
+
+    /// Takes word that the disk failed: it never votes again in this run.
+    pub fn fail(&mut self) {
+        self.mode = Mode::Failed;
+        self.waiting.clear();
+    }
+
+    /// Has a change decided; the answer carries `ticket`.
+    pub fn propose(&mut self, now: Time, ticket: u64, key: Key, change: Change) -> Vec<Action> {
+        let full = self.cells.len() >= CELLS_MAX && !self.cells.contains_key(&key);
+        if self.mode != Mode::Voting || full {
+            return vec![Action::Decided(ticket, Decision::Unknown)];
+        }
+        let floor = self
+            .cells
+            .get(&key)
+            .map(|held| held.cell.promised)
+            .unwrap_or_default();
+        let bodies = self.proposer.begin(now, ticket, key, change, floor);
+        let actions = self.broadcast(bodies);
+        self.loop_back(now, actions)
+    }
+
+    fn broadcast(&self, bodies: Vec<Body>) -> Vec<Action> {
+        let all = 0..self.count as Id;
+        let letters = bodies.into_iter().flat_map(|body| {
+            all.clone()
+                .map(move |to| (to, body.clone()))
+                .collect::<Vec<_>>()
+        });
+        letters
+            .map(|(to, body)| Action::Send(to, self.letter(body)))
+            .collect()
+    }
+
+    /// Handles letters to itself at once.
+    fn loop_back(&mut self, now: Time, actions: Vec<Action>) -> Vec<Action> {
+        let mut out = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send(to, letter) if to == self.me => {
+                    out.extend(self.receive(now, letter));
+                }
+                action => out.push(action),
+            }
+        }
+        out
+    }
+
+    /// Takes a letter.
+    pub fn receive(&mut self, now: Time, letter: Letter) -> Vec<Action> {
+        if !self.is_current(&letter) {
+            return Vec::new();
+        }
+        let mut actions = self.learn(now, &letter);
+        let restarted = self.proposer.restart_if_changed(now, &self.known);
+        actions.extend(self.broadcast(restarted));
+        let from = letter.from;
+        actions.extend(match letter.body {
+            Body::Prepare(key, ballot) => self.prepare(now, from, key, ballot, &letter.known),
+            Body::Accept(key, ballot, value) => {
+                self.accept(now, from, key, (ballot, value), &letter.known)
+            }
+            Body::Promise(key, ballot, accepted) => {
+                let step = self.proposer.promised(now, from, key, ballot, accepted);
+                self.advance(step)
+            }
+            Body::Accepted(key, ballot) => {
+                let step = self.proposer.accepted(now, from, key, ballot);
+                self.advance(step)
+            }
+            Body::Reject(key, ballot, promised) => {
+                self.proposer.rejected(now, key, ballot, promised);
+                Vec::new()
+            }
+            Body::Check => self.post(from, Body::Seen(self.seen[usize::from(from)])),
+            Body::Seen(written) => self.checked(now, from, written),
+            Body::Admit => self.admit(from, &letter.known),
+            Body::Admitted => self.admitted(from),
+            Body::Page(after) => self.page(from, after),
+            Body::Cells(cells, last) => self.cells(now, from, cells, last),
+        });
+        self.loop_back(now, actions)
+    }
+
+    fn advance(&self, step: (Vec<Body>, Vec<(u64, Decision)>)) -> Vec<Action> {
+        let (bodies, decided) = step;
+        let mut actions = self.broadcast(bodies);
+        let decided = decided
+            .into_iter()
+            .map(|(ticket, decision)| Action::Decided(ticket, decision));
+        actions.extend(decided);
+        actions
+    }
+
+    /// Whether a letter comes from a voter's present life.
+    fn is_current(&self, letter: &Letter) -> bool {
+        let from = usize::from(letter.from);
+        if from >= self.count || letter.known.len() != self.count {
+            return false;
+        }
+        let asks = matches!(letter.body, Body::Check | Body::Admit);
+        let (theirs, ours) = (letter.known[from], self.known[from]);
+        asks || ours.epoch == 0 || theirs.epoch > ours.epoch || theirs == ours
+    }
+
+    /// Learns incarnations and progress from a letter.
+    fn learn(&mut self, now: Time, letter: &Letter) -> Vec<Action> {
+        let (me, from) = (usize::from(self.me), usize::from(letter.from));
+        let mut actions = Vec::new();
+        let voting = !matches!(letter.body, Body::Check | Body::Admit);
+        for (id, theirs) in letter.known.iter().enumerate() {
+            if id == me || (id == from && !voting) || theirs.epoch <= self.known[id].epoch {
+                continue;
+            }
+            self.known[id] = *theirs;
+            actions.push(self.persist(Record::Known(id as Id, *theirs)));
+        }
+        if voting {
+            self.seen[from] = self.seen[from].max(letter.synced);
+        }
+        let epoch = letter.known[me].epoch;
+        self.repair.epoch_floor = self.repair.epoch_floor.max(epoch);
+        if matches!(self.mode, Mode::Voting | Mode::Checking) && epoch > self.known[me].epoch {
+            actions.extend(self.reset(now));
+        }
+        actions
+    }
+
+    fn is_behind(&self, theirs: &[Incarnation]) -> bool {
+        let differs = |(ours, theirs): (&Incarnation, &Incarnation)| {
+            theirs.epoch < ours.epoch || (theirs.epoch == ours.epoch && theirs != ours)
+        };
+        self.known.iter().zip(theirs).any(differs)
+    }
+
+    fn prepare(
+        &mut self,
+        now: Time,
+        from: Id,
+        key: Key,
+        ballot: Ballot,
+        known: &[Incarnation],
+    ) -> Vec<Action> {
+        if self.mode != Mode::Voting {
+            return Vec::new();
+        }
+        let mut cell = self
+            .cells
+            .get(&key)
+            .map(|held| held.cell.clone())
+            .unwrap_or_default();
+        if cell.promised > ballot || self.is_behind(known) {
+            return self.post(from, Body::Reject(key, ballot, cell.promised));
+        }
+        let accepted = cell.accepted.clone();
+        let mut actions = Vec::new();
+        if cell.promised < ballot {
+            cell.promised = ballot;
+            self.cells.insert(
+                key,
+                Held {
+                    cell: cell.clone(),
+                    touched: now,
+                },
+            );
+            actions.push(self.persist(Record::Cell(key, cell)));
+        }
+        actions.extend(self.post(from, Body::Promise(key, ballot, accepted)));
+        actions
+    }
+
+    fn accept(
+        &mut self,
+        now: Time,
+        from: Id,
+        key: Key,
+        value: (Ballot, Value),
+        known: &[Incarnation],
+    ) -> Vec<Action> {
+        if self.mode != Mode::Voting {
+            return Vec::new();
+        }
+        let ballot = value.0;
+        let promised = self
+            .cells
+            .get(&key)
+            .map(|held| held.cell.promised)
+            .unwrap_or_default();
+        if promised > ballot || self.is_behind(known) {
+            return self.post(from, Body::Reject(key, ballot, promised));
+        }
+        let cell = Cell {
+            promised: ballot,
+            accepted: Some(value),
+        };
+        self.cells.insert(
+            key,
+            Held {
+                cell: cell.clone(),
+                touched: now,
+            },
+        );
+        let mut actions = vec![self.persist(Record::Cell(key, cell))];
+        actions.extend(self.post(from, Body::Accepted(key, ballot)));
+        actions
+    }
+
+    /// Retries what got no answer and expires jobs; to be called at short intervals.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let step = self.proposer.tick(now);
+        let mut actions = self.advance(step);
+        actions.extend(match self.mode {
+            Mode::Voting | Mode::Failed => Vec::new(),
+            Mode::Checking => self.check(now),
+            Mode::Repairing => self.repair(now),
+        });
+        actions.extend(self.expire(now));
+        self.loop_back(now, actions)
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<Action> {
+        if now.since(self.expired) < EXPIRE_EVERY || self.mode != Mode::Voting {
+            return Vec::new();
+        }
+        self.expired = now;
+        let old = self
+            .cells
+            .iter()
+            .filter(|(key, held)| matches!(key, Key::Job(_)) && now.since(held.touched) > JOB_KEEP);
+        let old = old.map(|(key, _)| *key).collect::<Vec<_>>();
+        let forget = |key| {
+            self.cells.remove(&key);
+            self.persist(Record::Forget(key))
+        };
+        old.into_iter().map(forget).collect()
+    }
+}
+
+/// Restart and repair.
+impl Voter {
+    fn is_due(&mut self, now: Time) -> bool {
+        let due = self
+            .repair
+            .tried
+            .is_none_or(|tried| now.since(tried) >= RETRY_EVERY);
+        if due {
+            self.repair.tried = Some(now);
+        }
+        due
+    }
+
+    fn check(&mut self, now: Time) -> Vec<Action> {
+        let waited = now.since(self.repair.started) >= CHECK_MAX;
+        let enough = self.repair.heard.len() + 1 >= self.majority();
+        let all = self.repair.heard.len() + 1 == self.count;
+        if all || (waited && enough) {
+            self.mode = Mode::Voting;
+            return Vec::new();
+        }
+        if !self.is_due(now) {
+            return Vec::new();
+        }
+        self.others()
+            .map(|to| Action::Send(to, self.letter(Body::Check)))
+            .collect()
+    }
+
+    fn checked(&mut self, now: Time, from: Id, written: u64) -> Vec<Action> {
+        self.repair.heard.insert(from);
+        match self.mode {
+            Mode::Checking if written > self.written => self.reset(now),
+            Mode::Checking => self.check(now),
+            Mode::Repairing | Mode::Voting | Mode::Failed => Vec::new(),
+        }
+    }
+
+    /// Gives up an older disk: nothing on it is trusted.
+    fn reset(&mut self, now: Time) -> Vec<Action> {
+        self.mode = Mode::Repairing;
+        self.cells.clear();
+        self.waiting.clear();
+        let epoch_floor = self
+            .repair
+            .epoch_floor
+            .max(self.known[usize::from(self.me)].epoch);
+        self.known[usize::from(self.me)] = Incarnation::default();
+        self.repair = Repair {
+            started: now,
+            epoch_floor,
+            ..Repair::default()
+        };
+        let record = self.persist(Record::Reset);
+        vec![record]
+    }
+
+    fn repair(&mut self, now: Time) -> Vec<Action> {
+        if !self.is_due(now) {
+            return Vec::new();
+        }
+        if self.repair.incarnation.epoch == 0 {
+            if self.repair.heard.len() < self.majority_of_others() {
+                return self
+                    .others()
+                    .map(|to| Action::Send(to, self.letter(Body::Check)))
+                    .collect();
+            }
+            let epoch = self.repair.epoch_floor + 1;
+            self.repair.incarnation = Incarnation {
+                epoch,
+                nonce: self.nonce,
+            };
+        }
+        let asks = self.others().map(|to| (to, self.repair_step(to)));
+        let asks = asks
+            .filter_map(|(to, body)| Some((to, body?)))
+            .collect::<Vec<_>>();
+        asks.into_iter()
+            .map(|(to, body)| Action::Send(to, self.repair_letter(body)))
+            .collect()
+    }
+
+    fn repair_step(&self, to: Id) -> Option<Body> {
+        if self.repair.done.contains(&to) {
+            return None;
+        }
+        if !self.repair.admitted.contains(&to) {
+            return Some(Body::Admit);
+        }
+        Some(Body::Page(self.repair.next.get(&to).copied().flatten()))
+    }
+
+    /// A letter under the incarnation that is not yet in force.
+    fn repair_letter(&self, body: Body) -> Letter {
+        let mut letter = self.letter(body);
+        letter.known[usize::from(self.me)] = self.repair.incarnation;
+        letter
+    }
+
+    fn admit(&mut self, from: Id, known: &[Incarnation]) -> Vec<Action> {
+        let (theirs, ours) = (known[usize::from(from)], self.known[usize::from(from)]);
+        if self.mode != Mode::Voting || theirs.epoch < ours.epoch {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if theirs != ours {
+            self.known[usize::from(from)] = theirs;
+            self.seen[usize::from(from)] = 0;
+            actions.push(self.persist(Record::Known(from, theirs)));
+        }
+        actions.extend(self.post(from, Body::Admitted));
+        actions
+    }
+
+    fn admitted(&mut self, from: Id) -> Vec<Action> {
+        if self.mode != Mode::Repairing || !self.repair.admitted.insert(from) {
+            return Vec::new();
+        }
+        vec![Action::Send(from, self.repair_letter(Body::Page(None)))]
+    }
+
+    fn page(&mut self, from: Id, after: Option<Key>) -> Vec<Action> {
+        if self.mode != Mode::Voting {
+            return Vec::new();
+        }
+        let lower = match after {
+            Some(key) => std::ops::Bound::Excluded(key),
+            None => std::ops::Bound::Unbounded,
+        };
+        let range = self.cells.range((lower, std::ops::Bound::Unbounded));
+        let cells = range
+            .take(PAGE_CELLS)
+            .map(|(key, held)| (*key, held.cell.clone()));
+        let cells = cells.collect::<Vec<_>>();
+        let last = cells.len() < PAGE_CELLS;
+        self.post(from, Body::Cells(cells, last))
+    }
+
+    fn cells(&mut self, now: Time, from: Id, cells: Vec<(Key, Cell)>, last: bool) -> Vec<Action> {
+        if self.mode != Mode::Repairing || !self.repair.admitted.contains(&from) {
+            return Vec::new();
+        }
+        let end = cells.last().map(|(key, _)| *key);
+        cells
+            .into_iter()
+            .for_each(|(key, cell)| self.repair.merge(key, cell));
+        if !last {
+            self.repair.next.insert(from, end);
+            return vec![Action::Send(from, self.repair_letter(Body::Page(end)))];
+        }
+        self.repair.done.insert(from);
+        if self.repair.done.len() < self.majority_of_others() || self.repair.restored {
+            return Vec::new();
+        }
+        self.restore(now)
+    }
+
+    /// Writes the state read back; the voter votes once it is synced.
+    fn restore(&mut self, now: Time) -> Vec<Action> {
+        let cells = std::mem::take(&mut self.repair.cells);
+        let mut actions = vec![self.persist(Record::Reset)];
+        for (key, cell) in cells {
+            self.cells.insert(
+                key,
+                Held {
+                    cell: cell.clone(),
+                    touched: now,
+                },
+            );
+            actions.push(self.persist(Record::Cell(key, cell)));
+        }
+        for id in self.others() {
+            let known = self.known[usize::from(id)];
+            actions.push(self.persist(Record::Known(id, known)));
+        }
+        let incarnation = self.repair.incarnation;
+        actions.push(self.persist(Record::Known(self.me, incarnation)));
+        self.repair.restored = true;
+        actions
+    }
+
+    fn finish_repair(&mut self) {
+        let synced = self.repair.restored && self.synced >= self.written;
+        if self.mode == Mode::Repairing && synced {
+            self.known[usize::from(self.me)] = self.repair.incarnation;
+            self.mode = Mode::Voting;
+        }
+    }
+}
+
+impl Repair {
+    fn merge(&mut self, key: Key, cell: Cell) {
+        let merged = self.cells.entry(key).or_default();
+        merged.promised = merged.promised.max(cell.promised);
+        let newer = match (&merged.accepted, &cell.accepted) {
+            (Some((ours, _)), Some((theirs, _))) => theirs > ours,
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        if newer {
+            merged.accepted = cell.accepted;
+        }
+    }
+}
--- /dev/null
+++ b/fakes/examples/tour.rs
@@ -0,0 +1,98 @@
+//! The main job on stand-ins in one process: applies a file, asks, and runs a
+//! request that may not be repeated.
+
+use std::time::Duration;
+
+use wagtailbeam_adapter::admin::Applied;
+use wagtailbeam_adapter::node;
+use wagtailbeam_fakes::backend::Behaviour;
+use wagtailbeam_fakes::backend::Cluster;
+use wagtailbeam_fakes::caller;
+use wagtailbeam_fakes::fleet;
+
+/// Shards of the service.
+const SHARDS: usize = 20;
+
+/// Replicas of each shard.
+const REPLICAS: usize = 2;
+
+fn main() -> Result<(), caller::Error> {
+    let names = (0..SHARDS).flat_map(|s| (0..REPLICAS).map(move |r| format!("gate-{s:02}-{r}")));
+    let names = names.collect::<Vec<_>>();
+    let cluster = Cluster::start(&names, &Behaviour::default(), 7);
+    println!(
+        "{} fake backend servers: {SHARDS} shards with {REPLICAS} replicas",
+        names.len()
+    );
+    let folder = tempfile::tempdir()?;
+    let hosts = fleet::plan(5, 3, folder.path());
+    let mut daemons = Vec::new();
+    for at in 0..hosts.len() {
+        let config = fleet::config(&hosts, at);
+        node::format(&config)?;
+        daemons.push(fleet::Embedded::start(config));
+    }
+    println!("{} daemons, the first 3 of them voters", hosts.len());
+    let addresses = cluster
+        .servers
+        .iter()
+        .map(|server| server.address)
+        .collect::<Vec<_>>();
+    let service = fleet::Service {
+        name: "desk-gate".to_owned(),
+        lines: "slots = 2\nconnections = 25\nwarmup = 0s\n".to_owned(),
+        shards: addresses.chunks(REPLICAS).map(<[_]>::to_vec).collect(),
+    };
+    let file = fleet::file(1, &[service], &["airline-one"], &[]);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(show(&hosts, &file))?;
+    daemons.iter_mut().for_each(fleet::Embedded::stop);
+    println!("all daemons stopped");
+    Ok(())
+}
+
+async fn show(hosts: &[fleet::Host], file: &str) -> Result<(), caller::Error> {
+    let client = fleet::client(&hosts[0]);
+    loop {
+        match client.apply(file).await {
+            Ok(Applied::Decided {
+                version,
+                acceptance,
+            }) => {
+                println!("apply: version {version} {acceptance}");
+                break;
+            }
+            _ => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+    let (in_force, daemons) = client.wait_in_force(1, Duration::from_secs(6)).await;
+    println!("in force on {in_force} of {daemons} daemons");
+    let key = fleet::caller_key("airline-one");
+    let query = caller::get(&key, "/desk-gate/eligibility?card=7");
+    loop {
+        let answer = caller::ask(hosts[3].callers, &query).await?;
+        if answer.coverage() == (SHARDS as u64, SHARDS as u64) {
+            let json = answer.json();
+            println!(
+                "query at entry-4: snapshot {}, coverage {}",
+                json["snapshot"], json["coverage"]
+            );
+            println!("  first result {}", json["results"]["00"]);
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let job = caller::post(&key, "/desk-gate/entries", "visit-4711", "{\"visit\":4711}");
+    for host in [&hosts[3], &hosts[4]] {
+        let answer = caller::ask(host.callers, &job).await?;
+        let replayed = answer.header("wagtailbeam-replayed").unwrap_or("no");
+        let body = String::from_utf8_lossy(&answer.body);
+        println!(
+            "job at {}: status {}, replayed {replayed}, {body}",
+            host.name, answer.status
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,6 @@
+//! Small stand-ins for development: backend servers, callers, and daemons that
+//! run inside one process.
+
+pub mod backend;
+pub mod caller;
+pub mod fleet;
