Prove the register under crashes, races and lost disks

Names dereference to text.

A rolled back disk is found only up to what the others had heard, as a test shows for twenty files.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -209,7 +209,7 @@
         .uri(&request.path)
         .header(header::HOST, call.replica.to_string())
         .header(http::REQUEST, id)
-        .header(http::CALLER, &*request.caller as &str)
+        .header(http::CALLER, &*request.caller)
         .header(http::DEADLINE, call.left.as_ms());
     if let Some(index) = call.pin {
         builder = builder.header(http::INDEX, index);
--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -464,7 +464,7 @@
 fn envelope_reply(id: &str, envelope: &Envelope) -> http::Reply {
     let parsed = envelope.results.iter().map(|(shard, body)| {
         let raw = serde_json::from_slice::<&RawValue>(body).ok()?;
-        Some((&**shard as &str, raw))
+        Some((&**shard, raw))
     });
     let missing = envelope.missing.iter().map(|(shard, cause)| Missing {
         shard: shard.clone(),
--- a/adapter/src/report.rs
+++ b/adapter/src/report.rs
@@ -107,8 +107,8 @@
         .map_or("never".to_owned(), |hours| format!("{hours:.0}h"));
     format!(
         "{:<16} {:<16} {:>6.2}% {:>9} {:>7} {p99:>7}{rates} {:>7.1}% {spent:>9}\n",
-        &*burn.subject.service as &str,
-        &*burn.subject.caller as &str,
+        &*burn.subject.service,
+        &*burn.subject.caller,
         burn.target * 100.0,
         burn.period.total,
         burn.period.bad(),
--- a/decision/src/manifest.rs
+++ b/decision/src/manifest.rs
@@ -188,6 +188,6 @@
 impl Caller {
     /// Whether the caller may use `service`.
     pub fn may_use(&self, service: &str) -> bool {
-        self.services.iter().any(|granted| ***granted == *service)
+        self.services.iter().any(|granted| **granted == *service)
     }
 }
--- a/decision/src/name.rs
+++ b/decision/src/name.rs
@@ -39,7 +39,7 @@
     Serialize,
 )]
 #[from(&str, String)]
-pub struct Name(Arc<str>);
+pub struct Name(#[deref(forward)] Arc<str>);
 
 impl Name {
     /// Reads a name of letters, digits, `-`, `_` and `.`, 1 to 64 bytes long.
--- a/decision/src/trace.rs
+++ b/decision/src/trace.rs
@@ -86,6 +86,6 @@
         self.kept
             .iter()
             .rev()
-            .find(|trace| &**trace.request == request)
+            .find(|trace| *trace.request == *request)
     }
 }
--- /dev/null
+++ b/decision/tests/properties/main.rs
@@ -0,0 +1,18 @@
+//! Properties of the decisions under faults, with fixed seeds.
+
+mod group;
+mod voter;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+/// Checks a property on `tests` inputs of up to `size`, the same on each run.
+pub fn check<T: Testable>(seed: u64, size: usize, tests: u64, property: T) {
+    let gen_ = Gen::from_size_and_seed(size, seed);
+    QuickCheck::new()
+        .rng(gen_)
+        .tests(tests)
+        .max_tests(tests * 2)
+        .quickcheck(property);
+}
