Load tool: real daemons over fake servers, case by case beside a baseline

Change: an open-loop load example with fixed seeds, latency from the due time, daemons as processes, faults and file changes at set times; direct dispatch under divided limits as a setting, kept as a baseline; the tests' process fleet moved to the fakes and shared.

--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -200,6 +200,7 @@
             admin: config.admin,
         }),
         voters: config.voters.clone(),
+        dispatch: config.dispatch,
     };
     let boot = identity.boot;
     let daemon = Daemon::new(Time::default(), identity, records);
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -9,6 +9,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::daemon::Dispatch;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::ini::Document;
 use wagtailbeam_decision::ini::Fault;
@@ -92,6 +93,8 @@
     pub answer_max: usize,
     /// Most connections of callers.
     pub connections_max: usize,
+    /// Who sends work to backend servers; the same on all hosts.
+    pub dispatch: Dispatch,
 }
 
 impl Default for Config {
@@ -114,6 +117,7 @@
             body_max: 1024 * 1024,
             answer_max: 8 * 1024 * 1024,
             connections_max: 4_096,
+            dispatch: Dispatch::Owner,
         }
     }
 }
@@ -253,6 +257,12 @@
         let body_max = section.optional(document, "body_max", SIZE, size);
         let answer_max = section.optional(document, "answer_max", SIZE, size);
         let connections = section.optional(document, "connections_max", "1 or more", size);
+        let dispatch = section.optional(document, "dispatch", "owner, direct", |text| match text {
+            "owner" => Some(Dispatch::Owner),
+            "direct" => Some(Dispatch::Direct),
+            _ => None,
+        });
+        self.dispatch = dispatch.unwrap_or_default();
         self.drain = drain.unwrap_or(self.drain);
         self.stop_max = stop_max.unwrap_or(self.stop_max);
         self.body_max = body_max.unwrap_or(self.body_max);
@@ -263,7 +273,7 @@
         }
         document.close(
             section,
-            "drain, stop_max, body_max, answer_max, connections_max",
+            "drain, stop_max, body_max, answer_max, connections_max, dispatch",
         );
     }
 }
--- a/bins/tests/processes/daemons.rs
+++ b/bins/tests/processes/daemons.rs
@@ -1,9 +1,6 @@
 //! Real daemon processes for tests, and callers that follow their readiness.
 
-use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -12,12 +9,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use tempfile::TempDir;
 use wagtailbeam_fakes::caller;
 use wagtailbeam_fakes::caller::Answer;
 use wagtailbeam_fakes::caller::Ask;
 use wagtailbeam_fakes::fleet;
 use wagtailbeam_fakes::fleet::Host;
+use wagtailbeam_fakes::process::Processes;
 
 /// Longest wait for a state that must come.
 const WAIT_MAX: Duration = Duration::from_secs(60);
@@ -32,87 +29,31 @@
     pub err: String,
 }
 
-/// Daemon processes with their settings in a folder.
+/// Daemon processes, the programs under test.
 pub struct Fleet {
-    pub hosts: Vec<Host>,
-    processes: Vec<Option<Child>>,
-    folder: TempDir,
+    processes: Processes,
 }
 
-impl Fleet {
-    pub fn start(count: usize, voters: usize) -> Fleet {
-        let folder = tempfile::tempdir().unwrap();
-        let hosts = fleet::plan(count, voters, folder.path());
-        std::fs::write(folder.path().join("peer.key"), fleet::PEER_KEY).unwrap();
-        std::fs::write(folder.path().join("operator.key"), fleet::OPERATOR_KEY).unwrap();
-        let processes = (0..count).map(|_| None).collect();
-        let mut fleet = Fleet {
-            hosts,
-            processes,
-            folder,
-        };
-        for at in 0..count {
-            let settings = fleet::settings(&fleet.hosts, at);
-            std::fs::write(fleet.settings(at), settings).unwrap();
-            if at < voters {
-                let format = fleet.daemon(at).arg("--format").status().unwrap();
-                assert!(format.success());
-            }
-            fleet.restart(at);
-        }
-        fleet
-    }
+impl std::ops::Deref for Fleet {
+    type Target = Processes;
 
-    fn settings(&self, at: usize) -> PathBuf {
-        self.folder
-            .path()
-            .join(format!("{}.ini", self.hosts[at].name))
-    }
-
-    fn daemon(&self, at: usize) -> Command {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_wagtailbeamd"));
-        command.arg("--settings").arg(self.settings(at));
-        command
-    }
-
-    /// Starts the daemon of a host anew; its log goes to a file beside its settings.
-    pub fn restart(&mut self, at: usize) {
-        let log = self
-            .folder
-            .path()
-            .join(format!("{}.log", self.hosts[at].name));
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(log)
-            .unwrap();
-        let process = self.daemon(at).stderr(Stdio::from(log)).spawn().unwrap();
-        self.processes[at] = Some(process);
-    }
-
-    /// Sends a signal to a daemon.
-    pub fn signal(&self, at: usize, signal: &str) {
-        let id = self.processes[at].as_ref().unwrap().id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([signal, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
+    fn deref(&self) -> &Processes {
+        &self.processes
     }
+}
 
-    /// Stops a daemon as planned and returns its exit code.
-    pub fn stop(&mut self, at: usize) -> Option<i32> {
-        self.signal(at, "-TERM");
-        self.processes[at].take().unwrap().wait().unwrap().code()
+impl std::ops::DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Processes {
+        &mut self.processes
     }
+}
 
-    /// Kills a daemon.
-    pub fn kill(&mut self, at: usize) {
-        let mut process = self.processes[at].take().unwrap();
-        process.kill().unwrap();
-        process.wait().unwrap();
+impl Fleet {
+    pub fn start(count: usize, voters: usize) -> Fleet {
+        let program = env!("CARGO_BIN_EXE_wagtailbeamd").into();
+        Fleet {
+            processes: Processes::start(program, count, voters, "").unwrap(),
+        }
     }
 
     pub fn write(&self, name: &str, text: &str) -> String {
@@ -196,15 +137,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for process in self.processes.iter_mut().flatten() {
-            drop(process.kill());
-            drop(process.wait());
-        }
-    }
-}
-
 /// What callers saw.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counts {
--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -47,14 +47,14 @@
     );
     assert_eq!(fleet.ask(4, &job).status, 200);
     for at in 0..3 {
-        fleet.kill(at);
+        fleet.kill(at).unwrap();
         let again = fleet.ask(3, &job);
         assert_eq!(
             again.header("wagtailbeam-replayed"),
             Some("yes"),
             "voter {at} down"
         );
-        fleet.restart(at);
+        fleet.restart(at).unwrap();
         fleet.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
     }
     let again = fleet.client(1, &["apply", &path]);
--- a/bins/tests/processes/path.rs
+++ b/bins/tests/processes/path.rs
@@ -104,9 +104,9 @@
     let key = fleet::caller_key(CALLER);
     let traffic = fleet.traffic(&caller::get(&key, "/desk-gate/eligibility"));
     for at in 0..fleet.hosts.len() {
-        let code = fleet.stop(at);
+        let code = fleet.stop(at).unwrap();
         assert_eq!(code, Some(0), "daemon {at} ended with {code:?}");
-        fleet.restart(at);
+        fleet.restart(at).unwrap();
         fleet.wait_ready(CALLER, "/desk-gate/eligibility", SHARDS as u64);
     }
     std::thread::sleep(Duration::from_millis(300));
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::lease::Confirm;
 use crate::lease::Lease;
 use crate::lease::Poll;
+use crate::manifest::Limits;
 use crate::manifest::Manifest;
 use crate::name::Name;
 use crate::owner;
@@ -64,6 +65,18 @@
 /// When a caller refused for a lapsed lease is told to come back.
 const RETRY_STALE: Span = Span::from_secs(1);
 
+/// Who sends work to backend servers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub enum Dispatch {
+    /// The one daemon that owns the replica, under its full limits.
+    #[default]
+    #[display("owner")]
+    Owner,
+    /// Every daemon, each under its part of the limits; kept as a baseline.
+    #[display("direct")]
+    Direct,
+}
+
 /// Who a daemon is.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Identity {
@@ -77,6 +90,8 @@
     pub addresses: Option<Addresses>,
     /// The voters by host, with their addresses.
     pub voters: BTreeMap<Name, SocketAddr>,
+    /// Who sends work to backend servers.
+    pub dispatch: Dispatch,
 }
 
 /// Addresses of a daemon.
@@ -724,7 +739,7 @@
                 .collect::<Vec<_>>();
             out.push(Action::Note(Note::Members(hosts.join(","))));
             self.candidates = candidates;
-            self.entry.update(&self.manifest, &self.candidates);
+            self.route();
         }
         self.assign(now, out);
         if changed {
@@ -733,6 +748,29 @@
         }
     }
 
+    /// Tells the entry role who owns what.
+    fn route(&mut self) {
+        let all = std::mem::take(&mut self.candidates);
+        let own = |c: &&Candidate| self.me.dispatch == Dispatch::Owner || c.host == self.me.host;
+        let owners = all.iter().filter(own).cloned().collect::<Vec<_>>();
+        self.entry.update(&self.manifest, &owners);
+        self.candidates = all;
+    }
+
+    /// The limits under which this daemon sends to a server.
+    fn limits(&self, limits: Limits) -> Limits {
+        let part = |limit: u32| (limit / self.candidates.len().max(1) as u32).max(1);
+        match self.me.dispatch {
+            Dispatch::Owner => limits,
+            Dispatch::Direct => Limits {
+                slots: part(limits.slots),
+                connections: part(limits.connections),
+                cold_limit: part(limits.cold_limit),
+                ..limits
+            },
+        }
+    }
+
     fn find_candidates(&self) -> Vec<Candidate> {
         let able = self.members.iter().filter(|member| {
             !member.leaving && self.manifest.may_own(&member.host, &member.domain)
@@ -754,7 +792,7 @@
             for replica in service.shards.iter().flat_map(|shard| &shard.replicas) {
                 if self.entry.router.owner(&replica.address) == Some(&self.me.host) {
                     let open = self.manifest.is_in(&replica.domain);
-                    let (replica, limits) = (replica.address, service.limits);
+                    let (replica, limits) = (replica.address, self.limits(service.limits));
                     claims.push(owner::Claim {
                         replica,
                         limits,
@@ -789,7 +827,7 @@
         self.text = text.clone();
         out.push(Action::Note(Note::InForce(version)));
         self.candidates = self.find_candidates();
-        self.entry.update(&self.manifest, &self.candidates);
+        self.route();
         self.review(now, out);
     }
 
--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -383,13 +383,16 @@
     if behaviour.frozen {
         std::future::pending::<()>().await;
     }
-    let _slot = slots.acquire().await;
+    tokio::time::sleep(behaviour.network / 2).await;
+    let slot = slots.acquire().await;
     if head.uri.to_string().contains(POISON) {
         tokio::time::sleep(POISON_AFTER).await;
         server.fail();
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(server.draw() + behaviour.network).await;
+    tokio::time::sleep(server.draw()).await;
+    drop(slot);
+    tokio::time::sleep(behaviour.network / 2).await;
     let newest = behaviour.indexes.last().copied().unwrap_or_default();
     let wanted = text(http::INDEX)
         .and_then(|index| index.parse().ok())
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod backend;
 pub mod caller;
 pub mod fleet;
+pub mod load;
+pub mod process;
--- /dev/null
+++ b/fakes/src/load.rs
@@ -0,0 +1,272 @@
+//! Open-loop load on real daemons, and what callers and servers saw of it.
+//!
+//! Requests begin at times drawn before the run from a fixed seed, and latency is
+//! counted from those times, so a slow answer never hides the ones behind it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::caller;
+use crate::caller::Connection;
+use crate::fleet;
+
+/// Connections kept open to each daemon.
+const IDLE_MAX: usize = 64;
+
+/// Time between two looks of the balancer.
+const BALANCER_EVERY: Duration = Duration::from_millis(250);
+
+/// A stream of queries of one caller to one service.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// The caller.
+    pub caller: String,
+    /// The service.
+    pub service: String,
+    /// Queries a second.
+    pub rate: f64,
+    /// When it begins, from the start of the run.
+    pub from: Duration,
+    /// When it ends.
+    pub to: Duration,
+}
+
+/// One query as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Position of its stream.
+    pub stream: usize,
+    /// When it was due, from the start of the run.
+    pub due: Duration,
+    /// Time from then to its answer.
+    pub latency: Duration,
+    /// Shards answered and asked; none asked for a refusal.
+    pub coverage: (u64, u64),
+    /// HTTP status; zero if the connection failed.
+    pub status: u16,
+    /// Whether a refusal told when to come back.
+    pub retry_after: bool,
+}
+
+/// What the callers of some streams saw in some time.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Summary {
+    /// Queries.
+    pub asked: u64,
+    /// Complete answers.
+    pub complete: u64,
+    /// Partial answers.
+    pub partial: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Refusals that told when to come back.
+    pub refused_with_retry: u64,
+    /// Connections that failed.
+    pub cut_off: u64,
+    /// Mean coverage of the answers.
+    pub coverage: f64,
+    /// Latencies of answers in milliseconds.
+    pub p50_ms: f64,
+    /// The same.
+    pub p99_ms: f64,
+    /// The same.
+    pub p999_ms: f64,
+    /// 99th percentile of the latency of refusals in milliseconds.
+    pub refusal_p99_ms: f64,
+    /// Refusals and failures by status.
+    pub statuses: BTreeMap<u16, u64>,
+}
+
+impl Summary {
+    /// Sums up the samples that `pick` allows.
+    pub fn of(samples: &[Sample], pick: impl Fn(&Sample) -> bool) -> Summary {
+        let mut summary = Summary::default();
+        let mut answers = histogram();
+        let mut refusals = histogram();
+        let mut coverage = 0.0;
+        for sample in samples.iter().filter(|sample| pick(sample)) {
+            let us = sample.latency.as_micros() as u64;
+            summary.asked += 1;
+            let (answered, asked) = sample.coverage;
+            if sample.status == 200 {
+                answers.saturating_record(us);
+                coverage += answered as f64 / asked.max(1) as f64;
+                summary.complete += u64::from(answered == asked);
+                summary.partial += u64::from(answered < asked);
+                continue;
+            }
+            *summary.statuses.entry(sample.status).or_default() += 1;
+            refusals.saturating_record(us);
+            summary.cut_off += u64::from(sample.status == 0);
+            summary.refused += u64::from(sample.status != 0);
+            summary.refused_with_retry += u64::from(sample.retry_after);
+        }
+        let ms = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+        summary.p50_ms = ms(&answers, 0.5);
+        summary.p99_ms = ms(&answers, 0.99);
+        summary.p999_ms = ms(&answers, 0.999);
+        summary.refusal_p99_ms = ms(&refusals, 0.99);
+        summary.coverage = coverage / answers.len().max(1) as f64;
+        summary
+    }
+}
+
+/// A histogram of microseconds up to a minute, with three digits.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("usable bounds")
+}
+
+/// When each query of the streams is due, in order.
+fn schedule(streams: &[Stream], seed: u64) -> Vec<(Duration, usize)> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut due = Vec::new();
+    for (at, stream) in streams.iter().enumerate() {
+        let mut time = stream.from.as_secs_f64();
+        loop {
+            time -= (1.0 - random.random::<f64>()).ln() / stream.rate;
+            if time >= stream.to.as_secs_f64() {
+                break;
+            }
+            due.push((Duration::from_secs_f64(time), at));
+        }
+    }
+    due.sort_unstable();
+    due
+}
+
+struct Callers {
+    streams: Vec<Stream>,
+    ready: Mutex<Vec<SocketAddr>>,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
+    samples: Mutex<Vec<Sample>>,
+}
+
+impl Callers {
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        stream: &Stream,
+        number: usize,
+    ) -> Option<caller::Answer> {
+        let idle = lock(&self.idle).get_mut(&address).and_then(Vec::pop);
+        let idle = idle.filter(|connection| !connection.is_closed());
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => Connection::open(address).await.ok()?,
+        };
+        let path = format!("/{}/query?number={number}", stream.service);
+        let answer = connection
+            .ask(&caller::get(&fleet::caller_key(&stream.caller), &path))
+            .await
+            .ok()?;
+        let mut idle = lock(&self.idle);
+        let kept = idle.entry(address).or_default();
+        if kept.len() < IDLE_MAX {
+            kept.push(connection);
+        }
+        Some(answer)
+    }
+
+    async fn run(&self, start: Instant, due: Duration, stream: usize, number: usize) {
+        let hosts = lock(&self.ready).clone();
+        let answer = match hosts.get(number % hosts.len().max(1)) {
+            Some(address) => self.ask(*address, &self.streams[stream], number).await,
+            None => None,
+        };
+        let latency = start.elapsed().saturating_sub(due);
+        let sample = Sample {
+            stream,
+            due,
+            latency,
+            coverage: answer.as_ref().map_or((0, 0), caller::Answer::coverage),
+            status: answer.as_ref().map_or(0, |answer| answer.status),
+            retry_after: answer.is_some_and(|answer| answer.header("retry-after").is_some()),
+        };
+        lock(&self.samples).push(sample);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Something done at a time of the run.
+pub type Deed = (Duration, Box<dyn FnOnce() + Send>);
+
+/// Sends the streams to `hosts` as a balancer would, and does `deeds` at their
+/// times on another thread. Returns a sample for each query.
+pub fn run(hosts: &[SocketAddr], streams: &[Stream], deeds: Vec<Deed>, seed: u64) -> Vec<Sample> {
+    let callers = Rc::new(Callers {
+        streams: streams.to_vec(),
+        ready: Mutex::new(hosts.to_vec()),
+        idle: Mutex::default(),
+        samples: Mutex::default(),
+    });
+    let start = Instant::now();
+    let acting = std::thread::spawn(move || act(start, deeds));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    let work = drive(
+        callers.clone(),
+        hosts.to_vec(),
+        schedule(streams, seed),
+        start,
+    );
+    runtime.expect("a runtime").block_on(local.run_until(work));
+    drop(acting.join());
+    let samples = std::mem::take(&mut *lock(&callers.samples));
+    samples
+}
+
+fn act(start: Instant, deeds: Vec<Deed>) {
+    for (at, deed) in deeds {
+        std::thread::sleep(at.saturating_sub(start.elapsed()));
+        deed();
+    }
+}
+
+async fn drive(
+    callers: Rc<Callers>,
+    hosts: Vec<SocketAddr>,
+    due: Vec<(Duration, usize)>,
+    start: Instant,
+) {
+    let balancer = tokio::task::spawn_local(balance(callers.clone(), hosts));
+    let mut queries = tokio::task::JoinSet::new();
+    for (number, (at, stream)) in due.into_iter().enumerate() {
+        tokio::time::sleep_until((start + at).into()).await;
+        let callers = callers.clone();
+        queries.spawn_local(async move { callers.run(start, at, stream, number).await });
+    }
+    queries.join_all().await;
+    balancer.abort();
+}
+
+async fn balance(callers: Rc<Callers>, hosts: Vec<SocketAddr>) {
+    loop {
+        let mut ready = Vec::new();
+        for host in &hosts {
+            let check = caller::get("", "/ready");
+            let answer = tokio::time::timeout(BALANCER_EVERY, caller::ask(*host, &check)).await;
+            if matches!(answer, Ok(Ok(answer)) if answer.status == 200) {
+                ready.push(*host);
+            }
+        }
+        *lock(&callers.ready) = ready;
+        tokio::time::sleep(BALANCER_EVERY).await;
+    }
+}
