Both replicas of a shard at one owner, chosen late

Cause: with each replica at another owner an entry daemon chose by its own few outstanding sub-requests, so that queues were as long as by chance, while the other replica's slots stood idle.

Change: one daemon owns all replicas of a shard; a piece names the replicas that will do, the owner takes the least loaded and moves waiting work to one that has room. The earlier placement stays as the setting dispatch = apart.

--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -257,11 +257,18 @@
         let body_max = section.optional(document, "body_max", SIZE, size);
         let answer_max = section.optional(document, "answer_max", SIZE, size);
         let connections = section.optional(document, "connections_max", "1 or more", size);
-        let dispatch = section.optional(document, "dispatch", "owner, direct", |text| match text {
-            "owner" => Some(Dispatch::Owner),
-            "direct" => Some(Dispatch::Direct),
-            _ => None,
-        });
+        let dispatch =
+            section.optional(
+                document,
+                "dispatch",
+                "owner, apart, direct",
+                |text| match text {
+                    "owner" => Some(Dispatch::Owner),
+                    "apart" => Some(Dispatch::Apart),
+                    "direct" => Some(Dispatch::Direct),
+                    _ => None,
+                },
+            );
         self.dispatch = dispatch.unwrap_or_default();
         self.drain = drain.unwrap_or(self.drain);
         self.stop_max = stop_max.unwrap_or(self.stop_max);
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::owner::Owner;
 use crate::placement;
 use crate::placement::Candidate;
+use crate::placement::Spread;
 use crate::query::Reply;
 use crate::read;
 use crate::register::Change;
@@ -68,10 +69,14 @@
 /// Who sends work to backend servers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum Dispatch {
-    /// The one daemon that owns the replica, under its full limits.
+    /// The one daemon that owns all replicas of the shard, under their full limits.
     #[default]
     #[display("owner")]
     Owner,
+    /// The one daemon that owns the replica; a shard's replicas have different
+    /// owners. Kept as a baseline.
+    #[display("apart")]
+    Apart,
     /// Every daemon, each under its part of the limits; kept as a baseline.
     #[display("direct")]
     Direct,
@@ -111,7 +116,7 @@
     /// Withdraws a sub-request.
     Cancel(u64),
     /// What became of a sub-request.
-    Reply(u64, Outcome),
+    Reply(u64, SocketAddr, Outcome),
     /// The state of a replica of the sender.
     Hint(SocketAddr, Health),
     /// What is known of a request that may stop servers.
@@ -401,8 +406,8 @@
                 let actions = self.owner.cancel(now, &from, ask);
                 self.owner_actions(now, actions, out);
             }
-            Message::Reply(ask, outcome) => {
-                let actions = self.entry.outcome(now, ask, outcome);
+            Message::Reply(ask, replica, outcome) => {
+                let actions = self.entry.outcome(now, ask, Some(replica), outcome);
                 self.entry_actions(now, actions, out);
             }
             Message::Hint(replica, health) => self.entry.router.hint(replica, health),
@@ -549,12 +554,22 @@
                 owner::Action::Call(call) => out.push(Action::Call(call)),
                 owner::Action::Abort(ticket) => out.push(Action::Abort(ticket)),
                 owner::Action::Release(replica) => out.push(Action::Release(replica)),
-                owner::Action::Reply { to, ask, outcome } if to == self.me.host => {
-                    let actions = self.entry.outcome(now, ask, outcome);
+                owner::Action::Reply {
+                    to,
+                    ask,
+                    replica,
+                    outcome,
+                } if to == self.me.host => {
+                    let actions = self.entry.outcome(now, ask, Some(replica), outcome);
                     self.entry_actions(now, actions, out);
                 }
-                owner::Action::Reply { to, ask, outcome } => {
-                    self.send(&to, Message::Reply(ask, outcome), out);
+                owner::Action::Reply {
+                    to,
+                    ask,
+                    replica,
+                    outcome,
+                } => {
+                    self.send(&to, Message::Reply(ask, replica, outcome), out);
                 }
                 owner::Action::Hint(replica, health) => {
                     self.entry.router.hint(replica, health);
@@ -751,9 +766,13 @@
     /// Tells the entry role who owns what.
     fn route(&mut self) {
         let all = std::mem::take(&mut self.candidates);
-        let own = |c: &&Candidate| self.me.dispatch == Dispatch::Owner || c.host == self.me.host;
+        let own = |c: &&Candidate| self.me.dispatch != Dispatch::Direct || c.host == self.me.host;
         let owners = all.iter().filter(own).cloned().collect::<Vec<_>>();
-        self.entry.update(&self.manifest, &owners);
+        let spread = match self.me.dispatch {
+            Dispatch::Owner | Dispatch::Direct => Spread::Together,
+            Dispatch::Apart => Spread::Apart,
+        };
+        self.entry.update(&self.manifest, &owners, spread);
         self.candidates = all;
     }
 
@@ -761,7 +780,7 @@
     fn limits(&self, limits: Limits) -> Limits {
         let part = |limit: u32| (limit / self.candidates.len().max(1) as u32).max(1);
         match self.me.dispatch {
-            Dispatch::Owner => limits,
+            Dispatch::Owner | Dispatch::Apart => limits,
             Dispatch::Direct => Limits {
                 slots: part(limits.slots),
                 connections: part(limits.connections),
--- a/decision/src/entry.rs
+++ b/decision/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::manifest::Service;
 use crate::name::Name;
 use crate::placement::Candidate;
+use crate::placement::Spread;
 use crate::query::Next;
 use crate::query::Phase;
 use crate::query::Query;
@@ -127,9 +128,9 @@
     }
 
     /// Takes a configuration and the daemons that may own replicas.
-    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate]) {
+    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate], spread: Spread) {
         self.daemons = candidates.len().max(1);
-        self.router.update(manifest, candidates);
+        self.router.update(manifest, candidates, spread);
         if self.manifest == *manifest {
             return;
         }
@@ -293,6 +294,8 @@
         let host = self.router.owner(&replica.address)?.clone();
         self.last += 1;
         let ask = self.last;
+        let others = self.router.beside(&shard, at, &query.parts[part].tried);
+        let avoid = query.parts[part].asks.keys().copied().collect();
         query.parts[part].tried.insert(at);
         query.parts[part].asks.insert(ask, at);
         query.sent += 1;
@@ -314,7 +317,16 @@
                 kind,
             },
         );
-        Some((host, Piece { ask, replica, pin }))
+        Some((
+            host,
+            Piece {
+                ask,
+                replica,
+                others,
+                avoid,
+                pin,
+            },
+        ))
     }
 
     fn count(&mut self, kind: Kind) {
@@ -326,8 +338,14 @@
     }
 
     /// Takes the outcome of a sub-request.
-    pub fn outcome(&mut self, now: Time, ask: u64, outcome: Outcome) -> Vec<Action> {
-        let Some(sent) = self.end(now, ask, &outcome) else {
+    pub fn outcome(
+        &mut self,
+        now: Time,
+        ask: u64,
+        replica: Option<SocketAddr>,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        let Some(sent) = self.end(now, ask, replica, &outcome) else {
             return Vec::new();
         };
         let Some(query) = self.queries.get_mut(&sent.query) else {
@@ -343,6 +361,15 @@
         let refused = matches!(outcome, Outcome::Failed { ran: Ran::No, .. });
         let answered = matches!(outcome, Outcome::Answered(_));
         let phase = query.phase;
+        let full = matches!(
+            outcome,
+            Outcome::Failed {
+                cause: Cause::Full,
+                ..
+            }
+        );
+        self.router
+            .tried(query, &sent.host, sent.part, sent.replica, full);
         query.record(now, sent.part, ask, outcome);
         if let Some(at) = query.parts[sent.part].retry_at {
             query.parts[sent.part].tried.clear();
@@ -365,9 +392,16 @@
     }
 
     /// Ends the bookkeeping of a sub-request.
-    fn end(&mut self, now: Time, ask: u64, outcome: &Outcome) -> Option<Ask> {
-        let sent = self.asks.remove(&ask)?;
+    fn end(
+        &mut self,
+        now: Time,
+        ask: u64,
+        replica: Option<SocketAddr>,
+        outcome: &Outcome,
+    ) -> Option<Ask> {
+        let mut sent = self.asks.remove(&ask)?;
         self.router.ended(&sent.replica);
+        sent.replica = replica.unwrap_or(sent.replica);
         let query = self.queries.get_mut(&sent.query)?;
         let shard = query.shard(sent.part).name.clone();
         query.steps.push(step(now, &sent, query, describe(outcome)));
@@ -599,13 +633,13 @@
         let lost = lost.map(|(ask, _)| *ask).collect::<Vec<_>>();
         let outcome = Outcome::unsure(Cause::Lost);
         lost.into_iter()
-            .flat_map(|ask| self.outcome(now, ask, outcome.clone()))
+            .flat_map(|ask| self.outcome(now, ask, None, outcome.clone()))
             .collect()
     }
 
     /// Treats one sub-request as not sent, as its owner can't be reached.
     pub fn unsent(&mut self, now: Time, ask: u64) -> Vec<Action> {
-        self.outcome(now, ask, Outcome::refused(Cause::NoOwner))
+        self.outcome(now, ask, None, Outcome::refused(Cause::NoOwner))
     }
 }
 
--- a/decision/src/gate.rs
+++ b/decision/src/gate.rs
@@ -207,7 +207,8 @@
         self.limit as usize * QUEUE_PER_SLOT
     }
 
-    fn has_room(&self) -> bool {
+    /// Whether a sub-request could run at once.
+    pub fn has_room(&self) -> bool {
         self.flights.len() < self.limit as usize
     }
 
@@ -282,6 +283,22 @@
             .collect()
     }
 
+    /// Whether the server takes new work now.
+    pub fn is_open(&self, now: Time) -> bool {
+        self.closed(now).is_none()
+    }
+
+    /// Takes back the sub-request that would run next.
+    pub fn take_back(&mut self) -> Option<Work> {
+        let next = (0..self.queue.len()).min_by_key(|at| self.order(&self.queue[*at]))?;
+        Some(self.queue.remove(next))
+    }
+
+    /// Undoes [`Gate::take_back`].
+    pub fn put_back(&mut self, work: Work) {
+        self.queue.push(work);
+    }
+
     /// Ends a sub-request that ran or waited.
     pub fn finish(&mut self, now: Time, ticket: Ticket, sign: Sign) -> Vec<Step> {
         let Some(flight) = self.flights.remove(&ticket) else {
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -28,6 +28,9 @@
 /// HTTP statuses with which a server sheds load.
 const STATUS_SHED: [u16; 2] = [429, 503];
 
+/// Units in which the load of a replica is compared, for one slot.
+const LOAD_UNIT: u32 = 1_000;
+
 /// What an exchange over HTTP came to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Exchange {
@@ -78,6 +81,8 @@
         to: Name,
         /// The entry daemon's number of the sub-request.
         ask: u64,
+        /// The replica that it went to.
+        replica: SocketAddr,
         /// What became of it.
         outcome: Outcome,
     },
@@ -94,12 +99,34 @@
     from: Name,
     ask: u64,
     replica: SocketAddr,
+    others: Vec<SocketAddr>,
     pin: Option<Index>,
     deadline: Time,
+    priority: u8,
     request: Arc<Request>,
     running: bool,
 }
 
+impl Job {
+    fn work(&self, ticket: Ticket) -> Work {
+        Work {
+            ticket,
+            deadline: self.deadline,
+            caller: self.request.caller.clone(),
+            priority: self.priority,
+        }
+    }
+
+    fn reply(self, outcome: Outcome) -> Action {
+        Action::Reply {
+            to: self.from,
+            ask: self.ask,
+            replica: self.replica,
+            outcome,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     gate: Gate,
@@ -226,43 +253,44 @@
         let deadline = now.after(batch.left);
         let mut actions = Vec::new();
         for piece in &batch.pieces {
+            let avoid = self.replicas_of(from, &piece.avoid);
+            let others = piece.others.iter().filter(|other| !avoid.contains(other));
             let job = Job {
                 from: from.clone(),
                 ask: piece.ask,
                 replica: piece.replica,
+                others: others.copied().collect(),
                 pin: piece.pin,
                 deadline,
+                priority: batch.priority,
                 request: batch.request.clone(),
                 running: false,
             };
-            actions.extend(self.offer(now, job, batch.priority));
+            actions.extend(self.offer(now, job, &avoid));
         }
         actions
     }
 
-    fn offer(&mut self, now: Time, job: Job, priority: u8) -> Vec<Action> {
-        let cause = match (self.held.get(&job.replica), self.closed.get(&job.replica)) {
-            (None, _) => Some(Cause::NotOwner),
-            (_, Some(cause)) => Some(*cause),
-            _ => None,
-        };
-        if let Some(cause) = cause {
-            let outcome = Outcome::refused(cause);
-            return vec![Action::Reply {
-                to: job.from,
-                ask: job.ask,
-                outcome,
-            }];
+    /// Replicas at which sub-requests of an entry daemon run or wait.
+    fn replicas_of(&self, from: &Name, asks: &[u64]) -> Vec<SocketAddr> {
+        if asks.is_empty() {
+            return Vec::new();
+        }
+        let jobs = self
+            .jobs
+            .values()
+            .filter(|job| job.from == *from && asks.contains(&job.ask));
+        jobs.map(|job| job.replica).collect()
+    }
+
+    fn offer(&mut self, now: Time, mut job: Job, avoid: &[SocketAddr]) -> Vec<Action> {
+        match self.choose(now, &job, avoid) {
+            Ok(replica) => job.replica = replica,
+            Err(cause) => return vec![job.reply(Outcome::refused(cause))],
         }
         self.last += 1;
-        let work = Work {
-            ticket: self.last,
-            deadline: job.deadline,
-            caller: job.request.caller.clone(),
-            priority,
-        };
-        let replica = job.replica;
-        self.jobs.insert(self.last, job);
+        let (ticket, replica, work) = (self.last, job.replica, job.work(self.last));
+        self.jobs.insert(ticket, job);
         let held = self.held.get_mut(&replica);
         let steps = held
             .map(|held| held.gate.offer(now, work))
@@ -270,6 +298,77 @@
         self.apply(now, steps)
     }
 
+    /// The replica held here at which the job would run first, or why none is.
+    fn choose(&self, now: Time, job: &Job, avoid: &[SocketAddr]) -> Result<SocketAddr, Cause> {
+        let all = std::iter::once(&job.replica).chain(&job.others);
+        let usable =
+            all.filter(|replica| !avoid.contains(replica) && self.cause(replica).is_none());
+        let held = usable.filter_map(|replica| Some((*replica, &self.held.get(replica)?.gate)));
+        let best = held.min_by_key(|(_, gate)| {
+            let load = (gate.running() + gate.waiting()) as u32 * LOAD_UNIT / gate.limit().max(1);
+            (
+                !gate.is_open(now),
+                !gate.has_room(),
+                gate.health() != Health::Ready,
+                load,
+            )
+        });
+        match best {
+            Some((replica, _)) => Ok(replica),
+            None => Err(self.cause(&job.replica).unwrap_or(Cause::Full)),
+        }
+    }
+
+    /// Why a replica gets no work from here, if it gets none.
+    fn cause(&self, replica: &SocketAddr) -> Option<Cause> {
+        match (self.held.get(replica), self.closed.get(replica)) {
+            (None, _) => Some(Cause::NotOwner),
+            (_, cause) => cause.copied(),
+        }
+    }
+
+    /// Moves waiting sub-requests to a replica that has room.
+    fn fill(&mut self, now: Time, replica: SocketAddr) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.has_room(now, &replica) {
+            let Some((ticket, mut job)) = self.take_waiting(&replica) else {
+                break;
+            };
+            job.replica = replica;
+            let work = job.work(ticket);
+            self.jobs.insert(ticket, job);
+            let held = self.held.get_mut(&replica);
+            let steps = held
+                .map(|held| held.gate.offer(now, work))
+                .unwrap_or_default();
+            actions.extend(self.apply(now, steps));
+        }
+        actions
+    }
+
+    fn has_room(&self, now: Time, replica: &SocketAddr) -> bool {
+        let gate = self.held.get(replica).map(|held| &held.gate);
+        let open = gate.is_some_and(|gate| gate.is_open(now) && gate.has_room());
+        open && gate.is_some_and(|gate| gate.waiting() == 0) && self.cause(replica).is_none()
+    }
+
+    /// Takes a waiting sub-request from another replica for which `replica` will do.
+    fn take_waiting(&mut self, replica: &SocketAddr) -> Option<(Ticket, Job)> {
+        let waiting = self.jobs.iter().filter(|(_, job)| {
+            !job.running && job.replica != *replica && job.others.contains(replica)
+        });
+        let from = waiting.map(|(_, job)| job.replica).next()?;
+        let work = self.held.get_mut(&from)?.gate.take_back()?;
+        let mut job = self.jobs.remove(&work.ticket)?;
+        if !job.others.contains(replica) {
+            self.jobs.insert(work.ticket, job);
+            self.held.get_mut(&from)?.gate.put_back(work);
+            return None;
+        }
+        job.others.push(from);
+        Some((work.ticket, job))
+    }
+
     fn apply(&mut self, now: Time, steps: Vec<Step>) -> Vec<Action> {
         steps
             .into_iter()
@@ -292,12 +391,7 @@
             }
             Step::Refuse(ticket, cause) => {
                 let job = self.jobs.remove(&ticket)?;
-                let outcome = Outcome::refused(cause);
-                Some(Action::Reply {
-                    to: job.from,
-                    ask: job.ask,
-                    outcome,
-                })
+                Some(job.reply(Outcome::refused(cause)))
             }
         }
     }
@@ -312,13 +406,9 @@
             actions.push(Action::Suspect(job.request.fingerprint()));
         }
         let sign = sign(&exchange);
-        let outcome = outcome(exchange);
-        actions.push(Action::Reply {
-            to: job.from,
-            ask: job.ask,
-            outcome,
-        });
-        actions.extend(self.settle(now, job.replica, ticket, sign));
+        let replica = job.replica;
+        actions.push(job.reply(outcome(exchange)));
+        actions.extend(self.settle(now, replica, ticket, sign));
         actions
     }
 
@@ -334,6 +424,7 @@
         };
         let steps = held.gate.finish(now, ticket, sign);
         let mut actions = self.apply(now, steps);
+        actions.extend(self.fill(now, replica));
         actions.extend(self.hint(now, replica));
         actions
     }
@@ -393,12 +484,8 @@
             .filter(|(_, job)| job.running && job.deadline <= now);
         let mut actions = Vec::new();
         for ticket in late.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
-            let reply = self.jobs.get(&ticket).map(|job| Action::Reply {
-                to: job.from.clone(),
-                ask: job.ask,
-                outcome: Outcome::unsure(Cause::Deadline),
-            });
-            actions.extend(reply);
+            let late = Outcome::unsure(Cause::Deadline);
+            actions.extend(self.jobs.get(&ticket).map(|job| job.clone().reply(late)));
             actions.extend(self.withdraw(now, ticket, Sign::Timeout));
         }
         for replica in self.held.keys().copied().collect::<Vec<_>>() {
--- a/decision/src/placement.rs
+++ b/decision/src/placement.rs
@@ -16,22 +16,39 @@
     pub domain: Name,
 }
 
-/// The owner of each replica of `shard`, in the order of its replicas.
-///
-/// The owners of one shard's replicas are different hosts in different failure
-/// domains as far as `candidates` allow. The result is empty without candidates.
+/// How the owners of one shard's replicas are chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Spread {
+    /// One host owns them all and chooses among them late.
+    #[default]
+    Together,
+    /// Different hosts in different failure domains, as far as there are any.
+    Apart,
+}
+
+/// The owner of each replica of `shard`, in the order of its replicas. The result
+/// is empty without candidates.
 ///
 /// # Examples
 ///
 /// ```
 /// use wagtailbeam_decision::manifest::Shard;
+/// use wagtailbeam_decision::placement::Spread;
 /// use wagtailbeam_decision::placement::owners;
 ///
 /// let shard = Shard { name: "00".into(), replicas: Vec::new() };
-/// assert!(owners(&"desk".into(), &shard, &[]).is_empty());
+/// assert!(owners(&"desk".into(), &shard, &[], Spread::Apart).is_empty());
 /// ```
-pub fn owners(service: &Name, shard: &Shard, candidates: &[Candidate]) -> Vec<Name> {
+pub fn owners(
+    service: &Name,
+    shard: &Shard,
+    candidates: &[Candidate],
+    spread: Spread,
+) -> Vec<Name> {
     let mut ranked = rank(service, &shard.name, candidates);
+    if spread == Spread::Together {
+        ranked.truncate(1);
+    }
     let mut chosen: Vec<&Candidate> = Vec::new();
     for _ in &shard.replicas {
         let fresh_domain = |c: &&Candidate| chosen.iter().all(|other| other.domain != c.domain);
--- a/decision/src/request.rs
+++ b/decision/src/request.rs
@@ -158,8 +158,12 @@
 pub struct Piece {
     /// Number of the sub-request, unique at the entry daemon.
     pub ask: u64,
-    /// Address of the replica's backend server.
+    /// Address of the preferred replica's backend server.
     pub replica: SocketAddr,
+    /// Other replicas of the shard that will do.
+    pub others: Vec<SocketAddr>,
+    /// Earlier sub-requests whose replicas must not be used.
+    pub avoid: Vec<u64>,
     /// The index version that the answer must have.
     pub pin: Option<Index>,
 }
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -11,7 +11,9 @@
 use crate::manifest::Shard;
 use crate::name::Name;
 use crate::placement::Candidate;
+use crate::placement::Spread;
 use crate::placement::owners;
+use crate::query::Query;
 use crate::request::Cause;
 
 /// One in this many first choices goes to a cold replica beside a ready one.
@@ -28,12 +30,12 @@
 
 impl Router {
     /// Takes a configuration and the daemons that may own replicas.
-    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate]) {
+    pub fn update(&mut self, manifest: &Arc<Manifest>, candidates: &[Candidate], spread: Spread) {
         self.manifest = manifest.clone();
         self.owners.clear();
         for service in manifest.services.values() {
             for shard in &service.shards {
-                let hosts = owners(&service.name, shard, candidates);
+                let hosts = owners(&service.name, shard, candidates, spread);
                 let replicas = shard.replicas.iter().map(|replica| replica.address);
                 self.owners.extend(replicas.zip(hosts));
             }
@@ -125,6 +127,48 @@
         (rank, load, (seed / COLD_SHARE + at as u64) % 2)
     }
 
+    /// Addresses of the other untried replicas of `shard` with the owner of `at`.
+    pub fn beside(&self, shard: &Shard, at: usize, tried: &BTreeSet<usize>) -> Vec<SocketAddr> {
+        let owner = self.owners.get(&shard.replicas[at].address);
+        let others = shard
+            .replicas
+            .iter()
+            .enumerate()
+            .filter(|(other, replica)| {
+                let usable =
+                    *other != at && !tried.contains(other) && self.manifest.is_in(&replica.domain);
+                usable && self.owners.get(&replica.address) == owner
+            });
+        others.map(|(_, replica)| replica.address).collect()
+    }
+
+    /// Notes the replica that the owner on `host` chose for a part; one that was
+    /// full had no room on any replica of its owner's.
+    pub fn tried(
+        &self,
+        query: &mut Query,
+        host: &Name,
+        part: usize,
+        chosen: SocketAddr,
+        full: bool,
+    ) {
+        let shard = query.shard(part).clone();
+        let same = |replica: &Replica| self.owners.get(&replica.address) == Some(host);
+        let outstanding = query.parts[part]
+            .asks
+            .values()
+            .copied()
+            .collect::<BTreeSet<_>>();
+        for (at, replica) in shard.replicas.iter().enumerate() {
+            let tried = &mut query.parts[part].tried;
+            if replica.address == chosen || (full && same(replica)) {
+                tried.insert(at);
+            } else if same(replica) && outstanding.len() <= 1 {
+                tried.remove(&at);
+            }
+        }
+    }
+
     /// Whether a second replica may get a hedge: it is ready and in.
     pub fn may_hedge(&self, replica: &Replica) -> bool {
         self.health(&replica.address) == Health::Ready && self.manifest.is_in(&replica.domain)
--- a/fakes/examples/load.rs
+++ b/fakes/examples/load.rs
@@ -82,23 +82,28 @@
 struct Variant {
     name: &'static str,
     hedge: bool,
-    direct: bool,
+    dispatch: &'static str,
 }
 
 const HEDGED: Variant = Variant {
     name: "owner",
     hedge: true,
-    direct: false,
+    dispatch: "owner",
 };
 const UNHEDGED: Variant = Variant {
     name: "owner, no hedge",
     hedge: false,
-    direct: false,
+    dispatch: "owner",
+};
+const APART: Variant = Variant {
+    name: "apart",
+    hedge: true,
+    dispatch: "apart",
 };
 const DIRECT: Variant = Variant {
     name: "direct",
     hedge: true,
-    direct: true,
+    dispatch: "direct",
 };
 
 const CASES: [Case; 7] = [
@@ -108,7 +113,7 @@
         late_share: 0.01,
         event: Event::Nothing,
         seconds: 15,
-        variants: &[HEDGED, UNHEDGED, DIRECT],
+        variants: &[HEDGED, UNHEDGED, APART, DIRECT],
     },
     Case {
         name: "calm",
@@ -116,7 +121,7 @@
         late_share: 0.0,
         event: Event::Nothing,
         seconds: 12,
-        variants: &[HEDGED, UNHEDGED, DIRECT],
+        variants: &[HEDGED, UNHEDGED, APART, DIRECT],
     },
     Case {
         name: "frozen",
@@ -317,12 +322,8 @@
         Cluster::start(&names.collect::<Vec<_>>(), &behaviour, SEED)
     });
     let clusters = Arc::new(clusters.collect::<Vec<_>>());
-    let extra = if variant.direct {
-        "dispatch = direct\n"
-    } else {
-        ""
-    };
-    let processes = Processes::start(program()?, DAEMONS, VOTERS, extra)?;
+    let extra = format!("dispatch = {}\n", variant.dispatch);
+    let processes = Processes::start(program()?, DAEMONS, VOTERS, &extra)?;
     let hosts = processes.hosts.clone();
     let services = services(&clusters, variant, service);
     let callers = ["quiet", "flood"];
