Frozen servers: count withdrawals, try again with a twin, name the right replicas

Cause, from traces of the frozen case: a hedge that won withdrew the stuck request, which freed the frozen server's slot for the next one, so it never looked stalled; a trial that was withdrawn did not lengthen the backoff; and a job sent to another replica than the preferred one still named itself as its other, so that half of the hedges went to the same replica.

Ruled out: the budget (extra load 0.7 %) and the queue order.

Change: three late withdrawals without an answer show a stall; a withdrawn trial counts as failed; a trial is hedged at once; a job keeps its other replicas right.

--- a/decision/src/gate.rs
+++ b/decision/src/gate.rs
@@ -22,6 +22,9 @@
 /// Shortest time after which a server with no success is stalled.
 const STALL_MIN: Span = Span::from_ms(400);
 
+/// Sub-requests withdrawn late in a row that show a stalled server.
+const SILENT_MAX: u32 = 3;
+
 /// First wait before a stalled or unreachable server is tried again.
 const BACKOFF_MIN: Span = Span::from_ms(100);
 
@@ -119,6 +122,8 @@
     usual: Span,
     last_success: Time,
     boot: Option<Name>,
+    /// Sub-requests withdrawn late since the last answer.
+    silent: u32,
     /// Whether a connection broke or was refused since the last slow start.
     failed: bool,
     flights: BTreeMap<Ticket, Flight>,
@@ -141,6 +146,7 @@
             usual: USUAL_START,
             last_success: now,
             boot: None,
+            silent: 0,
             failed: false,
             flights: BTreeMap::new(),
             queue: Vec::new(),
@@ -313,7 +319,7 @@
             Sign::Shed => self.shed(now),
             Sign::Reset => self.reset(now),
             Sign::Timeout => self.stall_if_silent(now, took),
-            Sign::Cancelled => {}
+            Sign::Cancelled => self.count_silent(now, took),
         }
         let mut steps = self.drain(now);
         steps.extend(self.refuse_all_if_closed(now));
@@ -322,6 +328,7 @@
 
     fn succeed(&mut self, now: Time, took: Span, boot: Option<Name>, draining: bool) {
         self.last_success = now;
+        self.silent = 0;
         self.backoff = BACKOFF_MIN;
         let smoothed = (self.usual.as_us() * 7 + took.as_us()) / 8;
         self.usual = Span::from_us(smoothed);
@@ -395,6 +402,20 @@
         self.backoff = self.backoff.times(2).min(BACKOFF_MAX);
     }
 
+    /// Counts a sub-request withdrawn after more than its usual time; several with
+    /// no answer between them show a stalled server.
+    fn count_silent(&mut self, now: Time, took: Span) {
+        let trial = self.health == Health::Stalled;
+        if took < self.usual.times(2) && !trial {
+            return;
+        }
+        self.silent += 1;
+        if trial || self.silent >= SILENT_MAX {
+            self.silent = 0;
+            self.close(now);
+        }
+    }
+
     fn stall_if_silent(&mut self, now: Time, took: Span) {
         let silent = now.since(self.last_success) >= took;
         if silent && self.health != Health::Stalled {
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -81,6 +81,13 @@
 }
 
 impl Job {
+    /// Goes to another replica; the earlier one will do as well.
+    fn go_to(&mut self, replica: SocketAddr) {
+        let earlier = std::mem::replace(&mut self.replica, replica);
+        self.others.push(earlier);
+        self.others.retain(|other| *other != replica);
+    }
+
     fn work(&self, ticket: Ticket) -> Work {
         Work {
             ticket,
@@ -279,7 +286,7 @@
 
     fn offer(&mut self, now: Time, mut job: Job) -> Vec<Action> {
         match self.choose(now, &job) {
-            Ok(replica) => job.replica = replica,
+            Ok(replica) => job.go_to(replica),
             Err(cause) => return vec![job.reply(Outcome::refused(cause))],
         }
         self.last += 1;
@@ -334,7 +341,7 @@
             let Some((ticket, mut job)) = self.take_waiting(&replica) else {
                 break;
             };
-            job.replica = replica;
+            job.go_to(replica);
             actions.extend(self.enter(now, ticket, job));
         }
         actions
@@ -357,9 +364,7 @@
                 .is_some_and(|job: &Job| job.others.contains(replica))
         };
         let work = self.held.get_mut(&from)?.gate.take_back(will_do)?;
-        let mut job = self.jobs.remove(&work.ticket)?;
-        job.others.push(from);
-        job.others.retain(|other| other != replica);
+        let job = self.jobs.remove(&work.ticket)?;
         Some((work.ticket, job))
     }
 
@@ -386,6 +391,8 @@
 
     fn run(&mut self, now: Time, ticket: Ticket) -> Option<Action> {
         let job = self.jobs.get_mut(&ticket)?;
+        let gate = self.held.get(&job.replica).map(|held| held.gate.health());
+        let trial = gate == Some(Health::Stalled);
         job.sent = Some(now);
         let hedge = job.priority == PRIORITY_HEDGE;
         self.hedges += u64::from(hedge);
@@ -393,7 +400,9 @@
             let policy = self.policies.get_mut(&job.request.service);
             let delay = policy.and_then(|policy| {
                 policy.budget.earn(1);
-                policy.delay()
+                policy
+                    .delay()
+                    .map(|delay| if trial { Span::ZERO } else { delay })
             });
             self.timers
                 .extend(delay.map(|delay| (now.after(delay), ticket)));
