Hand replicas over without a wait where the earlier owner is known to be gone

Cause: after a daemon was killed, its replicas waited for its lease to lapse (1.6 s of silence and 1 s of hold), and each server then started cold at its new owner, at one request for 3 s. A scenario script also showed that work waiting at one replica stayed there when the other one came back.

Ruled out: lost sub-requests (missing shards were all not-owner); the entries' routing (it follows the membership within one poll).

Change: a voter that loses a daemon's connection dials it; a refused connection proves that the process has ended, and its replicas need no hold. A stopping daemon says when it owns nothing more, with the same effect. Hints carry the boot identifier, and a server that answers its new owner under the one known as ready is ready at once. A returning replica takes waiting work.

--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -522,6 +522,7 @@
         match report {
             peer::Report::Message(host, message) => self.step(Event::Message(host, message)),
             peer::Report::Joined(host) => self.step(Event::Joined(host)),
+            peer::Report::Refused(host) => self.step(Event::Refused(host)),
             peer::Report::Lost(host) => self.step(Event::Lost(host)),
             peer::Report::Unsent(host, message) => self.step(Event::Unsent(host, message)),
             peer::Report::Ended(host, address) => self.links.ended(&host, address),
--- a/adapter/src/peer.rs
+++ b/adapter/src/peer.rs
@@ -1,6 +1,7 @@
 //! Connections between daemons: each one carries messages one way.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use wagtailbeam_decision::name::Name;
 
 use crate::event::Event;
+use crate::wire::Error;
 use crate::wire::Hello;
 use crate::wire::IoSnafu;
 use crate::wire::Key;
@@ -44,6 +46,8 @@
     Joined(Name),
     /// A connection to or from a daemon ended.
     Lost(Name),
+    /// A daemon's host refused a connection.
+    Refused(Name),
     /// A message was not sent; no byte of it was.
     Unsent(Name, Message),
     /// The connection to a daemon at an address is to be opened anew.
@@ -95,13 +99,15 @@
         let host = host.clone();
         tokio::spawn(async move {
             let mut messages = messages;
-            let sent = carry(&me, &key, address, &mut messages).await;
+            let end = carry(&me, &key, address, &mut messages).await;
             messages.close();
             while let Some(message) = messages.recv().await {
                 drop(reports.send(Report::Unsent(host.clone(), message)).await);
             }
-            if sent {
-                drop(reports.send(Report::Lost(host.clone())).await);
+            match end {
+                End::Lost => drop(reports.send(Report::Lost(host.clone())).await),
+                End::Refused => drop(reports.send(Report::Refused(host.clone())).await),
+                End::Unreachable => {}
             }
             drop(reports.send(Report::Ended(host, address)).await);
         });
@@ -116,24 +122,35 @@
     }
 }
 
-/// Carries messages until the connection fails; true if it ever opened.
+/// How a connection ended.
+enum End {
+    Lost,
+    Refused,
+    Unreachable,
+}
+
+/// Carries messages until the connection fails.
 async fn carry(
     me: &Name,
     key: &Key,
     address: SocketAddr,
     messages: &mut mpsc::Receiver<Message>,
-) -> bool {
-    let Ok(Ok((mut sender, mut end))) = timeout(DIAL_MAX, dial(me, key, address)).await else {
-        return false;
+) -> End {
+    let (mut sender, mut end) = match timeout(DIAL_MAX, dial(me, key, address)).await {
+        Ok(Ok(halves)) => halves,
+        Ok(Err(Error::Io { source })) if source.kind() == ErrorKind::ConnectionRefused => {
+            return End::Refused;
+        }
+        _ => return End::Unreachable,
     };
     let mut byte = [0];
     loop {
         tokio::select! {
-            _ = end.read(&mut byte) => return true,
+            _ = end.read(&mut byte) => return End::Lost,
             message = messages.recv() => {
-                let Some(message) = message else { return true };
+                let Some(message) = message else { return End::Lost };
                 if !matches!(timeout(WRITE_MAX, sender.send(&message)).await, Ok(Ok(()))) {
-                    return true;
+                    return End::Lost;
                 }
             }
         }
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::digest::Digest;
+use crate::earlier::Earlier;
 use crate::entry;
 use crate::entry::Entry;
 use crate::exchange::Call;
@@ -119,7 +120,7 @@
     /// What became of a sub-request.
     Reply(u64, SocketAddr, Outcome),
     /// The state of a replica of the sender.
-    Hint(SocketAddr, Health),
+    Hint(SocketAddr, Health, Option<Name>),
     /// What is known of a request that may stop servers.
     Standing(Digest, Standing),
     /// Asks for leave to run a query of the sender as a canary.
@@ -128,6 +129,8 @@
     Ruling(u64, Ruling),
     /// A canary ended without showing anything.
     Untried(Digest),
+    /// Asks nothing; a refused connection tells that a daemon has ended.
+    Probe,
     /// Between voters.
     Voter(Letter),
     /// Has the receiving voter decide a change.
@@ -156,6 +159,8 @@
     Lost(Name),
     /// A connection from another daemon opened.
     Joined(Name),
+    /// Another daemon's host refused a connection: its process has ended.
+    Refused(Name),
     /// A message could not be sent, and no byte of it was.
     Unsent(Name, Message),
     /// A datagram.
@@ -264,6 +269,7 @@
     judge: Judge,
     members: Vec<Member>,
     candidates: Vec<Candidate>,
+    earlier: Earlier,
     proposals: BTreeMap<u64, Proposal>,
     last: u64,
     polled: Option<Time>,
@@ -295,6 +301,7 @@
             judge: Judge::default(),
             members: Vec::new(),
             candidates: Vec::new(),
+            earlier: Earlier::default(),
             proposals: BTreeMap::new(),
             last: 0,
             polled: None,
@@ -354,6 +361,7 @@
             Event::Message(from, message) => self.message(now, from, message, &mut out),
             Event::Lost(host) => self.lost(now, &host, &mut out),
             Event::Joined(host) => self.joined(now, &host, &mut out),
+            Event::Refused(host) => self.roster.end(&host),
             Event::Unsent(host, message) => self.unsent(now, host, message, &mut out),
             Event::Datagram(from, datagram) => self.datagram(now, from, datagram, &mut out),
             Event::Exchange(ticket, exchange) => {
@@ -411,7 +419,10 @@
                 let actions = self.entry.outcome(now, ask, Some(replica), outcome);
                 self.entry_actions(now, actions, out);
             }
-            Message::Hint(replica, health) => self.entry.router.hint(replica, health),
+            Message::Hint(replica, health, boot) => {
+                self.entry.router.hint(replica, health, boot);
+            }
+            Message::Probe => {}
             Message::Standing(fingerprint, standing) => {
                 self.learn(now, fingerprint, standing, false, out);
             }
@@ -447,6 +458,9 @@
     }
 
     fn lost(&mut self, now: Time, host: &Name, out: &mut Vec<Action>) {
+        if self.voter.is_some() {
+            self.send(host, Message::Probe, out);
+        }
         let actions = self.owner.lose_entry(now, host);
         self.owner_actions(now, actions, out);
         let actions = self.entry.lose(now, host);
@@ -466,12 +480,10 @@
         for (fingerprint, standing) in self.table.all(now) {
             self.send(host, Message::Standing(fingerprint, standing), out);
         }
-        let known = self
-            .owner
-            .report()
-            .map(|(replica, gate)| (*replica, gate.health()));
-        for (replica, health) in known.collect::<Vec<_>>() {
-            self.send(host, Message::Hint(replica, health), out);
+        let known = self.owner.report();
+        let known = known.map(|(replica, gate)| (*replica, gate.health(), gate.boot().cloned()));
+        for (replica, health, boot) in known.collect::<Vec<_>>() {
+            self.send(host, Message::Hint(replica, health, boot), out);
         }
     }
 
@@ -572,9 +584,9 @@
                 } => {
                     self.send(&to, Message::Reply(ask, replica, outcome), out);
                 }
-                owner::Action::Hint(replica, health) => {
-                    self.entry.router.hint(replica, health);
-                    self.broadcast(&Message::Hint(replica, health), out);
+                owner::Action::Hint(replica, health, boot) => {
+                    self.entry.router.hint(replica, health, boot.clone());
+                    self.broadcast(&Message::Hint(replica, health, boot), out);
                     out.push(Action::Note(Note::Replica(replica, health)));
                 }
                 owner::Action::Suspect(fingerprint) => {
@@ -716,6 +728,7 @@
             admin,
             boot: self.me.boot,
             leaving: self.leaving,
+            owning: self.is_owning(),
             version: self.manifest.version,
         };
         let poll = Poll { member, sent: now };
@@ -723,6 +736,15 @@
         out.extend(polls.map(|to| Action::Datagram(*to, Datagram::Poll(poll.clone()))));
     }
 
+    /// Whether this daemon sends to backend servers, or still may.
+    fn is_owning(&self) -> bool {
+        let able = self
+            .candidates
+            .iter()
+            .any(|candidate| candidate.host == self.me.host);
+        able || self.owner.is_owning() || self.owner.load() > 0
+    }
+
     /// Draws the consequences of the lease and the membership.
     fn review(&mut self, now: Time, out: &mut Vec<Action>) {
         let version = self.manifest.version;
@@ -755,7 +777,7 @@
                 .collect::<Vec<_>>();
             out.push(Action::Note(Note::Members(hosts.join(","))));
             self.candidates = candidates;
-            self.route();
+            self.route(now);
         }
         self.assign(now, out);
         if changed {
@@ -764,8 +786,25 @@
         }
     }
 
+    /// Time for which an earlier owner may still send to a replica: none if all of
+    /// them are known to have ended or to own nothing.
+    fn hold(&self, now: Time, replica: &SocketAddr) -> Span {
+        let ended = self.lease.ended(now);
+        let idle = self
+            .members
+            .iter()
+            .filter(|member| member.leaving && !member.owning);
+        let idle = idle.map(|member| (member.host.clone(), member.boot));
+        let harmless = ended.into_iter().chain(idle).collect();
+        if self.earlier.are_all(replica, &harmless) {
+            Span::ZERO
+        } else {
+            lease::HOLD
+        }
+    }
+
     /// Tells the entry role who owns what.
-    fn route(&mut self) {
+    fn route(&mut self, now: Time) {
         let all = std::mem::take(&mut self.candidates);
         let own = |c: &&Candidate| self.me.dispatch != Dispatch::Direct || c.host == self.me.host;
         let owners = all.iter().filter(own).cloned().collect::<Vec<_>>();
@@ -775,6 +814,24 @@
         };
         self.entry.update(&self.manifest, &owners, spread);
         self.candidates = all;
+        self.note_owners(now);
+    }
+
+    /// Remembers the owners, which may go on until they learn better.
+    fn note_owners(&mut self, now: Time) {
+        let boots = self
+            .members
+            .iter()
+            .map(|member| (&member.host, member.boot));
+        let boots = boots.collect::<BTreeMap<_, _>>();
+        let owners = self.entry.router.all();
+        let runs = owners.map(|(replica, host)| {
+            (
+                *replica,
+                (host.clone(), boots.get(host).copied().unwrap_or_default()),
+            )
+        });
+        self.earlier.note(now, runs.collect());
     }
 
     /// The limits under which this daemon sends to a server.
@@ -809,14 +866,14 @@
         }
         let services = self.manifest.services.values();
         let claims = services
-            .flat_map(|service| self.claims(service))
+            .flat_map(|service| self.claims(now, service))
             .collect::<Vec<_>>();
         let actions = self.owner.assign(now, &claims);
         self.owner_actions(now, actions, out);
     }
 
     /// The replicas of a service that this daemon should own.
-    fn claims(&self, service: &Service) -> Vec<owner::Claim> {
+    fn claims(&self, now: Time, service: &Service) -> Vec<owner::Claim> {
         let mut claims = Vec::new();
         for shard in &service.shards {
             let all = shard
@@ -836,7 +893,8 @@
                     siblings: siblings.copied().collect(),
                     limits: self.limits(service.limits),
                     open: self.manifest.is_in(&replica.domain),
-                    hold: lease::HOLD,
+                    boot: self.entry.router.ready_boot(&replica.address),
+                    hold: self.hold(now, &replica.address),
                 });
             }
         }
@@ -865,7 +923,7 @@
         self.text = text.clone();
         out.push(Action::Note(Note::InForce(version)));
         self.candidates = self.find_candidates();
-        self.route();
+        self.route(now);
         self.review(now, out);
     }
 
--- a/decision/src/gate.rs
+++ b/decision/src/gate.rs
@@ -122,6 +122,8 @@
     usual: Span,
     last_success: Time,
     boot: Option<Name>,
+    /// Whether the boot identifier comes from an earlier owner.
+    resumed: bool,
     /// Sub-requests withdrawn late since the last answer.
     silent: u32,
     /// Whether a connection broke or was refused since the last slow start.
@@ -146,6 +148,7 @@
             usual: USUAL_START,
             last_success: now,
             boot: None,
+            resumed: false,
             silent: 0,
             failed: false,
             flights: BTreeMap::new(),
@@ -161,6 +164,19 @@
         self
     }
 
+    /// The gate of a server that an earlier owner knew as ready under `boot`: the
+    /// first answer under that identifier ends its slow start.
+    pub fn with_boot(mut self, boot: Option<Name>) -> Gate {
+        self.resumed = boot.is_some();
+        self.boot = boot;
+        self
+    }
+
+    /// The boot identifier last seen.
+    pub fn boot(&self) -> Option<&Name> {
+        self.boot.as_ref()
+    }
+
     /// Takes changed limits.
     pub fn update(&mut self, limits: Limits) {
         self.limits = limits;
@@ -342,12 +358,20 @@
         }
         match self.health {
             _ if restarted => self.chill(now),
+            Health::Cold if same && self.resumed => self.resume(),
             Health::Ready | Health::Cold => self.grow(now),
             Health::Draining | Health::Stalled if same && !self.failed => self.recover(),
             Health::Draining | Health::Stalled => self.chill(now),
         }
     }
 
+    /// Takes a server for as warm as its earlier owner knew it.
+    fn resume(&mut self) {
+        self.resumed = false;
+        self.limit = self.limits.slots;
+        self.health = Health::Ready;
+    }
+
     /// Goes on as before with a server that was only slow or draining.
     fn recover(&mut self) {
         self.health = match self.limit >= self.limits.slots {
@@ -361,6 +385,7 @@
         self.health = Health::Cold;
         self.limit = self.limits.cold_limit;
         self.failed = false;
+        self.resumed = false;
         self.successes = 0;
         self.warm_at = now.after(self.limits.warmup);
     }
--- a/decision/src/lease.rs
+++ b/decision/src/lease.rs
@@ -6,6 +6,7 @@
 //! consistency", 1989.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -123,6 +124,17 @@
             .collect()
     }
 
+    /// Runs of daemons known to have ended, by host and boot number.
+    pub fn ended(&self, now: Time) -> BTreeSet<(Name, u64)> {
+        let fresh = self
+            .heard
+            .values()
+            .filter(|confirm| now.since(confirm.sent) < LEASE);
+        fresh
+            .flat_map(|confirm| confirm.report.ended.iter().cloned())
+            .collect()
+    }
+
     /// Daemons alive: heard by a voter, and not missed by a majority.
     pub fn members(&self, now: Time) -> Vec<Member> {
         let fresh = self
@@ -136,6 +148,7 @@
                 .entry(member.host.clone())
                 .or_insert_with(|| member.clone());
             known.leaving |= member.leaving && member.boot == known.boot;
+            known.owning &= member.owning || member.boot != known.boot;
             known.version = known.version.max(member.version);
         }
         let misses = |host: &Name| {
@@ -144,9 +157,11 @@
             };
             reports.iter().filter(missing).count()
         };
-        members
-            .into_values()
-            .filter(|member| misses(&member.host) < self.majority())
-            .collect()
+        let ended = self.ended(now);
+        let alive = |member: &Member| {
+            let over = ended.contains(&(member.host.clone(), member.boot));
+            misses(&member.host) < self.majority() && !over
+        };
+        members.into_values().filter(alive).collect()
     }
 }
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod digest;
+pub mod earlier;
 pub mod entry;
 pub mod exchange;
 pub mod gate;
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -57,7 +57,7 @@
         outcome: Outcome,
     },
     /// Tell all daemons about a replica.
-    Hint(SocketAddr, Health),
+    Hint(SocketAddr, Health, Option<Name>),
     /// Tell all daemons about a request that ran where a connection broke.
     Suspect(Digest),
     /// Close the connections to a replica no longer owned.
@@ -129,6 +129,8 @@
     pub limits: Limits,
     /// Whether its failure domain is in.
     pub open: bool,
+    /// Boot identifier under which an earlier owner knew it as ready.
+    pub boot: Option<Name>,
     /// Time for which an earlier owner may still send to it.
     pub hold: Span,
 }
@@ -189,7 +191,7 @@
             held.gate.chill(now);
         }
         if claim.open {
-            return Vec::new();
+            return self.fill(now, claim.replica);
         }
         let steps = held.gate.refuse_all(Cause::Out);
         self.apply(now, steps)
@@ -209,6 +211,7 @@
             .filter(|(_, job)| job.replica == claim.replica);
         let running = running.map(|(ticket, _)| *ticket);
         let gate = Gate::new(now, claim.limits).with_running(now, running);
+        let gate = gate.with_boot(claim.boot.clone());
         let held = Held {
             gate,
             told: Health::Ready,
@@ -493,7 +496,7 @@
             return None;
         }
         held.told = health;
-        Some(Action::Hint(replica, health))
+        Some(Action::Hint(replica, health, held.gate.boot().cloned()))
     }
 
     /// Withdraws a sub-request of an entry daemon.
--- a/decision/src/roster.rs
+++ b/decision/src/roster.rs
@@ -28,6 +28,8 @@
     pub boot: u64,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Whether it may still send to backend servers as an owner.
+    pub owning: bool,
     /// Version of the operators' file that it has in force; zero for none.
     pub version: u64,
 }
@@ -39,12 +41,15 @@
     pub complete: bool,
     /// The daemons alive.
     pub members: Vec<Member>,
+    /// Runs of daemons that are known to have ended, by host and boot number.
+    pub ended: Vec<(Name, u64)>,
 }
 
 /// The daemons heard by one voter.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     heard: BTreeMap<Name, (Member, Time)>,
+    ended: BTreeMap<Name, u64>,
     since: Time,
 }
 
@@ -52,16 +57,27 @@
     /// An empty roster that has listened since `now`.
     pub fn new(now: Time) -> Roster {
         Roster {
-            heard: BTreeMap::new(),
             since: now,
+            ..Roster::default()
         }
     }
 
     /// Hears a daemon.
     pub fn hear(&mut self, now: Time, member: Member) {
+        if self.ended.get(&member.host) == Some(&member.boot) {
+            return;
+        }
+        self.ended.remove(&member.host);
         self.heard.insert(member.host.clone(), (member, now));
     }
 
+    /// Learns that a host refuses connections: its daemon has ended.
+    pub fn end(&mut self, host: &Name) {
+        if let Some((member, _)) = self.heard.remove(host) {
+            self.ended.insert(member.host, member.boot);
+        }
+    }
+
     /// The daemons alive now.
     pub fn report(&mut self, now: Time) -> Report {
         self.heard
@@ -71,9 +87,15 @@
             .values()
             .map(|(member, _)| member.clone())
             .collect();
+        let ended = self
+            .ended
+            .iter()
+            .map(|(host, boot)| (host.clone(), *boot))
+            .collect();
         Report {
             complete: now.since(self.since) >= DEAD_AFTER,
             members,
+            ended,
         }
     }
 }
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Router {
     owners: BTreeMap<SocketAddr, Name>,
-    health: BTreeMap<SocketAddr, Health>,
+    health: BTreeMap<SocketAddr, (Health, Option<Name>)>,
     outstanding: BTreeMap<SocketAddr, u32>,
     manifest: Arc<Manifest>,
 }
@@ -46,13 +46,27 @@
     }
 
     /// Takes an owner's word on a replica.
-    pub fn hint(&mut self, replica: SocketAddr, health: Health) {
-        self.health.insert(replica, health);
+    pub fn hint(&mut self, replica: SocketAddr, health: Health, boot: Option<Name>) {
+        self.health.insert(replica, (health, boot));
     }
 
     /// The state last told of a replica.
     pub fn health(&self, replica: &SocketAddr) -> Health {
-        self.health.get(replica).copied().unwrap_or_default()
+        self.health
+            .get(replica)
+            .map(|(health, _)| *health)
+            .unwrap_or_default()
+    }
+
+    /// The boot identifier under which its owner last told that a replica is ready.
+    pub fn ready_boot(&self, replica: &SocketAddr) -> Option<Name> {
+        let (health, boot) = self.health.get(replica)?;
+        boot.clone().filter(|_| *health == Health::Ready)
+    }
+
+    /// All replicas with their owners.
+    pub fn all(&self) -> impl Iterator<Item = (&SocketAddr, &Name)> {
+        self.owners.iter()
     }
 
     /// The owner of a replica.
--- /dev/null
+++ b/decision/tests/scenarios.rs
@@ -0,0 +1,238 @@
+//! Scenario scripts in `tests/scenarios`: an owner and its servers, step by step.
+//!
+//! `assign` says what is owned, `ask` sends sub-requests, `done` ends a call,
+//! `wait` lets time pass, `state` prints the gates. Each prints its effects.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use datadriven::TestCase;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::exchange::Exchange;
+use wagtailbeam_decision::manifest::Hedge;
+use wagtailbeam_decision::manifest::Limits;
+use wagtailbeam_decision::owner::Action;
+use wagtailbeam_decision::owner::Claim;
+use wagtailbeam_decision::owner::Owner;
+use wagtailbeam_decision::request::Answer;
+use wagtailbeam_decision::request::Batch;
+use wagtailbeam_decision::request::Outcome;
+use wagtailbeam_decision::request::Piece;
+use wagtailbeam_decision::request::Request;
+
+/// Step in which waiting time passes.
+const STEP: Span = Span::from_ms(1);
+
+#[derive(Default)]
+struct World {
+    now: Time,
+    owner: Owner,
+    asks: u64,
+}
+
+fn server(name: &str) -> SocketAddr {
+    let number = name
+        .trim_start_matches('s')
+        .parse::<u16>()
+        .unwrap_or_default();
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn name(server: &SocketAddr) -> String {
+    format!("s{}", server.port())
+}
+
+fn arg(case: &TestCase, key: &str) -> Option<String> {
+    case.args
+        .get(key)
+        .and_then(|values| values.first())
+        .cloned()
+}
+
+fn number(case: &TestCase, key: &str, or: u64) -> u64 {
+    arg(case, key)
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(or)
+}
+
+fn list(case: &TestCase, key: &str) -> Vec<String> {
+    case.args.get(key).cloned().unwrap_or_default()
+}
+
+impl World {
+    fn run(&mut self, case: &TestCase) -> String {
+        let actions = match case.directive.as_str() {
+            "assign" => self.assign(case),
+            "ask" => self.ask(case),
+            "done" => self.done(case),
+            "suspend" => self.owner.suspend(),
+            "wait" => self.wait(number(case, "ms", 0)),
+            "state" => return self.state(),
+            other => return format!("unknown directive {other}\n"),
+        };
+        print(&actions)
+    }
+
+    fn assign(&mut self, case: &TestCase) -> Vec<Action> {
+        let all = list(case, "servers")
+            .iter()
+            .map(|name| server(name))
+            .collect::<Vec<_>>();
+        let out = list(case, "out")
+            .iter()
+            .map(|name| server(name))
+            .collect::<Vec<_>>();
+        let claims = all.iter().map(|replica| Claim {
+            replica: *replica,
+            service: "desk".into(),
+            hedge: Hedge {
+                quantile: 0.97,
+                budget: 0.05,
+            },
+            siblings: all
+                .iter()
+                .filter(|other| *other != replica)
+                .copied()
+                .collect(),
+            limits: Limits {
+                warmup: Span::from_ms(number(case, "warmup", 0)),
+                ..Limits::default()
+            },
+            open: !out.contains(replica),
+            boot: arg(case, "boot").map(|boot| boot.as_str().into()),
+            hold: Span::from_ms(number(case, "hold", 0)),
+        });
+        let claims = claims.collect::<Vec<_>>();
+        self.owner.assign(self.now, &claims)
+    }
+
+    fn ask(&mut self, case: &TestCase) -> Vec<Action> {
+        let servers = list(case, "servers")
+            .iter()
+            .map(|name| server(name))
+            .collect::<Vec<_>>();
+        let request = Request {
+            caller: arg(case, "caller")
+                .unwrap_or_else(|| "a".to_owned())
+                .as_str()
+                .into(),
+            service: "desk".into(),
+            method: arg(case, "method").unwrap_or_else(|| "GET".to_owned()),
+            ..Request::default()
+        };
+        let pieces = (0..number(case, "count", 1)).map(|_| {
+            self.asks += 1;
+            let (replica, others) = (servers[0], servers[1..].to_vec());
+            Piece {
+                ask: self.asks,
+                replica,
+                others,
+                pin: None,
+            }
+        });
+        let batch = Batch {
+            pieces: pieces.collect(),
+            request: Arc::new(request),
+            left: Span::from_ms(number(case, "left", 500)),
+            priority: number(case, "priority", 5) as u8,
+        };
+        self.owner.ask(self.now, &"entry".into(), &batch)
+    }
+
+    fn done(&mut self, case: &TestCase) -> Vec<Action> {
+        let boot = arg(case, "boot").unwrap_or_else(|| "b1".to_owned());
+        let exchange = match arg(case, "as").as_deref() {
+            Some("broken") => Exchange::Broken,
+            Some("not-sent") => Exchange::NotSent,
+            Some("garbled") => Exchange::Garbled,
+            how => Exchange::Done {
+                answer: Answer {
+                    status: 200,
+                    ..Answer::default()
+                },
+                boot: Some(boot.as_str().into()),
+                draining: how == Some("draining"),
+                shed: how == Some("shed"),
+            },
+        };
+        let tickets = list(case, "ticket");
+        let mut actions = Vec::new();
+        for ticket in tickets.iter().filter_map(|ticket| ticket.parse().ok()) {
+            actions.extend(self.owner.done(self.now, ticket, exchange.clone()));
+        }
+        actions
+    }
+
+    fn wait(&mut self, ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..ms {
+            self.now = self.now.after(STEP);
+            actions.extend(self.owner.tick(self.now));
+        }
+        actions
+    }
+
+    fn state(&self) -> String {
+        let gates = self.owner.report().map(|(replica, gate)| {
+            let (name, health) = (name(replica), gate.health());
+            format!(
+                "{name} {health} {}/{} waiting {}\n",
+                gate.running(),
+                gate.limit(),
+                gate.waiting()
+            )
+        });
+        gates.collect()
+    }
+}
+
+fn print(actions: &[Action]) -> String {
+    let mut text = String::new();
+    for action in actions {
+        let line = match action {
+            Action::Call(call) => format!("call {} at {}", call.ticket, name(&call.replica)),
+            Action::Abort(ticket) => format!("abort {ticket}"),
+            Action::Reply {
+                ask,
+                replica,
+                outcome: Outcome::Answered(_),
+                ..
+            } => {
+                format!("reply {ask} from {}: answered", name(replica))
+            }
+            Action::Reply {
+                ask,
+                outcome: Outcome::Failed { ran, cause },
+                ..
+            } => {
+                format!("reply {ask}: {cause}, ran {ran}")
+            }
+            Action::Reply {
+                ask,
+                outcome: Outcome::Moved { .. },
+                ..
+            } => format!("reply {ask}: moved"),
+            Action::Hint(replica, health, _) => format!("hint {} {health}", name(replica)),
+            Action::Suspect(_) => "suspect".to_owned(),
+            Action::Release(replica) => format!("release {}", name(replica)),
+        };
+        let _ = writeln!(text, "{line}");
+    }
+    if text.is_empty() {
+        "nothing\n".to_owned()
+    } else {
+        text
+    }
+}
+
+#[test]
+fn scenarios_read_as_written() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut worlds: BTreeMap<String, World> = BTreeMap::new();
+        let name = file.filename.clone();
+        file.run(|case| worlds.entry(name.clone()).or_default().run(case));
+    });
+}
--- a/fakes/examples/load.rs
+++ b/fakes/examples/load.rs
@@ -606,7 +606,7 @@
     println!(
         "{:<12} {:<16} {:<32} asked {:>5} complete {:>5} partial {:>4} refused {:>5} cut {:>3} \
          coverage {:>7.3}% p50 {:>6.1} p99 {:>6.1} p99.9 {:>6.1} ms refusal p99 {:>5.1} ms \
-         goodput {:>5.1}/s of {:>5.1}/s {:?}",
+         goodput {:>5.1}/s of {:>5.1}/s {:?} missing {:?}",
         row.case,
         row.variant,
         row.part,
@@ -623,6 +623,7 @@
         row.goodput,
         row.capacity,
         s.statuses,
+        s.missing,
     );
 }
 
--- a/fakes/src/caller.rs
+++ b/fakes/src/caller.rs
@@ -36,6 +36,19 @@
         (count("answered"), count("asked"))
     }
 
+    /// Why shards are missing, one word for each.
+    pub fn missing(&self) -> Vec<String> {
+        let json = self.json();
+        let missing = json["coverage"]["missing"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        let causes = missing
+            .iter()
+            .filter_map(|missing| missing["cause"].as_str());
+        causes.map(str::to_owned).collect()
+    }
+
     /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
--- a/fakes/src/load.rs
+++ b/fakes/src/load.rs
@@ -42,7 +42,7 @@
 }
 
 /// One query as its caller saw it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Sample {
     /// Position of its stream.
     pub stream: usize,
@@ -54,6 +54,8 @@
     pub coverage: (u64, u64),
     /// HTTP status; zero if the connection failed.
     pub status: u16,
+    /// Why shards are missing.
+    pub missing: Vec<String>,
     /// Whether a refusal told when to come back.
     pub retry_after: bool,
 }
@@ -83,6 +85,8 @@
     pub p999_ms: f64,
     /// 99th percentile of the latency of refusals in milliseconds.
     pub refusal_p99_ms: f64,
+    /// Missing shards by cause.
+    pub missing: BTreeMap<String, u64>,
     /// Refusals and failures by status.
     pub statuses: BTreeMap<u16, u64>,
 }
@@ -98,6 +102,9 @@
             let us = sample.latency.as_micros() as u64;
             summary.asked += 1;
             let (answered, asked) = sample.coverage;
+            for cause in &sample.missing {
+                *summary.missing.entry(cause.clone()).or_default() += 1;
+            }
             if sample.status == 200 {
                 answers.saturating_record(us);
                 coverage += answered as f64 / asked.max(1) as f64;
@@ -189,6 +196,10 @@
             due,
             latency,
             coverage: answer.as_ref().map_or((0, 0), caller::Answer::coverage),
+            missing: answer
+                .as_ref()
+                .map(caller::Answer::missing)
+                .unwrap_or_default(),
             status: answer.as_ref().map_or(0, |answer| answer.status),
             retry_after: answer.is_some_and(|answer| answer.header("retry-after").is_some()),
         };
