Split the large state machines; one hedge at most; guaranteed shares; ports that stay free

Cause: (1) each_sub_request_has_one_reply failed once the cold limit was taken out: a sub-request repeated on a new connection set a second hedge timer, so two twins ran and both replied.

Ruled out: the voters (the log shows the bind error); the owners' queues.

Change: a job with a twin is not hedged again, and the property runs warm too. A caller below its share is admitted up to twice the window. A late answer shrinks a window only if it is half used, since 1 % of late servers is no overload. Ports of development fleets lie below the range of outgoing connections. Messages, proposals, membership, repair, canaries and jobs have modules of their own.

Seen failing first on a scratch copy: a_caller_within_its_share_gets_in with the earlier admission; each_sub_request_has_one_reply without the guard; the owner's limits with no cold limit (the check had been blind to it and is now stricter); lease, hold, index versions and canaries each with its guard out.

--- a/adapter/src/event.rs
+++ b/adapter/src/event.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 use tracing::Level;
-use wagtailbeam_decision::daemon::Note;
+use wagtailbeam_decision::message::Note;
 use wagtailbeam_decision::suspect::Standing;
 
 /// A kind of event.
--- a/adapter/src/peer.rs
+++ b/adapter/src/peer.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use wagtailbeam_decision::daemon::Message;
+use wagtailbeam_decision::message::Message;
 use wagtailbeam_decision::name::Name;
 
 use crate::event::Event;
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -9,12 +9,12 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use wagtailbeam_decision::clock::Span;
-use wagtailbeam_decision::daemon::Dispatch;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::ini::Document;
 use wagtailbeam_decision::ini::Fault;
 use wagtailbeam_decision::ini::plain;
 use wagtailbeam_decision::ini::span;
+use wagtailbeam_decision::message::Dispatch;
 use wagtailbeam_decision::name::Name;
 
 /// Sections of the file.
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -11,7 +11,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
-use wagtailbeam_decision::daemon::Datagram;
+use wagtailbeam_decision::message::Datagram;
 use wagtailbeam_decision::name::Name;
 
 /// Bytes of a message authentication code on the wire.
--- a/decision/src/admit.rs
+++ b/decision/src/admit.rs
@@ -28,6 +28,18 @@
 /// Time for which a caller counts as active after its last query.
 const ACTIVE_FOR: Span = Span::from_secs(1);
 
+/// What a query showed of the load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// It was answered within the objective.
+    Fine,
+    /// Its answer was later than the objective; a sign of load only in a window
+    /// that is at least half used.
+    Late,
+    /// An owner refused part of it for load.
+    Refused,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     running: u32,
@@ -81,7 +93,8 @@
         } else {
             0.0
         };
-        let admitted = free >= 1.0 && (running < self.share(caller) || free >= 1.0 + reserve);
+        let guaranteed = running < self.share(caller) && free > -self.size;
+        let admitted = guaranteed || free >= 1.0 + reserve;
         if admitted {
             self.running += 1;
             self.callers.entry(caller.clone()).or_default().running += 1;
@@ -89,6 +102,7 @@
         admitted
     }
 
+    /// Queries that the caller may always run, as far as the window isn't doubled.
     fn share(&self, caller: &Name) -> f64 {
         let all = self
             .callers
@@ -99,21 +113,21 @@
             .callers
             .get(caller)
             .map_or(1.0, |user| f64::from(user.weight));
-        (self.size * own / all.max(1.0)).max(1.0)
+        (self.size * own / all.max(1.0)).floor().max(1.0)
     }
 
-    /// Ends one query of `caller`; `crowded` tells of a refusal by an owner, or of an
-    /// answer later than the objective.
-    pub fn finish(&mut self, now: Time, caller: &Name, crowded: bool) {
+    /// Ends one query of `caller` with what it showed of the load.
+    pub fn finish(&mut self, now: Time, caller: &Name, signal: Signal) {
         let busy = f64::from(self.running) >= self.size * 0.5;
         self.running = self.running.saturating_sub(1);
         if let Some(user) = self.callers.get_mut(caller) {
             user.running = user.running.saturating_sub(1);
         }
-        if crowded {
-            self.decrease(now);
-        } else if busy {
-            self.size = (self.size + 1.0 / self.size).min(WINDOW_MAX);
+        match signal {
+            Signal::Refused => self.decrease(now),
+            Signal::Late if busy => self.decrease(now),
+            Signal::Fine if busy => self.size = (self.size + 1.0 / self.size).min(WINDOW_MAX),
+            Signal::Late | Signal::Fine => {}
         }
     }
 
--- /dev/null
+++ b/decision/src/canary.rs
@@ -0,0 +1,162 @@
+//! Requests of an entry daemon that are suspected of stopping servers.
+
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::entry::Action;
+use crate::entry::Ask;
+use crate::entry::Entry;
+use crate::entry::RETRY_AFTER;
+use crate::query::Phase;
+use crate::query::Reply;
+use crate::request::Cause;
+use crate::request::Ran;
+use crate::suspect::KEEP_CONVICTED;
+use crate::suspect::Ruling;
+use crate::suspect::Standing;
+use crate::trace::Kind;
+
+impl Entry {
+    /// Stops a request's sub-requests and asks for leave to run it as a canary.
+    pub(crate) fn suspect(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let mut actions = self.withdraw(now, id, None);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return actions;
+        };
+        query.phase = Phase::Suspected;
+        query.parts.iter_mut().for_each(|part| part.retry_at = None);
+        actions.push(Action::Judge(id, query.fingerprint));
+        actions
+    }
+
+    /// Learns that a request may stop servers: those of its kind pause.
+    pub fn suspects(&mut self, now: Time, fingerprint: &Digest) -> Vec<Action> {
+        let running = self.queries.iter().filter(|(_, query)| {
+            let paused = query.phase == Phase::Running && query.request.is_repeatable();
+            paused && query.fingerprint == *fingerprint
+        });
+        let running = running.map(|(id, _)| *id).collect::<Vec<_>>();
+        running
+            .into_iter()
+            .flat_map(|id| self.suspect(now, id))
+            .collect()
+    }
+
+    /// Asks again for leave after a canary that found no owner.
+    pub(crate) fn judge_again(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let due = query
+            .parts
+            .iter()
+            .any(|part| part.retry_at.is_some_and(|at| at <= now));
+        if !due {
+            return Vec::new();
+        }
+        query.parts.iter_mut().for_each(|part| part.retry_at = None);
+        vec![Action::Judge(id, query.fingerprint)]
+    }
+
+    /// Asks again for the requests that wait, as the daemon that rules may have changed.
+    pub fn suspected(&self) -> Vec<Action> {
+        let waiting = self
+            .queries
+            .iter()
+            .filter(|(_, query)| query.phase == Phase::Suspected);
+        waiting
+            .map(|(id, query)| Action::Judge(*id, query.fingerprint))
+            .collect()
+    }
+
+    /// Takes the ruling on a request that waits for it.
+    pub fn rule(&mut self, now: Time, id: u64, ruling: Ruling) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        if query.phase != Phase::Suspected {
+            return Vec::new();
+        }
+        query.parts.iter_mut().for_each(|part| part.tried.clear());
+        let job = (!query.request.is_repeatable()).then(|| query.request.job());
+        match ruling {
+            Ruling::Convicted => {
+                let ran = if query.sent == 0 { Ran::No } else { Ran::Yes };
+                let release = job.map(|job| self.release(id, job));
+                let mut actions = self.finish(now, id, convicted(ran));
+                actions.extend(release);
+                actions
+            }
+            Ruling::Cleared => self.start(now, id),
+            Ruling::Go => self.canary(now, id),
+        }
+    }
+
+    pub(crate) fn canary(&mut self, now: Time, id: u64) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        for part in query.unanswered() {
+            let actions = self.send_all(now, id, &[part], Kind::Canary);
+            if !actions.is_empty() {
+                return actions;
+            }
+        }
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let mut actions = vec![Action::Tried(query.fingerprint, Standing::Suspect)];
+        let reply = query.reply(RETRY_AFTER);
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+
+    pub(crate) fn after_canary(
+        &mut self,
+        now: Time,
+        sent: &Ask,
+        died: bool,
+        answered: bool,
+        refused: bool,
+    ) -> Vec<Action> {
+        let id = sent.query;
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let fingerprint = query.fingerprint;
+        query.phase = Phase::Running;
+        if died {
+            let mut actions = vec![Action::Tried(fingerprint, Standing::Convicted)];
+            actions.extend(self.finish(now, id, convicted(Ran::Yes)));
+            return actions;
+        }
+        if answered {
+            let mut actions = vec![Action::Tried(fingerprint, Standing::Cleared)];
+            actions.extend(match self.is_repeatable(id) {
+                true => self.start(now, id),
+                false => self.after_job(now, sent, false),
+            });
+            return actions;
+        }
+        let ownerless = query.parts[sent.part].retry_at.is_some();
+        if refused && ownerless {
+            query.phase = Phase::Suspected;
+            return vec![Action::Tried(fingerprint, Standing::Suspect)];
+        }
+        if refused {
+            return self.canary(now, id);
+        }
+        let reply = query.reply(RETRY_AFTER);
+        let mut actions = vec![Action::Tried(fingerprint, Standing::Suspect)];
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+}
+
+/// The final refusal of a request that stops servers.
+pub(crate) fn convicted(ran: Ran) -> Reply {
+    Reply::Refusal {
+        cause: Cause::Convicted,
+        ran,
+        retry_after: Some(KEEP_CONVICTED),
+    }
+}
--- a/decision/src/entry.rs
+++ b/decision/src/entry.rs
@@ -8,14 +8,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admit::Signal;
 use crate::admit::Window;
+use crate::canary::convicted;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::hedge::Budget;
-use crate::job::ANSWER_MAX_BYTES;
-use crate::job::Token;
-use crate::job::Verdict;
 use crate::manifest::Manifest;
 use crate::manifest::Service;
 use crate::name::Name;
@@ -26,7 +25,6 @@
 use crate::query::Query;
 use crate::query::Reply;
 use crate::register::Change;
-use crate::register::Decision;
 use crate::register::Key;
 use crate::request::Batch;
 use crate::request::Cause;
@@ -37,8 +35,6 @@
 use crate::request::Request;
 use crate::route::Choice;
 use crate::route::Router;
-use crate::suspect::KEEP_CONVICTED;
-use crate::suspect::Ruling;
 use crate::suspect::Standing;
 use crate::suspect::Table;
 use crate::trace::Kind;
@@ -46,10 +42,7 @@
 use crate::trace::Step;
 
 /// When a refused caller is told to come back.
-const RETRY_AFTER: Span = Span::from_secs(1);
-
-/// When the caller of a job of unknown outcome is told to come back.
-const RETRY_JOB_AFTER: Span = Span::from_secs(5);
+pub(crate) const RETRY_AFTER: Span = Span::from_secs(1);
 
 /// Retries after failures, as a share of first sub-requests.
 const RETRY_SHARE: f64 = 0.05;
@@ -75,21 +68,21 @@
 }
 
 #[derive(Clone, Debug)]
-struct Ask {
-    query: u64,
-    part: usize,
-    host: Name,
-    preferred: SocketAddr,
-    replica: SocketAddr,
-    sent: Time,
-    kind: Kind,
+pub(crate) struct Ask {
+    pub(crate) query: u64,
+    pub(crate) part: usize,
+    pub(crate) host: Name,
+    pub(crate) preferred: SocketAddr,
+    pub(crate) replica: SocketAddr,
+    pub(crate) sent: Time,
+    pub(crate) kind: Kind,
 }
 
 #[derive(Clone, Debug)]
-struct Desk {
-    retries: Budget,
-    window: Window,
-    indexes: BTreeMap<Name, BTreeMap<SocketAddr, Index>>,
+pub(crate) struct Desk {
+    pub(crate) retries: Budget,
+    pub(crate) window: Window,
+    pub(crate) indexes: BTreeMap<Name, BTreeMap<SocketAddr, Index>>,
 }
 
 /// Counts of sub-requests since the start, for metrics.
@@ -104,20 +97,20 @@
 /// State of the entry role.
 #[derive(Debug, Default)]
 pub struct Entry {
-    manifest: Arc<Manifest>,
+    pub(crate) manifest: Arc<Manifest>,
     /// Routing to owners.
     pub router: Router,
     /// Counts for metrics.
     pub counts: Counts,
     /// Records of slow and incomplete requests.
     pub recent: Recent,
-    desks: BTreeMap<Name, Desk>,
-    services: BTreeMap<Name, Arc<Service>>,
-    queries: BTreeMap<u64, Query>,
-    asks: BTreeMap<u64, Ask>,
-    timers: BTreeSet<(Time, u64)>,
-    last: u64,
-    seed: u64,
+    pub(crate) desks: BTreeMap<Name, Desk>,
+    pub(crate) services: BTreeMap<Name, Arc<Service>>,
+    pub(crate) queries: BTreeMap<u64, Query>,
+    pub(crate) asks: BTreeMap<u64, Ask>,
+    pub(crate) timers: BTreeSet<(Time, u64)>,
+    pub(crate) last: u64,
+    pub(crate) seed: u64,
 }
 
 impl Entry {
@@ -221,7 +214,7 @@
         newest.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
-    fn start(&mut self, now: Time, id: u64) -> Vec<Action> {
+    pub(crate) fn start(&mut self, now: Time, id: u64) -> Vec<Action> {
         let Some(query) = self.queries.get_mut(&id) else {
             return Vec::new();
         };
@@ -235,7 +228,13 @@
     }
 
     /// Sends sub-requests for `parts`, batched by owner.
-    fn send_all(&mut self, now: Time, id: u64, parts: &[usize], kind: Kind) -> Vec<Action> {
+    pub(crate) fn send_all(
+        &mut self,
+        now: Time,
+        id: u64,
+        parts: &[usize],
+        kind: Kind,
+    ) -> Vec<Action> {
         let mut batches: BTreeMap<Name, Vec<Piece>> = BTreeMap::new();
         for part in parts {
             if let Some((host, piece)) = self.place(now, id, *part, kind) {
@@ -374,7 +373,7 @@
         }
     }
 
-    fn is_repeatable(&self, id: u64) -> bool {
+    pub(crate) fn is_repeatable(&self, id: u64) -> bool {
         self.queries
             .get(&id)
             .is_none_or(|query| query.request.is_repeatable())
@@ -431,7 +430,7 @@
     }
 
     /// Withdraws the outstanding sub-requests of one part, or of all.
-    fn withdraw(&mut self, now: Time, id: u64, part: Option<usize>) -> Vec<Action> {
+    pub(crate) fn withdraw(&mut self, now: Time, id: u64, part: Option<usize>) -> Vec<Action> {
         let Some(query) = self.queries.get_mut(&id) else {
             return Vec::new();
         };
@@ -476,7 +475,7 @@
         }
     }
 
-    fn finish(&mut self, now: Time, id: u64, reply: Reply) -> Vec<Action> {
+    pub(crate) fn finish(&mut self, now: Time, id: u64, reply: Reply) -> Vec<Action> {
         let mut actions = self.withdraw(now, id, None);
         let Some(mut query) = self.queries.remove(&id) else {
             return actions;
@@ -490,8 +489,12 @@
         }
         if let Some(desk) = self.desks.get_mut(&query.service.name) {
             let late = now.since(query.started) > query.service.objective.latency;
-            let crowded = query.overloaded || late;
-            desk.window.finish(now, &query.request.caller, crowded);
+            let signal = match late {
+                _ if query.overloaded => Signal::Refused,
+                true => Signal::Late,
+                false => Signal::Fine,
+            };
+            desk.window.finish(now, &query.request.caller, signal);
         }
         actions.push(Action::Answer(id, reply));
         actions
@@ -583,273 +586,6 @@
     }
 }
 
-/// Canaries.
-impl Entry {
-    /// Stops a request's sub-requests and asks for leave to run it as a canary.
-    fn suspect(&mut self, now: Time, id: u64) -> Vec<Action> {
-        let mut actions = self.withdraw(now, id, None);
-        let Some(query) = self.queries.get_mut(&id) else {
-            return actions;
-        };
-        query.phase = Phase::Suspected;
-        query.parts.iter_mut().for_each(|part| part.retry_at = None);
-        actions.push(Action::Judge(id, query.fingerprint));
-        actions
-    }
-
-    /// Learns that a request may stop servers: those of its kind pause.
-    pub fn suspects(&mut self, now: Time, fingerprint: &Digest) -> Vec<Action> {
-        let running = self.queries.iter().filter(|(_, query)| {
-            let paused = query.phase == Phase::Running && query.request.is_repeatable();
-            paused && query.fingerprint == *fingerprint
-        });
-        let running = running.map(|(id, _)| *id).collect::<Vec<_>>();
-        running
-            .into_iter()
-            .flat_map(|id| self.suspect(now, id))
-            .collect()
-    }
-
-    /// Asks again for leave after a canary that found no owner.
-    fn judge_again(&mut self, now: Time, id: u64) -> Vec<Action> {
-        let Some(query) = self.queries.get_mut(&id) else {
-            return Vec::new();
-        };
-        let due = query
-            .parts
-            .iter()
-            .any(|part| part.retry_at.is_some_and(|at| at <= now));
-        if !due {
-            return Vec::new();
-        }
-        query.parts.iter_mut().for_each(|part| part.retry_at = None);
-        vec![Action::Judge(id, query.fingerprint)]
-    }
-
-    /// Asks again for the requests that wait, as the daemon that rules may have changed.
-    pub fn suspected(&self) -> Vec<Action> {
-        let waiting = self
-            .queries
-            .iter()
-            .filter(|(_, query)| query.phase == Phase::Suspected);
-        waiting
-            .map(|(id, query)| Action::Judge(*id, query.fingerprint))
-            .collect()
-    }
-
-    /// Takes the ruling on a request that waits for it.
-    pub fn rule(&mut self, now: Time, id: u64, ruling: Ruling) -> Vec<Action> {
-        let Some(query) = self.queries.get_mut(&id) else {
-            return Vec::new();
-        };
-        if query.phase != Phase::Suspected {
-            return Vec::new();
-        }
-        query.parts.iter_mut().for_each(|part| part.tried.clear());
-        let job = (!query.request.is_repeatable()).then(|| query.request.job());
-        match ruling {
-            Ruling::Convicted => {
-                let ran = if query.sent == 0 { Ran::No } else { Ran::Yes };
-                let release = job.map(|job| self.release(id, job));
-                let mut actions = self.finish(now, id, convicted(ran));
-                actions.extend(release);
-                actions
-            }
-            Ruling::Cleared => self.start(now, id),
-            Ruling::Go => self.canary(now, id),
-        }
-    }
-
-    fn canary(&mut self, now: Time, id: u64) -> Vec<Action> {
-        let Some(query) = self.queries.get(&id) else {
-            return Vec::new();
-        };
-        for part in query.unanswered() {
-            let actions = self.send_all(now, id, &[part], Kind::Canary);
-            if !actions.is_empty() {
-                return actions;
-            }
-        }
-        let Some(query) = self.queries.get(&id) else {
-            return Vec::new();
-        };
-        let mut actions = vec![Action::Tried(query.fingerprint, Standing::Suspect)];
-        let reply = query.reply(RETRY_AFTER);
-        actions.extend(self.finish(now, id, reply));
-        actions
-    }
-
-    fn after_canary(
-        &mut self,
-        now: Time,
-        sent: &Ask,
-        died: bool,
-        answered: bool,
-        refused: bool,
-    ) -> Vec<Action> {
-        let id = sent.query;
-        let Some(query) = self.queries.get_mut(&id) else {
-            return Vec::new();
-        };
-        let fingerprint = query.fingerprint;
-        query.phase = Phase::Running;
-        if died {
-            let mut actions = vec![Action::Tried(fingerprint, Standing::Convicted)];
-            actions.extend(self.finish(now, id, convicted(Ran::Yes)));
-            return actions;
-        }
-        if answered {
-            let mut actions = vec![Action::Tried(fingerprint, Standing::Cleared)];
-            actions.extend(match self.is_repeatable(id) {
-                true => self.start(now, id),
-                false => self.after_job(now, sent, false),
-            });
-            return actions;
-        }
-        let ownerless = query.parts[sent.part].retry_at.is_some();
-        if refused && ownerless {
-            query.phase = Phase::Suspected;
-            return vec![Action::Tried(fingerprint, Standing::Suspect)];
-        }
-        if refused {
-            return self.canary(now, id);
-        }
-        let reply = query.reply(RETRY_AFTER);
-        let mut actions = vec![Action::Tried(fingerprint, Standing::Suspect)];
-        actions.extend(self.finish(now, id, reply));
-        actions
-    }
-}
-
-/// Requests that run at most once.
-impl Entry {
-    /// The token of this daemon's attempt at a request.
-    fn token(&self, id: u64) -> Token {
-        Token(u128::from(self.seed) << 64 | u128::from(id))
-    }
-
-    fn claim(&mut self, id: u64) -> Vec<Action> {
-        let token = self.token(id);
-        let Some(query) = self.queries.get_mut(&id) else {
-            return Vec::new();
-        };
-        query.phase = Phase::Claiming;
-        let change = Change::Claim {
-            token,
-            body: query.fingerprint,
-        };
-        vec![Action::Propose(id, Key::Job(query.request.job()), change)]
-    }
-
-    fn release(&self, id: u64, job: Digest) -> Action {
-        Action::Propose(
-            id,
-            Key::Job(job),
-            Change::Release {
-                token: self.token(id),
-            },
-        )
-    }
-
-    /// Takes the voters' decision on a request's change.
-    pub fn decided(
-        &mut self,
-        now: Time,
-        id: u64,
-        decision: &Decision,
-        suspects: &Table,
-    ) -> Vec<Action> {
-        let Some(query) = self.queries.get(&id) else {
-            return Vec::new();
-        };
-        match query.phase {
-            Phase::Recording => {
-                let reply = query.reply(RETRY_JOB_AFTER);
-                self.finish(now, id, reply)
-            }
-            Phase::Claiming => self.claimed(now, id, decision, suspects),
-            Phase::Suspected | Phase::Canary(_) | Phase::Running => Vec::new(),
-        }
-    }
-
-    fn claimed(
-        &mut self,
-        now: Time,
-        id: u64,
-        decision: &Decision,
-        suspects: &Table,
-    ) -> Vec<Action> {
-        let Some(query) = self.queries.get(&id) else {
-            return Vec::new();
-        };
-        let (job, fingerprint) = (query.request.job(), query.fingerprint);
-        let reply = match decision {
-            Decision::Job(Verdict::Won) => {
-                return match suspects.standing(now, &fingerprint) {
-                    Some(Standing::Suspect | Standing::Convicted) => self.suspect(now, id),
-                    Some(Standing::Cleared) | None => self.start(now, id),
-                };
-            }
-            Decision::Job(Verdict::Done(Some(answer))) => Reply::Job {
-                answer: answer.clone(),
-                replayed: true,
-            },
-            Decision::Job(Verdict::Done(None)) => Reply::Refusal {
-                cause: Cause::Unkept,
-                ran: Ran::Yes,
-                retry_after: None,
-            },
-            Decision::Job(Verdict::Conflict) => Reply::Refusal {
-                cause: Cause::Conflict,
-                ran: Ran::No,
-                retry_after: None,
-            },
-            Decision::Job(Verdict::Held | Verdict::Noted) => held(),
-            Decision::Unknown | Decision::File(_) | Decision::Value(_) => {
-                let mut actions = vec![self.release(id, job)];
-                actions.extend(self.finish(now, id, refusal(Cause::Quorum, Ran::No)));
-                return actions;
-            }
-        };
-        self.finish(now, id, reply)
-    }
-
-    fn after_job(&mut self, now: Time, sent: &Ask, refused: bool) -> Vec<Action> {
-        let id = sent.query;
-        let token = self.token(id);
-        let Some(query) = self.queries.get_mut(&id) else {
-            return Vec::new();
-        };
-        let job = query.request.job();
-        if let Some(answer) = query.parts[sent.part].answers.values().next().cloned() {
-            query.phase = Phase::Recording;
-            let answer = Some(answer).filter(|answer| answer.body.len() <= ANSWER_MAX_BYTES);
-            return vec![Action::Propose(
-                id,
-                Key::Job(job),
-                Change::Record { token, answer },
-            )];
-        }
-        if !refused {
-            return self.finish(now, id, held());
-        }
-        if query.parts[sent.part].retry_at.is_some() {
-            return Vec::new();
-        }
-        let again = self.send_all(now, id, &[sent.part], Kind::Again);
-        if !again.is_empty() {
-            return again;
-        }
-        let Some(query) = self.queries.get(&id) else {
-            return Vec::new();
-        };
-        let reply = query.reply(RETRY_AFTER);
-        let mut actions = vec![self.release(id, job)];
-        actions.extend(self.finish(now, id, reply));
-        actions
-    }
-}
-
 fn describe(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answered(answer) => format!("answered {}", answer.status),
@@ -871,7 +607,7 @@
     }
 }
 
-fn refusal(cause: Cause, ran: Ran) -> Reply {
+pub(crate) fn refusal(cause: Cause, ran: Ran) -> Reply {
     Reply::Refusal {
         cause,
         ran,
@@ -879,25 +615,6 @@
     }
 }
 
-/// The final refusal of a request that stops servers.
-fn convicted(ran: Ran) -> Reply {
-    Reply::Refusal {
-        cause: Cause::Convicted,
-        ran,
-        retry_after: Some(KEEP_CONVICTED),
-    }
-}
-
-/// The answer to a job whose outcome is unknown.
-fn held() -> Reply {
-    let retry_after = Some(RETRY_JOB_AFTER);
-    Reply::Refusal {
-        cause: Cause::Unknown,
-        ran: Ran::Maybe,
-        retry_after,
-    }
-}
-
 /// Positions of the shards that a request goes to.
 fn choose_shards(request: &Request, service: &Service) -> Option<Vec<usize>> {
     let position = |name: &Name| service.shards.iter().position(|shard| shard.name == *name);
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod burn;
+pub mod canary;
 pub mod clock;
 pub mod daemon;
 pub mod digest;
@@ -17,13 +18,18 @@
 pub mod job;
 pub mod lease;
 pub mod manifest;
+pub mod membership;
+pub mod message;
 pub mod name;
+pub mod once;
 pub mod owner;
 pub mod placement;
+pub mod proposal;
 pub mod propose;
 pub mod query;
 pub mod read;
 pub mod register;
+pub mod repair;
 pub mod request;
 pub mod roster;
 pub mod route;
--- /dev/null
+++ b/decision/src/once.rs
@@ -0,0 +1,164 @@
+//! Requests of an entry daemon that run at most once.
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::entry::Action;
+use crate::entry::Ask;
+use crate::entry::Entry;
+use crate::entry::RETRY_AFTER;
+use crate::entry::refusal;
+use crate::job::ANSWER_MAX_BYTES;
+use crate::job::Token;
+use crate::job::Verdict;
+use crate::query::Phase;
+use crate::query::Reply;
+use crate::register::Change;
+use crate::register::Decision;
+use crate::register::Key;
+use crate::request::Cause;
+use crate::request::Ran;
+use crate::suspect::Standing;
+use crate::suspect::Table;
+use crate::trace::Kind;
+
+/// When the caller of a job of unknown outcome is told to come back.
+const RETRY_JOB_AFTER: Span = Span::from_secs(5);
+
+impl Entry {
+    /// The token of this daemon's attempt at a request.
+    pub(crate) fn token(&self, id: u64) -> Token {
+        Token(u128::from(self.seed) << 64 | u128::from(id))
+    }
+
+    pub(crate) fn claim(&mut self, id: u64) -> Vec<Action> {
+        let token = self.token(id);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        query.phase = Phase::Claiming;
+        let change = Change::Claim {
+            token,
+            body: query.fingerprint,
+        };
+        vec![Action::Propose(id, Key::Job(query.request.job()), change)]
+    }
+
+    pub(crate) fn release(&self, id: u64, job: Digest) -> Action {
+        Action::Propose(
+            id,
+            Key::Job(job),
+            Change::Release {
+                token: self.token(id),
+            },
+        )
+    }
+
+    /// Takes the voters' decision on a request's change.
+    pub fn decided(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: &Decision,
+        suspects: &Table,
+    ) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        match query.phase {
+            Phase::Recording => {
+                let reply = query.reply(RETRY_JOB_AFTER);
+                self.finish(now, id, reply)
+            }
+            Phase::Claiming => self.claimed(now, id, decision, suspects),
+            Phase::Suspected | Phase::Canary(_) | Phase::Running => Vec::new(),
+        }
+    }
+
+    pub(crate) fn claimed(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: &Decision,
+        suspects: &Table,
+    ) -> Vec<Action> {
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let (job, fingerprint) = (query.request.job(), query.fingerprint);
+        let reply = match decision {
+            Decision::Job(Verdict::Won) => {
+                return match suspects.standing(now, &fingerprint) {
+                    Some(Standing::Suspect | Standing::Convicted) => self.suspect(now, id),
+                    Some(Standing::Cleared) | None => self.start(now, id),
+                };
+            }
+            Decision::Job(Verdict::Done(Some(answer))) => Reply::Job {
+                answer: answer.clone(),
+                replayed: true,
+            },
+            Decision::Job(Verdict::Done(None)) => Reply::Refusal {
+                cause: Cause::Unkept,
+                ran: Ran::Yes,
+                retry_after: None,
+            },
+            Decision::Job(Verdict::Conflict) => Reply::Refusal {
+                cause: Cause::Conflict,
+                ran: Ran::No,
+                retry_after: None,
+            },
+            Decision::Job(Verdict::Held | Verdict::Noted) => held(),
+            Decision::Unknown | Decision::File(_) | Decision::Value(_) => {
+                let mut actions = vec![self.release(id, job)];
+                actions.extend(self.finish(now, id, refusal(Cause::Quorum, Ran::No)));
+                return actions;
+            }
+        };
+        self.finish(now, id, reply)
+    }
+
+    pub(crate) fn after_job(&mut self, now: Time, sent: &Ask, refused: bool) -> Vec<Action> {
+        let id = sent.query;
+        let token = self.token(id);
+        let Some(query) = self.queries.get_mut(&id) else {
+            return Vec::new();
+        };
+        let job = query.request.job();
+        if let Some(answer) = query.parts[sent.part].answers.values().next().cloned() {
+            query.phase = Phase::Recording;
+            let answer = Some(answer).filter(|answer| answer.body.len() <= ANSWER_MAX_BYTES);
+            return vec![Action::Propose(
+                id,
+                Key::Job(job),
+                Change::Record { token, answer },
+            )];
+        }
+        if !refused {
+            return self.finish(now, id, held());
+        }
+        if query.parts[sent.part].retry_at.is_some() {
+            return Vec::new();
+        }
+        let again = self.send_all(now, id, &[sent.part], Kind::Again);
+        if !again.is_empty() {
+            return again;
+        }
+        let Some(query) = self.queries.get(&id) else {
+            return Vec::new();
+        };
+        let reply = query.reply(RETRY_AFTER);
+        let mut actions = vec![self.release(id, job)];
+        actions.extend(self.finish(now, id, reply));
+        actions
+    }
+}
+
+/// The answer to a job whose outcome is unknown.
+fn held() -> Reply {
+    let retry_after = Some(RETRY_JOB_AFTER);
+    Reply::Refusal {
+        cause: Cause::Unknown,
+        ran: Ran::Maybe,
+        retry_after,
+    }
+}
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -613,7 +613,7 @@
     }
 
     fn hedge_one(&mut self, now: Time, ticket: Ticket) -> Option<Vec<Action>> {
-        let job = self.jobs.get(&ticket)?;
+        let job = self.jobs.get(&ticket).filter(|job| job.twin.is_none())?;
         let replica = *job
             .others
             .iter()
--- /dev/null
+++ b/decision/src/proposal.rs
@@ -0,0 +1,204 @@
+//! Changes that a daemon has the voters decide, tried at one voter after another.
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::daemon::Daemon;
+use crate::message::Action;
+use crate::message::Message;
+use crate::name::Name;
+use crate::register::Change;
+use crate::register::Decision;
+use crate::register::Key;
+use crate::register::Value;
+use crate::voter;
+
+/// Time after which a proposal is tried at another voter.
+const PROPOSAL_TRY: Span = Span::from_ms(700);
+
+/// Wait after a voter that could not decide.
+const PROPOSAL_AGAIN: Span = Span::from_ms(50);
+
+/// Time after which a proposal is given up.
+const PROPOSAL_MAX: Span = Span::from_secs(3);
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Origin {
+    Query(u64),
+    Operator(u64),
+    Fetch,
+    Remote(Name, u64),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Proposal {
+    pub(crate) origin: Origin,
+    pub(crate) key: Key,
+    pub(crate) change: Change,
+    pub(crate) tries: usize,
+    pub(crate) retry_at: Time,
+    pub(crate) started: Time,
+}
+
+impl Daemon {
+    pub(crate) fn propose(
+        &mut self,
+        now: Time,
+        origin: Origin,
+        key: Key,
+        change: Change,
+        out: &mut Vec<Action>,
+    ) {
+        self.last += 1;
+        let id = self.last;
+        let own = self.voters.iter().position(|voter| *voter == self.me.host);
+        let tries = own.unwrap_or(self.me.boot as usize % self.voters.len().max(1));
+        let proposal = Proposal {
+            origin,
+            key,
+            change,
+            tries,
+            retry_at: now,
+            started: now,
+        };
+        self.proposals.insert(id, proposal);
+        self.submit(now, id, out);
+    }
+
+    pub(crate) fn submit(&mut self, now: Time, id: u64, out: &mut Vec<Action>) {
+        let Some(proposal) = self.proposals.get_mut(&id) else {
+            return;
+        };
+        proposal.retry_at = now.after(PROPOSAL_TRY);
+        let (key, change) = (proposal.key, proposal.change.clone());
+        let Some(voter) = self.voters.get(proposal.tries % self.voters.len().max(1)) else {
+            return;
+        };
+        if *voter == self.me.host {
+            let origin = Origin::Remote(voter.clone(), id);
+            return self.propose_here(now, origin, key, change, out);
+        }
+        let voter = voter.clone();
+        self.send(&voter, Message::Propose(id, key, change), out);
+    }
+
+    /// Has this daemon's own voter decide.
+    pub(crate) fn propose_here(
+        &mut self,
+        now: Time,
+        origin: Origin,
+        key: Key,
+        change: Change,
+        out: &mut Vec<Action>,
+    ) {
+        self.last += 1;
+        let ticket = self.last;
+        let Some(voter) = &mut self.voter else {
+            return self.hand_back(now, origin, Decision::Unknown, out);
+        };
+        let change_sent = Change::Read;
+        let proposal = Proposal {
+            origin,
+            key,
+            change: change_sent,
+            tries: 0,
+            retry_at: now,
+            started: now,
+        };
+        self.proposals.insert(ticket, proposal);
+        let actions = voter.propose(now, ticket, key, change);
+        self.voter_actions(now, actions, out);
+    }
+
+    pub(crate) fn hand_back(
+        &mut self,
+        now: Time,
+        origin: Origin,
+        decision: Decision,
+        out: &mut Vec<Action>,
+    ) {
+        match origin {
+            Origin::Remote(host, id) if host == self.me.host => {
+                self.decided(now, id, decision, out)
+            }
+            Origin::Remote(host, id) => self.send(&host, Message::Decided(id, decision), out),
+            Origin::Query(id) => {
+                let actions = self.entry.decided(now, id, &decision, &self.table);
+                self.entry_actions(now, actions, out);
+            }
+            Origin::Operator(id) => out.push(Action::Applied(id, decision)),
+            Origin::Fetch => {
+                if let Decision::Value(Some(Value::File(file))) = decision {
+                    self.install(now, file.version, &file.text.clone(), out);
+                }
+            }
+        }
+    }
+
+    /// Takes a decision on a proposal of this daemon's.
+    pub(crate) fn decided(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: Decision,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(proposal) = self.proposals.get_mut(&id) else {
+            return;
+        };
+        let young = now.since(proposal.started) < PROPOSAL_MAX;
+        if decision == Decision::Unknown && young {
+            proposal.retry_at = now.after(PROPOSAL_AGAIN);
+            return;
+        }
+        let Some(proposal) = self.proposals.remove(&id) else {
+            return;
+        };
+        self.hand_back(now, proposal.origin, decision, out);
+    }
+
+    pub(crate) fn voter_actions(
+        &mut self,
+        now: Time,
+        actions: Vec<voter::Action>,
+        out: &mut Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                voter::Action::Persist(number, record) => {
+                    out.push(Action::Persist(number, record));
+                }
+                voter::Action::Send(to, letter) => {
+                    let host = self.voters.get(usize::from(to)).cloned();
+                    if let Some(host) = host {
+                        self.send(&host, Message::Voter(letter), out);
+                    }
+                }
+                voter::Action::Decided(ticket, decision) => {
+                    if let Some(proposal) = self.proposals.remove(&ticket) {
+                        self.hand_back(now, proposal.origin, decision, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tries unanswered proposals at the next voter, and gives old ones up.
+    pub(crate) fn retry_proposals(&mut self, now: Time, out: &mut Vec<Action>) {
+        let own = |proposal: &&Proposal| !matches!(proposal.origin, Origin::Remote(..));
+        let due = self
+            .proposals
+            .iter()
+            .filter(|(_, proposal)| own(proposal) && proposal.retry_at <= now);
+        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(proposal) = self.proposals.get_mut(&id) else {
+                continue;
+            };
+            if now.since(proposal.started) >= PROPOSAL_MAX {
+                self.decided(now, id, Decision::Unknown, out);
+                continue;
+            }
+            proposal.tries += 1;
+            self.submit(now, id, out);
+        }
+    }
+}
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -6,7 +6,6 @@
 //! its disk is kept from voting until it has caught up, are this project's.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use derive_more::Display;
 use serde::Deserialize;
@@ -19,15 +18,7 @@
 use crate::register::Decision;
 use crate::register::Key;
 use crate::register::Value;
-
-/// Time for which a restarted voter waits for all others before a majority is enough.
-const CHECK_MAX: Span = Span::from_ms(600);
-
-/// Time between two tries of an unanswered check or repair step.
-const RETRY_EVERY: Span = Span::from_ms(200);
-
-/// Cells sent in one page of a repair.
-const PAGE_CELLS: usize = 256;
+use crate::repair::Repair;
 
 /// Time for which a job is kept after its last change.
 const JOB_KEEP: Span = Span::from_secs(72 * 3_600);
@@ -155,41 +146,27 @@
 }
 
 #[derive(Clone, Debug)]
-struct Held {
-    cell: Cell,
-    touched: Time,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Repair {
-    heard: BTreeSet<Id>,
-    admitted: BTreeSet<Id>,
-    next: BTreeMap<Id, Option<Key>>,
-    done: BTreeSet<Id>,
-    cells: BTreeMap<Key, Cell>,
-    incarnation: Incarnation,
-    epoch_floor: u64,
-    restored: bool,
-    started: Time,
-    tried: Option<Time>,
+pub(crate) struct Held {
+    pub(crate) cell: Cell,
+    pub(crate) touched: Time,
 }
 
 /// A voter.
 #[derive(Clone, Debug)]
 pub struct Voter {
-    me: Id,
-    count: usize,
-    nonce: u64,
-    mode: Mode,
-    known: Vec<Incarnation>,
-    seen: Vec<u64>,
-    cells: BTreeMap<Key, Held>,
-    written: u64,
-    synced: u64,
-    waiting: BTreeMap<u64, Vec<(Id, Body)>>,
-    repair: Repair,
-    proposer: Proposer,
-    expired: Time,
+    pub(crate) me: Id,
+    pub(crate) count: usize,
+    pub(crate) nonce: u64,
+    pub(crate) mode: Mode,
+    pub(crate) known: Vec<Incarnation>,
+    pub(crate) seen: Vec<u64>,
+    pub(crate) cells: BTreeMap<Key, Held>,
+    pub(crate) written: u64,
+    pub(crate) synced: u64,
+    pub(crate) waiting: BTreeMap<u64, Vec<(Id, Body)>>,
+    pub(crate) repair: Repair,
+    pub(crate) proposer: Proposer,
+    pub(crate) expired: Time,
 }
 
 impl Voter {
@@ -294,20 +271,20 @@
             .map(|(_, value)| value)
     }
 
-    fn majority(&self) -> usize {
+    pub(crate) fn majority(&self) -> usize {
         self.count / 2 + 1
     }
 
-    fn majority_of_others(&self) -> usize {
+    pub(crate) fn majority_of_others(&self) -> usize {
         (self.count - 1) / 2 + 1
     }
 
-    fn others(&self) -> impl Iterator<Item = Id> + use<> {
+    pub(crate) fn others(&self) -> impl Iterator<Item = Id> + use<> {
         let me = self.me;
         (0..self.count as Id).filter(move |id| *id != me)
     }
 
-    fn letter(&self, body: Body) -> Letter {
+    pub(crate) fn letter(&self, body: Body) -> Letter {
         Letter {
             from: self.me,
             synced: self.synced,
@@ -317,7 +294,7 @@
     }
 
     /// Sends `body` once all that was written before is synced.
-    fn post(&mut self, to: Id, body: Body) -> Vec<Action> {
+    pub(crate) fn post(&mut self, to: Id, body: Body) -> Vec<Action> {
         if self.synced < self.written {
             self.waiting
                 .entry(self.written)
@@ -332,7 +309,7 @@
         vec![Action::Send(to, self.letter(body))]
     }
 
-    fn persist(&mut self, record: Record) -> Action {
+    pub(crate) fn persist(&mut self, record: Record) -> Action {
         self.written += 1;
         Action::Persist(self.written, record)
     }
@@ -588,209 +565,3 @@
         old.into_iter().map(forget).collect()
     }
 }
-
-/// Restart and repair.
-impl Voter {
-    fn is_due(&mut self, now: Time) -> bool {
-        let due = self
-            .repair
-            .tried
-            .is_none_or(|tried| now.since(tried) >= RETRY_EVERY);
-        if due {
-            self.repair.tried = Some(now);
-        }
-        due
-    }
-
-    fn check(&mut self, now: Time) -> Vec<Action> {
-        let waited = now.since(self.repair.started) >= CHECK_MAX;
-        let enough = self.repair.heard.len() + 1 >= self.majority();
-        let all = self.repair.heard.len() + 1 == self.count;
-        if all || (waited && enough) {
-            self.mode = Mode::Voting;
-            return Vec::new();
-        }
-        if !self.is_due(now) {
-            return Vec::new();
-        }
-        self.others()
-            .map(|to| Action::Send(to, self.letter(Body::Check)))
-            .collect()
-    }
-
-    fn checked(&mut self, now: Time, from: Id, written: u64) -> Vec<Action> {
-        self.repair.heard.insert(from);
-        match self.mode {
-            Mode::Checking if written > self.written => self.reset(now),
-            Mode::Checking => self.check(now),
-            Mode::Repairing | Mode::Voting | Mode::Failed => Vec::new(),
-        }
-    }
-
-    /// Gives up an older disk: nothing on it is trusted.
-    fn reset(&mut self, now: Time) -> Vec<Action> {
-        self.mode = Mode::Repairing;
-        self.cells.clear();
-        self.waiting.clear();
-        let epoch_floor = self
-            .repair
-            .epoch_floor
-            .max(self.known[usize::from(self.me)].epoch);
-        self.known[usize::from(self.me)] = Incarnation::default();
-        self.repair = Repair {
-            started: now,
-            epoch_floor,
-            ..Repair::default()
-        };
-        let record = self.persist(Record::Reset);
-        vec![record]
-    }
-
-    fn repair(&mut self, now: Time) -> Vec<Action> {
-        if !self.is_due(now) {
-            return Vec::new();
-        }
-        if self.repair.incarnation.epoch == 0 {
-            if self.repair.heard.len() < self.majority_of_others() {
-                return self
-                    .others()
-                    .map(|to| Action::Send(to, self.letter(Body::Check)))
-                    .collect();
-            }
-            let epoch = self.repair.epoch_floor + 1;
-            self.repair.incarnation = Incarnation {
-                epoch,
-                nonce: self.nonce,
-            };
-        }
-        let asks = self.others().map(|to| (to, self.repair_step(to)));
-        let asks = asks
-            .filter_map(|(to, body)| Some((to, body?)))
-            .collect::<Vec<_>>();
-        asks.into_iter()
-            .map(|(to, body)| Action::Send(to, self.repair_letter(body)))
-            .collect()
-    }
-
-    fn repair_step(&self, to: Id) -> Option<Body> {
-        if self.repair.done.contains(&to) {
-            return None;
-        }
-        if !self.repair.admitted.contains(&to) {
-            return Some(Body::Admit);
-        }
-        Some(Body::Page(self.repair.next.get(&to).copied().flatten()))
-    }
-
-    /// A letter under the incarnation that is not yet in force.
-    fn repair_letter(&self, body: Body) -> Letter {
-        let mut letter = self.letter(body);
-        letter.known[usize::from(self.me)] = self.repair.incarnation;
-        letter
-    }
-
-    fn admit(&mut self, from: Id, known: &[Incarnation]) -> Vec<Action> {
-        let (theirs, ours) = (known[usize::from(from)], self.known[usize::from(from)]);
-        if self.mode != Mode::Voting || theirs.epoch < ours.epoch {
-            return Vec::new();
-        }
-        let mut actions = Vec::new();
-        if theirs != ours {
-            self.known[usize::from(from)] = theirs;
-            self.seen[usize::from(from)] = 0;
-            actions.push(self.persist(Record::Known(from, theirs)));
-        }
-        actions.extend(self.post(from, Body::Admitted));
-        actions
-    }
-
-    fn admitted(&mut self, from: Id) -> Vec<Action> {
-        if self.mode != Mode::Repairing || !self.repair.admitted.insert(from) {
-            return Vec::new();
-        }
-        vec![Action::Send(from, self.repair_letter(Body::Page(None)))]
-    }
-
-    fn page(&mut self, from: Id, after: Option<Key>) -> Vec<Action> {
-        if self.mode != Mode::Voting {
-            return Vec::new();
-        }
-        let lower = match after {
-            Some(key) => std::ops::Bound::Excluded(key),
-            None => std::ops::Bound::Unbounded,
-        };
-        let range = self.cells.range((lower, std::ops::Bound::Unbounded));
-        let cells = range
-            .take(PAGE_CELLS)
-            .map(|(key, held)| (*key, held.cell.clone()));
-        let cells = cells.collect::<Vec<_>>();
-        let last = cells.len() < PAGE_CELLS;
-        self.post(from, Body::Cells(cells, last))
-    }
-
-    fn cells(&mut self, now: Time, from: Id, cells: Vec<(Key, Cell)>, last: bool) -> Vec<Action> {
-        if self.mode != Mode::Repairing || !self.repair.admitted.contains(&from) {
-            return Vec::new();
-        }
-        let end = cells.last().map(|(key, _)| *key);
-        cells
-            .into_iter()
-            .for_each(|(key, cell)| self.repair.merge(key, cell));
-        if !last {
-            self.repair.next.insert(from, end);
-            return vec![Action::Send(from, self.repair_letter(Body::Page(end)))];
-        }
-        self.repair.done.insert(from);
-        if self.repair.done.len() < self.majority_of_others() || self.repair.restored {
-            return Vec::new();
-        }
-        self.restore(now)
-    }
-
-    /// Writes the state read back; the voter votes once it is synced.
-    fn restore(&mut self, now: Time) -> Vec<Action> {
-        let cells = std::mem::take(&mut self.repair.cells);
-        let mut actions = vec![self.persist(Record::Reset)];
-        for (key, cell) in cells {
-            self.cells.insert(
-                key,
-                Held {
-                    cell: cell.clone(),
-                    touched: now,
-                },
-            );
-            actions.push(self.persist(Record::Cell(key, cell)));
-        }
-        for id in self.others() {
-            let known = self.known[usize::from(id)];
-            actions.push(self.persist(Record::Known(id, known)));
-        }
-        let incarnation = self.repair.incarnation;
-        actions.push(self.persist(Record::Known(self.me, incarnation)));
-        self.repair.restored = true;
-        actions
-    }
-
-    fn finish_repair(&mut self) {
-        let synced = self.repair.restored && self.synced >= self.written;
-        if self.mode == Mode::Repairing && synced {
-            self.known[usize::from(self.me)] = self.repair.incarnation;
-            self.mode = Mode::Voting;
-        }
-    }
-}
-
-impl Repair {
-    fn merge(&mut self, key: Key, cell: Cell) {
-        let merged = self.cells.entry(key).or_default();
-        merged.promised = merged.promised.max(cell.promised);
-        let newer = match (&merged.accepted, &cell.accepted) {
-            (Some((ours, _)), Some((theirs, _))) => theirs > ours,
-            (None, Some(_)) => true,
-            (_, None) => false,
-        };
-        if newer {
-            merged.accepted = cell.accepted;
-        }
-    }
-}
--- a/decision/tests/properties/main.rs
+++ b/decision/tests/properties/main.rs
@@ -1,5 +1,6 @@
 //! Properties of the decisions under faults, with fixed seeds.
 
+mod admit;
 mod burn;
 mod entry;
 mod group;
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod caller;
 pub mod fleet;
 pub mod load;
+pub mod port;
 pub mod process;
