Names and duplicates read as a newcomer: quarantine, arbiter, one service builder

Cause: names borrowed from a court and a desk where the field says quarantine, arbiter and probe; the same service was built in four places; the loop's file held the status report too.

Change: renames, fleet::Service::of, and the report beside its types.

--- a/adapter/src/event.rs
+++ b/adapter/src/event.rs
@@ -38,9 +38,9 @@
     /// A suspected request was cleared.
     #[display("request cleared")]
     Cleared,
-    /// A request was convicted of stopping servers.
-    #[display("request convicted")]
-    Convicted,
+    /// A request was quarantined of stopping servers.
+    #[display("request quarantined")]
+    Quarantined,
     /// The voter's mode changed.
     #[display("voter mode changed")]
     Voter,
@@ -77,7 +77,7 @@
         Event::Replica,
         Event::Suspected,
         Event::Cleared,
-        Event::Convicted,
+        Event::Quarantined,
         Event::Voter,
         Event::Members,
         Event::DiskFailed,
@@ -100,7 +100,7 @@
             Event::Replica => 300,
             Event::Suspected => 310,
             Event::Cleared => 311,
-            Event::Convicted => 312,
+            Event::Quarantined => 312,
             Event::Voter => 400,
             Event::Members => 410,
             Event::DiskFailed => 420,
@@ -115,7 +115,7 @@
     pub const fn level(self) -> Level {
         match self {
             Event::DiskFailed | Event::NotUnderstood => Level::ERROR,
-            Event::LeaseLapsed | Event::Suspected | Event::Convicted | Event::PeerRefused => {
+            Event::LeaseLapsed | Event::Suspected | Event::Quarantined | Event::PeerRefused => {
                 Level::WARN
             }
             Event::Compacted => Level::DEBUG,
@@ -145,7 +145,7 @@
         Note::Replica(..) => Event::Replica,
         Note::Standing(_, Standing::Suspect) => Event::Suspected,
         Note::Standing(_, Standing::Cleared) => Event::Cleared,
-        Note::Standing(_, Standing::Convicted) => Event::Convicted,
+        Note::Standing(_, Standing::Quarantined) => Event::Quarantined,
         Note::Voter(_) => Event::Voter,
         Note::Members(_) => Event::Members,
     };
--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -433,7 +433,7 @@
 /// The HTTP status of a refusal.
 fn status(cause: Cause, ran: Ran) -> StatusCode {
     match cause {
-        Cause::Conflict | Cause::Convicted => StatusCode::UNPROCESSABLE_ENTITY,
+        Cause::Conflict | Cause::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         Cause::Unknown | Cause::Unkept => StatusCode::CONFLICT,
         Cause::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Cause::Garbled | Cause::Died | Cause::Status(_) => StatusCode::BAD_GATEWAY,
--- a/adapter/src/status.rs
+++ b/adapter/src/status.rs
@@ -1,12 +1,18 @@
 //! What a daemon reports of itself and of the fleet as it sees it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::daemon::Daemon;
 use wagtailbeam_decision::entry::Counts;
+use wagtailbeam_decision::gate::Health;
 use wagtailbeam_decision::name::Name;
 
+use crate::settings::Config;
+
 /// A daemon of the fleet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -114,3 +120,135 @@
             .count()
     }
 }
+
+/// What a report is drawn from.
+pub struct Origin<'a> {
+    /// The daemon's time.
+    pub now: Time,
+    /// Its settings.
+    pub config: &'a Config,
+    /// Its state.
+    pub daemon: &'a Daemon,
+    /// Connections to backend servers.
+    pub connections: u32,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+}
+
+impl Origin<'_> {
+    /// The report.
+    pub fn status(&self) -> Status {
+        let now = self.now;
+        let manifest = self.daemon.manifest();
+        let members = self.daemon.members().iter().map(|member| Member {
+            host: member.host.clone(),
+            domain: member.domain.clone(),
+            admin: member.admin,
+            version: member.version,
+            leaving: member.leaving,
+        });
+        let out = manifest
+            .domains
+            .iter()
+            .filter(|(name, _)| !manifest.is_in(name));
+        let owned = self.daemon.owner.report().map(|(address, gate)| Owned {
+            address: address.to_string(),
+            state: gate.health().to_string(),
+            running: gate.running(),
+            waiting: gate.waiting(),
+            limit: gate.limit(),
+        });
+        let suspects = self
+            .daemon
+            .suspects(now)
+            .into_iter()
+            .map(|(fingerprint, standing)| {
+                let (fingerprint, standing) = (fingerprint.to_string(), standing.to_string());
+                Suspect {
+                    fingerprint,
+                    standing,
+                }
+            });
+        Status {
+            host: self.config.host.clone(),
+            version: manifest.version,
+            leased: self.daemon.is_leased(),
+            ready: self.daemon.is_ready(),
+            causes: self.causes(),
+            members: members.collect(),
+            voters: self.voters(now),
+            voter_mode: self.daemon.voter().map(|voter| voter.mode().to_string()),
+            voter_keys: self.daemon.voter().map_or(0, |voter| voter.len()),
+            domains_out: out.map(|(name, _)| name.clone()).collect(),
+            replicas: self.replicas(),
+            owned: owned.collect(),
+            suspects: suspects.collect(),
+            counts: self.daemon.entry.counts,
+            connections: self.connections,
+        }
+    }
+
+    fn causes(&self) -> Vec<String> {
+        let manifest = self.daemon.manifest();
+        let in_service = manifest.may_own(&self.config.host, &self.config.domain);
+        let causes = [
+            (manifest.version == 0, "no file in force"),
+            (
+                !self.daemon.is_leased(),
+                "no majority of voters confirms the newest file",
+            ),
+            (!in_service, "host or failure domain is out"),
+            (self.stopping, "stopping"),
+        ];
+        let causes = causes.into_iter().filter(|(holds, _)| *holds);
+        causes.map(|(_, cause)| cause.to_owned()).collect()
+    }
+
+    fn voters(&self, now: Time) -> Vec<Voter> {
+        let heard = self
+            .daemon
+            .voters(now)
+            .into_iter()
+            .collect::<BTreeMap<_, _>>();
+        let voters = self.config.voters.keys().map(|host| {
+            let state = match heard.get(host) {
+                Some(true) => "voting",
+                Some(false) => "not voting",
+                None => "silent",
+            };
+            Voter {
+                host: host.clone(),
+                state: state.to_owned(),
+            }
+        });
+        voters.collect()
+    }
+
+    fn replicas(&self) -> Vec<Replica> {
+        let router = &self.daemon.entry.router;
+        let mut replicas = Vec::new();
+        for service in self.daemon.manifest().services.values() {
+            for shard in &service.shards {
+                for replica in &shard.replicas {
+                    let owner = router.owner(&replica.address).cloned();
+                    let health = router.health(&replica.address);
+                    if health == Health::Ready && owner.is_some() {
+                        continue;
+                    }
+                    replicas.push(Replica {
+                        service: service.name.clone(),
+                        shard: shard.name.clone(),
+                        address: replica.address.to_string(),
+                        state: if owner.is_some() {
+                            health.to_string()
+                        } else {
+                            "no owner".into()
+                        },
+                        owner: owner.unwrap_or_default(),
+                    });
+                }
+            }
+        }
+        replicas
+    }
+}
--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -17,16 +17,12 @@
 }
 
 fn file(cluster: &Cluster, version: u64, out: &[&str]) -> String {
-    let addresses = cluster
-        .servers
-        .iter()
-        .map(|server| server.address)
-        .collect::<Vec<_>>();
-    let service = fleet::Service {
-        name: "desk-gate".to_owned(),
-        lines: "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n".to_owned(),
-        shards: addresses.chunks(REPLICAS).map(<[_]>::to_vec).collect(),
-    };
+    let service = fleet::Service::of(
+        "desk-gate",
+        "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n",
+        cluster,
+        REPLICAS,
+    );
     fleet::file(version, &[service], &[CALLER], out)
 }
 
--- a/bins/tests/processes/path.rs
+++ b/bins/tests/processes/path.rs
@@ -19,16 +19,12 @@
 }
 
 fn service(cluster: &Cluster) -> fleet::Service {
-    let addresses = cluster
-        .servers
-        .iter()
-        .map(|server| server.address)
-        .collect::<Vec<_>>();
-    fleet::Service {
-        name: "desk-gate".to_owned(),
-        lines: "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n".to_owned(),
-        shards: addresses.chunks(REPLICAS).map(<[_]>::to_vec).collect(),
-    }
+    fleet::Service::of(
+        "desk-gate",
+        "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n",
+        cluster,
+        REPLICAS,
+    )
 }
 
 #[test]
--- a/decision/src/canary.rs
+++ b/decision/src/canary.rs
@@ -10,7 +10,7 @@
 use crate::query::Reply;
 use crate::request::Cause;
 use crate::request::Ran;
-use crate::suspect::KEEP_CONVICTED;
+use crate::suspect::KEEP_QUARANTINED;
 use crate::suspect::Ruling;
 use crate::suspect::Standing;
 use crate::trace::Kind;
@@ -24,7 +24,7 @@
         };
         query.phase = Phase::Suspected;
         query.parts.iter_mut().for_each(|part| part.retry_at = None);
-        actions.push(Action::Judge(id, query.fingerprint));
+        actions.push(Action::Arbiter(id, query.fingerprint));
         actions
     }
 
@@ -42,7 +42,7 @@
     }
 
     /// Asks again for leave after a canary that found no owner.
-    pub(crate) fn judge_again(&mut self, now: Time, id: u64) -> Vec<Action> {
+    pub(crate) fn ask_again(&mut self, now: Time, id: u64) -> Vec<Action> {
         let Some(query) = self.queries.get_mut(&id) else {
             return Vec::new();
         };
@@ -54,7 +54,7 @@
             return Vec::new();
         }
         query.parts.iter_mut().for_each(|part| part.retry_at = None);
-        vec![Action::Judge(id, query.fingerprint)]
+        vec![Action::Arbiter(id, query.fingerprint)]
     }
 
     /// Asks again for the requests that wait, as the daemon that rules may have changed.
@@ -64,7 +64,7 @@
             .iter()
             .filter(|(_, query)| query.phase == Phase::Suspected);
         waiting
-            .map(|(id, query)| Action::Judge(*id, query.fingerprint))
+            .map(|(id, query)| Action::Arbiter(*id, query.fingerprint))
             .collect()
     }
 
@@ -79,10 +79,10 @@
         query.parts.iter_mut().for_each(|part| part.tried.clear());
         let job = (!query.request.is_repeatable()).then(|| query.request.job());
         match ruling {
-            Ruling::Convicted => {
+            Ruling::Quarantined => {
                 let ran = if query.sent == 0 { Ran::No } else { Ran::Yes };
                 let release = job.map(|job| self.release(id, job));
-                let mut actions = self.finish(now, id, convicted(ran));
+                let mut actions = self.finish(now, id, quarantined(ran));
                 actions.extend(release);
                 actions
             }
@@ -125,8 +125,8 @@
         let fingerprint = query.fingerprint;
         query.phase = Phase::Running;
         if died {
-            let mut actions = vec![Action::Tried(fingerprint, Standing::Convicted)];
-            actions.extend(self.finish(now, id, convicted(Ran::Yes)));
+            let mut actions = vec![Action::Tried(fingerprint, Standing::Quarantined)];
+            actions.extend(self.finish(now, id, quarantined(Ran::Yes)));
             return actions;
         }
         if answered {
@@ -153,10 +153,10 @@
 }
 
 /// The final refusal of a request that stops servers.
-pub(crate) fn convicted(ran: Ran) -> Reply {
+pub(crate) fn quarantined(ran: Ran) -> Reply {
     Reply::Refusal {
-        cause: Cause::Convicted,
+        cause: Cause::Quarantined,
         ran,
-        retry_after: Some(KEEP_CONVICTED),
+        retry_after: Some(KEEP_QUARANTINED),
     }
 }
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -42,7 +42,7 @@
 use crate::request::Request;
 use crate::roster::Member;
 use crate::roster::Roster;
-use crate::suspect::Judge;
+use crate::suspect::Arbiter;
 use crate::suspect::Ruling;
 use crate::suspect::Standing;
 use crate::suspect::Table;
@@ -70,7 +70,7 @@
     pub(crate) roster: Roster,
     pub(crate) lease: Lease,
     pub(crate) table: Table,
-    pub(crate) judge: Judge,
+    pub(crate) arbiter: Arbiter,
     pub(crate) members: Vec<Member>,
     pub(crate) candidates: Vec<Candidate>,
     pub(crate) earlier: Earlier,
@@ -102,7 +102,7 @@
             voters,
             roster: Roster::new(now),
             table: Table::default(),
-            judge: Judge::default(),
+            arbiter: Arbiter::default(),
             members: Vec::new(),
             candidates: Vec::new(),
             earlier: Earlier::default(),
@@ -234,15 +234,15 @@
             Message::Standing(fingerprint, standing) => {
                 self.learn(now, fingerprint, standing, false, out);
             }
-            Message::Judge(query, fingerprint) => {
-                self.judge_query(now, fingerprint, (from, query), out);
+            Message::Arbiter(query, fingerprint) => {
+                self.arbitrate(now, fingerprint, (from, query), out);
             }
             Message::Ruling(query, ruling) => {
                 let actions = self.entry.rule(now, query, ruling);
                 self.entry_actions(now, actions, out);
             }
             Message::Untried(fingerprint) => {
-                let next = self.judge.pass_on(now, &fingerprint);
+                let next = self.arbiter.pass_on(now, &fingerprint);
                 self.ruled(now, next.into_iter().collect(), out);
             }
             Message::Voter(letter) => {
@@ -273,7 +273,7 @@
         self.owner_actions(now, actions, out);
         let actions = self.entry.lose(now, host);
         self.entry_actions(now, actions, out);
-        let rulings = self.judge.lose(now, host);
+        let rulings = self.arbiter.lose(now, host);
         self.ruled(now, rulings, out);
         let due = self.proposals.values_mut().filter(|proposal| {
             let voter = self.voters.get(proposal.tries % self.voters.len().max(1));
@@ -356,7 +356,9 @@
                 entry::Action::Propose(id, key, change) => {
                     self.propose(now, Origin::Query(id), key, change, out);
                 }
-                entry::Action::Judge(id, fingerprint) => self.ask_judge(now, id, fingerprint, out),
+                entry::Action::Arbiter(id, fingerprint) => {
+                    self.ask_arbiter(now, id, fingerprint, out)
+                }
                 entry::Action::Tried(fingerprint, Standing::Suspect) => {
                     self.untried(now, fingerprint, out);
                 }
@@ -441,40 +443,40 @@
                 self.entry_actions(now, actions, out);
             }
             Standing::Suspect => {}
-            Standing::Cleared => self.close_trial(now, &fingerprint, Ruling::Cleared, out),
-            Standing::Convicted => self.close_trial(now, &fingerprint, Ruling::Convicted, out),
+            Standing::Cleared => self.close_canary(now, &fingerprint, Ruling::Cleared, out),
+            Standing::Quarantined => self.close_canary(now, &fingerprint, Ruling::Quarantined, out),
         }
     }
 
-    fn close_trial(&mut self, now: Time, key: &Digest, ruling: Ruling, out: &mut Vec<Action>) {
-        let waiting = self.judge.close(key);
+    fn close_canary(&mut self, now: Time, key: &Digest, ruling: Ruling, out: &mut Vec<Action>) {
+        let waiting = self.arbiter.close(key);
         let rulings = waiting.into_iter().map(|from| (from, ruling)).collect();
         self.ruled(now, rulings, out);
     }
 
-    fn judge_host(&self, fingerprint: &Digest) -> Name {
+    fn arbiter_host(&self, fingerprint: &Digest) -> Name {
         placement::first(fingerprint, &self.candidates).unwrap_or_else(|| self.me.host.clone())
     }
 
-    fn ask_judge(&mut self, now: Time, id: u64, fingerprint: Digest, out: &mut Vec<Action>) {
-        let host = self.judge_host(&fingerprint);
+    fn ask_arbiter(&mut self, now: Time, id: u64, fingerprint: Digest, out: &mut Vec<Action>) {
+        let host = self.arbiter_host(&fingerprint);
         if host == self.me.host {
-            return self.judge_query(now, fingerprint, (host, id), out);
+            return self.arbitrate(now, fingerprint, (host, id), out);
         }
-        self.send(&host, Message::Judge(id, fingerprint), out);
+        self.send(&host, Message::Arbiter(id, fingerprint), out);
     }
 
     fn untried(&mut self, now: Time, fingerprint: Digest, out: &mut Vec<Action>) {
-        let host = self.judge_host(&fingerprint);
+        let host = self.arbiter_host(&fingerprint);
         if host == self.me.host {
-            let next = self.judge.pass_on(now, &fingerprint);
+            let next = self.arbiter.pass_on(now, &fingerprint);
             return self.ruled(now, next.into_iter().collect(), out);
         }
         self.send(&host, Message::Untried(fingerprint), out);
     }
 
-    fn judge_query(&mut self, now: Time, key: Digest, from: (Name, u64), out: &mut Vec<Action>) {
-        let ruling = self.judge.ask(now, &self.table, key, from.clone());
+    fn arbitrate(&mut self, now: Time, key: Digest, from: (Name, u64), out: &mut Vec<Action>) {
+        let ruling = self.arbiter.ask(now, &self.table, key, from.clone());
         self.ruled(
             now,
             ruling.map(|ruling| (from, ruling)).into_iter().collect(),
--- a/decision/src/entry.rs
+++ b/decision/src/entry.rs
@@ -10,7 +10,7 @@
 
 use crate::admit::Signal;
 use crate::admit::Window;
-use crate::canary::convicted;
+use crate::canary::quarantined;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::digest::Digest;
@@ -62,7 +62,7 @@
     /// Have the voters decide a change for a request.
     Propose(u64, Key, Change),
     /// Ask for leave to run a request as a canary.
-    Judge(u64, Digest),
+    Arbiter(u64, Digest),
     /// Tell what a canary showed.
     Tried(Digest, Standing),
 }
@@ -79,7 +79,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) struct Desk {
+pub(crate) struct State {
     pub(crate) retries: Budget,
     pub(crate) window: Window,
     pub(crate) indexes: BTreeMap<Name, BTreeMap<SocketAddr, Index>>,
@@ -104,7 +104,7 @@
     pub counts: Counts,
     /// Records of slow and incomplete requests.
     pub recent: Recent,
-    pub(crate) desks: BTreeMap<Name, Desk>,
+    pub(crate) states: BTreeMap<Name, State>,
     pub(crate) services: BTreeMap<Name, Arc<Service>>,
     pub(crate) queries: BTreeMap<u64, Query>,
     pub(crate) asks: BTreeMap<u64, Ask>,
@@ -129,7 +129,7 @@
             return;
         }
         self.manifest = manifest.clone();
-        self.desks
+        self.states
             .retain(|name, _| manifest.services.contains_key(name));
         let services = manifest.services.iter();
         self.services = services
@@ -137,16 +137,16 @@
             .collect();
     }
 
-    fn desk(&mut self, service: &Service) -> &mut Desk {
+    fn state(&mut self, service: &Service) -> &mut State {
         let replicas = service
             .shards
             .iter()
             .map(|shard| shard.replicas.len())
             .max();
         let slots = replicas.unwrap_or(1) as f64 * f64::from(service.limits.slots);
-        self.desks
+        self.states
             .entry(service.name.clone())
-            .or_insert_with(|| Desk {
+            .or_insert_with(|| State {
                 retries: Budget::new(RETRY_SHARE),
                 window: Window::new(slots * WINDOW_PER_SLOT),
                 indexes: BTreeMap::new(),
@@ -184,7 +184,7 @@
             .get(&request.caller)
             .map_or(1, |caller| caller.weight);
         let caller = request.caller.clone();
-        if !self.desk(&service).window.admit(now, &caller, weight) {
+        if !self.state(&service).window.admit(now, &caller, weight) {
             return vec![Action::Answer(id, refusal(Cause::Full, Ran::No))];
         }
         let mut query = Query::new(now, request, service, shards);
@@ -194,7 +194,7 @@
         let job = !query.request.is_repeatable();
         self.queries.insert(id, query);
         match standing {
-            Some(Standing::Convicted) => self.finish(now, id, convicted(Ran::No)),
+            Some(Standing::Quarantined) => self.finish(now, id, quarantined(Ran::No)),
             _ if job => self.claim(id),
             Some(Standing::Suspect) => self.suspect(now, id),
             Some(Standing::Cleared) | None => self.start(now, id),
@@ -206,10 +206,10 @@
         if !query.request.is_repeatable() {
             return None;
         }
-        let desk = self.desks.get(&query.service.name)?;
+        let state = self.states.get(&query.service.name)?;
         let newest = query.parts.iter().map(|part| {
             let shard = &query.service.shards[part.shard];
-            desk.indexes.get(&shard.name)?.values().max().copied()
+            state.indexes.get(&shard.name)?.values().max().copied()
         });
         newest.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
@@ -221,7 +221,7 @@
         query.phase = Phase::Running;
         let parts = query.unanswered();
         let service = query.service.clone();
-        self.desk(&service).retries.earn(parts.len());
+        self.state(&service).retries.earn(parts.len());
         let mut actions = self.send_all(now, id, &parts, Kind::First);
         actions.extend(self.proceed(now, id));
         actions
@@ -393,9 +393,9 @@
         let query = self.queries.get_mut(&sent.query)?;
         let shard = query.shard(sent.part).name.clone();
         query.steps.push(step(now, &sent, query, describe(outcome)));
-        let desk = self.desks.get_mut(&query.service.name)?;
+        let state = self.states.get_mut(&query.service.name)?;
         if let Outcome::Answered(answer) = outcome {
-            let known = desk.indexes.entry(shard).or_default();
+            let known = state.indexes.entry(shard).or_default();
             known.retain(|replica, _| self.router.owner(replica).is_some());
             if let Some(index) = answer
                 .index
@@ -404,7 +404,8 @@
                 known.insert(sent.replica, index);
             }
         } else if let Outcome::Moved { index: Some(index) } = outcome {
-            desk.indexes
+            state
+                .indexes
                 .entry(shard)
                 .or_default()
                 .insert(sent.replica, *index);
@@ -422,7 +423,7 @@
         let idle = query.parts[sent.part].is_idle();
         if answered {
             actions.extend(self.withdraw(now, id, Some(sent.part)));
-        } else if idle && (refused || self.desk(&service).retries.spend()) {
+        } else if idle && (refused || self.state(&service).retries.spend()) {
             actions.extend(self.send_all(now, id, &[sent.part], Kind::Again));
         }
         actions.extend(self.proceed(now, id));
@@ -487,14 +488,14 @@
         if let Phase::Canary(_) = query.phase {
             actions.push(Action::Tried(query.fingerprint, Standing::Suspect));
         }
-        if let Some(desk) = self.desks.get_mut(&query.service.name) {
+        if let Some(state) = self.states.get_mut(&query.service.name) {
             let late = now.since(query.started) > query.service.objective.latency;
             let signal = match late {
                 _ if query.overloaded => Signal::Refused,
                 true => Signal::Late,
                 false => Signal::Fine,
             };
-            desk.window.finish(now, &query.request.caller, signal);
+            state.window.finish(now, &query.request.caller, signal);
         }
         actions.push(Action::Answer(id, reply));
         actions
@@ -523,7 +524,7 @@
             return self.expire(now, id);
         }
         if query.phase == Phase::Suspected {
-            return self.judge_again(now, id);
+            return self.ask_again(now, id);
         }
         if query.phase != Phase::Running {
             return Vec::new();
@@ -543,7 +544,7 @@
         let reply = match query.phase {
             Phase::Claiming => refusal(Cause::Quorum, Ran::No),
             Phase::Suspected if !query.request.is_repeatable() => {
-                refusal(Cause::Convicted, Ran::No)
+                refusal(Cause::Quarantined, Ran::No)
             }
             _ => query.reply(RETRY_AFTER),
         };
--- a/decision/src/gate.rs
+++ b/decision/src/gate.rs
@@ -450,12 +450,12 @@
     /// Counts a sub-request withdrawn after more than its usual time; several with
     /// no answer between them show a stalled server.
     fn count_silent(&mut self, now: Time, took: Span) {
-        let trial = self.health == Health::Stalled;
-        if took < self.usual.times(2) && !trial {
+        let probe = self.health == Health::Stalled;
+        if took < self.usual.times(2) && !probe {
             return;
         }
         self.silent += 1;
-        if trial || self.silent >= SILENT_MAX {
+        if probe || self.silent >= SILENT_MAX {
             self.silent = 0;
             self.close(now);
         }
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -82,7 +82,7 @@
     /// What is known of a request that may stop servers.
     Standing(Digest, Standing),
     /// Asks for leave to run a query of the sender as a canary.
-    Judge(u64, Digest),
+    Arbiter(u64, Digest),
     /// The ruling on it.
     Ruling(u64, Ruling),
     /// A canary ended without showing anything.
--- a/decision/src/once.rs
+++ b/decision/src/once.rs
@@ -89,7 +89,7 @@
         let reply = match decision {
             Decision::Job(Verdict::Won) => {
                 return match suspects.standing(now, &fingerprint) {
-                    Some(Standing::Suspect | Standing::Convicted) => self.suspect(now, id),
+                    Some(Standing::Suspect | Standing::Quarantined) => self.suspect(now, id),
                     Some(Standing::Cleared) | None => self.start(now, id),
                 };
             }
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -411,7 +411,7 @@
     fn run(&mut self, now: Time, ticket: Ticket) -> Option<Action> {
         let job = self.jobs.get_mut(&ticket)?;
         let gate = self.held.get(&job.replica).map(|held| held.gate.health());
-        let trial = gate == Some(Health::Stalled);
+        let probe = gate == Some(Health::Stalled);
         job.sent = Some(now);
         let hedge = job.twin.is_some();
         self.hedges += u64::from(hedge);
@@ -421,7 +421,7 @@
                 policy.budget.earn(1);
                 policy
                     .delay()
-                    .map(|delay| if trial { Span::ZERO } else { delay })
+                    .map(|delay| if probe { Span::ZERO } else { delay })
             });
             self.timers
                 .extend(delay.map(|delay| (now.after(delay), ticket)));
--- a/decision/src/register.rs
+++ b/decision/src/register.rs
@@ -147,7 +147,7 @@
     let digest = Digest::of(text.as_bytes());
     let acceptance = match file {
         None => Acceptance::Accepted,
-        Some(file) => file.judge(version, &digest),
+        Some(file) => file.assess(version, &digest),
     };
     if acceptance != Acceptance::Accepted {
         return (None, Decision::File(acceptance));
@@ -169,7 +169,7 @@
 }
 
 impl File {
-    fn judge(&self, version: u64, digest: &Digest) -> Acceptance {
+    fn assess(&self, version: u64, digest: &Digest) -> Acceptance {
         if version > self.version {
             return Acceptance::Accepted;
         }
--- a/decision/src/request.rs
+++ b/decision/src/request.rs
@@ -123,7 +123,7 @@
     Died,
     /// The request is known to stop servers.
     #[display("stops-servers")]
-    Convicted,
+    Quarantined,
     /// The server's index version is not the snapshot's.
     #[display("other-snapshot")]
     Version,
--- a/decision/src/suspect.rs
+++ b/decision/src/suspect.rs
@@ -1,5 +1,5 @@
 //! Requests that stop the servers that run them: suspicion, a single canary
-//! run, and conviction.
+//! run, and quarantine.
 
 use std::collections::BTreeMap;
 
@@ -12,11 +12,11 @@
 use crate::digest::Digest;
 use crate::name::Name;
 
-/// Time for which a suspicion or acquittal is kept.
+/// Time for which a suspicion or clearing is kept.
 const KEEP: Span = Span::from_secs(600);
 
-/// Time for which a conviction is kept.
-pub const KEEP_CONVICTED: Span = Span::from_secs(3_600);
+/// Time for which a quarantine is kept.
+pub const KEEP_QUARANTINED: Span = Span::from_secs(3_600);
 
 /// Most fingerprints kept; the ones that expire first go first.
 const TABLE_MAX: usize = 4_096;
@@ -34,8 +34,8 @@
     #[display("cleared")]
     Cleared,
     /// Its canary stopped a server.
-    #[display("convicted")]
-    Convicted,
+    #[display("quarantined")]
+    Quarantined,
 }
 
 /// Answer to a daemon that wants to run a canary.
@@ -46,7 +46,7 @@
     /// Its canary was answered: run it as usual.
     Cleared,
     /// Refuse it.
-    Convicted,
+    Quarantined,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,14 +68,14 @@
         (record.until > now).then_some(record.standing)
     }
 
-    /// Learns a standing; a conviction is never weakened. True if it is news.
+    /// Learns a standing; a quarantine is never weakened. True if it is news.
     pub fn learn(&mut self, now: Time, fingerprint: Digest, standing: Standing) -> bool {
         let known = self.standing(now, &fingerprint);
-        if known == Some(Standing::Convicted) || known == Some(standing) {
+        if known == Some(Standing::Quarantined) || known == Some(standing) {
             return false;
         }
-        let keep = if standing == Standing::Convicted {
-            KEEP_CONVICTED
+        let keep = if standing == Standing::Quarantined {
+            KEEP_QUARANTINED
         } else {
             KEEP
         };
@@ -111,7 +111,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Trial {
+struct Canary {
     holder: Name,
     until: Time,
     waiting: Vec<(Name, u64)>,
@@ -119,11 +119,11 @@
 
 /// Grants canaries, one at a time for each fingerprint, at one daemon.
 #[derive(Clone, Debug, Default)]
-pub struct Judge {
-    trials: BTreeMap<Digest, Trial>,
+pub struct Arbiter {
+    canaries: BTreeMap<Digest, Canary>,
 }
 
-impl Judge {
+impl Arbiter {
     /// Answers a daemon's query that wants a canary, or keeps it waiting.
     pub fn ask(
         &mut self,
@@ -133,41 +133,41 @@
         from: (Name, u64),
     ) -> Option<Ruling> {
         match table.standing(now, &fingerprint) {
-            Some(Standing::Convicted) => return Some(Ruling::Convicted),
+            Some(Standing::Quarantined) => return Some(Ruling::Quarantined),
             Some(Standing::Cleared) => return Some(Ruling::Cleared),
             Some(Standing::Suspect) | None => {}
         }
         let running = self
-            .trials
+            .canaries
             .get_mut(&fingerprint)
-            .filter(|trial| trial.until > now);
-        if let Some(trial) = running {
-            trial.waiting.push(from);
+            .filter(|canary| canary.until > now);
+        if let Some(canary) = running {
+            canary.waiting.push(from);
             return None;
         }
-        let trial = Trial {
+        let canary = Canary {
             holder: from.0,
             until: now.after(CANARY_MAX),
             waiting: Vec::new(),
         };
-        self.trials.insert(fingerprint, trial);
+        self.canaries.insert(fingerprint, canary);
         Some(Ruling::Go)
     }
 
-    /// Ends a trial and returns the queries that waited for it.
+    /// Ends a canary and returns the queries that waited for it.
     pub fn close(&mut self, fingerprint: &Digest) -> Vec<(Name, u64)> {
-        self.trials
+        self.canaries
             .remove(fingerprint)
-            .map(|trial| trial.waiting)
+            .map(|canary| canary.waiting)
             .unwrap_or_default()
     }
 
-    /// Ends the trials held by a lost daemon; a query that waited gets its turn.
+    /// Ends the canaries held by a lost daemon; a query that waited gets its turn.
     pub fn lose(&mut self, now: Time, host: &Name) -> Vec<((Name, u64), Ruling)> {
         let lost = self
-            .trials
+            .canaries
             .iter()
-            .filter(|(_, trial)| trial.holder == *host);
+            .filter(|(_, canary)| canary.holder == *host);
         let lost = lost
             .map(|(fingerprint, _)| *fingerprint)
             .collect::<Vec<_>>();
@@ -176,19 +176,19 @@
             .collect()
     }
 
-    /// Ends an undecided trial; the first query that waited gets its turn.
+    /// Ends an undecided canary; the first query that waited gets its turn.
     pub fn pass_on(&mut self, now: Time, fingerprint: &Digest) -> Option<((Name, u64), Ruling)> {
         let mut waiting = self.close(fingerprint);
         if waiting.is_empty() {
             return None;
         }
         let next = waiting.remove(0);
-        let trial = Trial {
+        let canary = Canary {
             holder: next.0.clone(),
             until: now.after(CANARY_MAX),
             waiting,
         };
-        self.trials.insert(*fingerprint, trial);
+        self.canaries.insert(*fingerprint, canary);
         Some((next, Ruling::Go))
     }
 }
--- a/decision/tests/properties/entry.rs
+++ b/decision/tests/properties/entry.rs
@@ -108,7 +108,7 @@
                         actions.extend(entry.outcome(now, piece.ask, replica, outcome(kind)));
                     }
                 }
-                Action::Judge(id, _) => actions.extend(entry.rule(now, id, Ruling::Go)),
+                Action::Arbiter(id, _) => actions.extend(entry.rule(now, id, Ruling::Go)),
                 Action::Answer(..) => answers += 1,
                 Action::Cancel(..) | Action::Propose(..) | Action::Tried(..) => {}
             }
--- a/decision/tests/properties/suspect.rs
+++ b/decision/tests/properties/suspect.rs
@@ -1,10 +1,10 @@
-//! Requests that stop servers: one canary at a time, and no conviction weakened.
+//! Requests that stop servers: one canary at a time, and no quarantine weakened.
 
 use quickcheck::TestResult;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::digest::Digest;
-use wagtailbeam_decision::suspect::Judge;
+use wagtailbeam_decision::suspect::Arbiter;
 use wagtailbeam_decision::suspect::Ruling;
 use wagtailbeam_decision::suspect::Standing;
 use wagtailbeam_decision::suspect::Table;
@@ -16,10 +16,10 @@
 
 fn one_canary_at_a_time(steps: Vec<Step>) -> TestResult {
     let fingerprint = Digest::of(b"request");
-    let (mut judge, mut table) = (Judge::default(), Table::default());
+    let (mut arbiter, mut table) = (Arbiter::default(), Table::default());
     let mut now = Time::from_us(1);
     let mut running: Option<u8> = None;
-    let mut convicted = false;
+    let mut quarantined = false;
     for (query, (kind, host)) in steps.into_iter().enumerate() {
         now = now.after(Span::from_ms(1));
         let host = host % 4;
@@ -27,23 +27,23 @@
         let mut rulings = Vec::new();
         match kind % 6 {
             0 if running.is_some() => {
-                convicted = true;
+                quarantined = true;
                 running = None;
-                table.learn(now, fingerprint, Standing::Convicted);
-                judge.close(&fingerprint);
+                table.learn(now, fingerprint, Standing::Quarantined);
+                arbiter.close(&fingerprint);
             }
             1 if running.is_some() => {
                 running = None;
-                rulings.extend(judge.pass_on(now, &fingerprint));
+                rulings.extend(arbiter.pass_on(now, &fingerprint));
             }
             2 => {
                 running = running.filter(|holder| *holder != host);
-                rulings.extend(judge.lose(now, &name(host)));
+                rulings.extend(arbiter.lose(now, &name(host)));
             }
             3 => drop(table.learn(now, fingerprint, Standing::Suspect)),
             _ => {
                 let from = (name(host), query as u64);
-                let ruling = judge.ask(now, &table, fingerprint, from.clone());
+                let ruling = arbiter.ask(now, &table, fingerprint, from.clone());
                 rulings.extend(ruling.map(|ruling| (from, ruling)));
             }
         }
@@ -51,7 +51,7 @@
             if ruling != Ruling::Go {
                 continue;
             }
-            if running.is_some() || convicted {
+            if running.is_some() || quarantined {
                 return TestResult::error(format!("a second canary at {holder}"));
             }
             running = holder
@@ -59,15 +59,15 @@
                 .next()
                 .and_then(|number| number.parse().ok());
         }
-        if convicted && table.standing(now, &fingerprint) != Some(Standing::Convicted) {
-            return TestResult::error("a conviction was weakened");
+        if quarantined && table.standing(now, &fingerprint) != Some(Standing::Quarantined) {
+            return TestResult::error("a quarantine was weakened");
         }
     }
     TestResult::passed()
 }
 
 #[test]
-fn one_canary_runs_at_a_time_and_none_after_conviction() {
+fn one_canary_runs_at_a_time_and_none_after_quarantine() {
     check(
         51,
         200,
--- a/fakes/examples/load.rs
+++ b/fakes/examples/load.rs
@@ -2,7 +2,6 @@
 //! beside its baseline. Run it after `cargo build --release --workspace`.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -270,24 +269,11 @@
 fn services(clusters: &[Cluster], variant: &Variant, service: Service) -> Vec<fleet::Service> {
     let budget = if variant.hedge { "0.05" } else { "0" };
     let (name, _, priority) = service;
-    let service = |cluster: &Cluster| {
-        let addresses = cluster
-            .servers
-            .iter()
-            .map(|server| server.address)
-            .collect::<Vec<_>>();
-        fleet::Service {
-            name: name.to_owned(),
-            lines: format!(
-                "slots = 2\nconnections = 25\nwarmup = 3s\ncold_limit = 1\ndeadline = 500ms\n\
-                 priority = {priority}\nhedge_budget = {budget}\n"
-            ),
-            shards: addresses
-                .chunks(REPLICAS)
-                .map(<[SocketAddr]>::to_vec)
-                .collect(),
-        }
-    };
+    let lines = format!(
+        "slots = 2\nconnections = 25\nwarmup = 3s\ncold_limit = 1\ndeadline = 500ms\n\
+         priority = {priority}\nhedge_budget = {budget}\n"
+    );
+    let service = |cluster: &Cluster| fleet::Service::of(name, &lines, cluster, REPLICAS);
     clusters.iter().map(service).collect()
 }
 
--- a/fakes/examples/tour.rs
+++ b/fakes/examples/tour.rs
@@ -33,16 +33,12 @@
         daemons.push(fleet::Embedded::start(config));
     }
     println!("{} daemons, the first 3 of them voters", hosts.len());
-    let addresses = cluster
-        .servers
-        .iter()
-        .map(|server| server.address)
-        .collect::<Vec<_>>();
-    let service = fleet::Service {
-        name: "desk-gate".to_owned(),
-        lines: "slots = 2\nconnections = 25\nwarmup = 0s\n".to_owned(),
-        shards: addresses.chunks(REPLICAS).map(<[_]>::to_vec).collect(),
-    };
+    let service = fleet::Service::of(
+        "desk-gate",
+        "slots = 2\nconnections = 25\nwarmup = 0s\n",
+        &cluster,
+        REPLICAS,
+    );
     let file = fleet::file(1, &[service], &["airline-one"], &[]);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/fakes/src/fleet.rs
+++ b/fakes/src/fleet.rs
@@ -13,6 +13,7 @@
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
 
+use crate::backend::Cluster;
 use crate::port;
 
 /// Key of the operators of a development fleet.
@@ -163,6 +164,22 @@
     pub shards: Vec<Vec<SocketAddr>>,
 }
 
+impl Service {
+    /// A service whose shards have `replicas` following servers of `cluster` each.
+    pub fn of(name: &str, lines: &str, cluster: &Cluster, replicas: usize) -> Service {
+        let addresses = cluster
+            .servers
+            .iter()
+            .map(|server| server.address)
+            .collect::<Vec<_>>();
+        Service {
+            name: name.to_owned(),
+            lines: lines.to_owned(),
+            shards: addresses.chunks(replicas).map(<[_]>::to_vec).collect(),
+        }
+    }
+}
+
 /// The operators' file of a development fleet; `out` names the failure domains out.
 pub fn file(version: u64, services: &[Service], callers: &[&str], out: &[&str]) -> String {
     let mut text = format!("[manifest]\nversion = {version}\n");
