--- a/bins/tests/processes/path.rs
+++ b/bins/tests/processes/path.rs
@@ -58,6 +58,7 @@
     fleet.wait_ready(CALLER, "/desk-gate/eligibility", SHARDS as u64);
     check_query(&fleet);
     check_job(&fleet, &cluster);
+    check_refusals(&fleet);
     check_rolling_stop(&mut fleet);
 }
 
@@ -95,6 +96,50 @@
     assert_eq!(fleet.ask(0, &other).status, 422);
 }
 
+/// Each fault of a request has its own answer, and none of them ran.
+fn check_refusals(fleet: &Fleet) {
+    let key = fleet::caller_key(CALLER);
+    let with = |name: &str, value: &str| {
+        let mut ask = caller::get(&key, "/desk-gate/x");
+        ask.headers.push((name.to_owned(), value.to_owned()));
+        ask
+    };
+    let mut keyless = caller::post(&key, "/desk-gate/x", "k", "{}");
+    keyless.headers.clear();
+    let large = "x".repeat(1024 * 1024 + 1);
+    let cases = [
+        (caller::get("nobody", "/desk-gate/x"), 401, "unknown-caller"),
+        (caller::get(&key, "/nothing/x"), 404, "unknown-service"),
+        (keyless, 400, "missing-key"),
+        (
+            caller::post(&key, "/desk-gate/x", &"k".repeat(257), "{}"),
+            400,
+            "key-too-long",
+        ),
+        (
+            caller::post(&key, "/desk-gate/x", "large", &large),
+            413,
+            "body-too-large",
+        ),
+        (with("wagtailbeam-shards", "00,99"), 400, "unknown-shard"),
+        (with("wagtailbeam-deadline-ms", "soon"), 400, "bad-deadline"),
+    ];
+    for (ask, status, title) in cases {
+        let answer = fleet.ask(4, &ask);
+        let json = answer.json();
+        assert_eq!(
+            (answer.status, json["title"].as_str()),
+            (status, Some(title)),
+            "{json}"
+        );
+        assert_eq!(
+            answer.header("content-type"),
+            Some("application/problem+json")
+        );
+        assert_eq!(json["ran"], "no");
+    }
+}
+
 /// Callers go on asking daemons that are ready while each one is stopped in turn.
 fn check_rolling_stop(fleet: &mut Fleet) {
     let key = fleet::caller_key(CALLER);
