--- a/decision/examples/slopes.rs
+++ b/decision/examples/slopes.rs
@@ -12,6 +12,7 @@
 use wagtailbeam_decision::job::Token;
 use wagtailbeam_decision::lease::Confirm;
 use wagtailbeam_decision::lease::Lease;
+use wagtailbeam_decision::lease::Poll;
 use wagtailbeam_decision::manifest::Hedge;
 use wagtailbeam_decision::manifest::Limits;
 use wagtailbeam_decision::manifest::Manifest;
@@ -63,6 +64,14 @@
 }
 
 fn membership() {
+    let poll = Poll {
+        member: member(3_699),
+        sent: Time::from_us(86_400_000_000),
+    };
+    println!(
+        "poll: {} bytes",
+        postcard::to_stdvec(&poll).map_or(0, |bytes| bytes.len())
+    );
     for daemons in [8, 64, 512, 3_700] {
         let members = (0..daemons).map(member).collect::<Vec<_>>();
         let mut roster = Roster::new(Time::default());
--- a/decision/src/proposal.rs
+++ b/decision/src/proposal.rs
@@ -95,16 +95,7 @@
         let Some(voter) = &mut self.voter else {
             return self.hand_back(now, origin, Decision::Unknown, out);
         };
-        let change_sent = Change::Read;
-        let proposal = Proposal {
-            origin,
-            key,
-            change: change_sent,
-            tries: 0,
-            retry_at: now,
-            started: now,
-        };
-        self.proposals.insert(ticket, proposal);
+        self.tickets.insert(ticket, origin);
         let actions = voter.propose(now, ticket, key, change);
         self.voter_actions(now, actions, out);
     }
@@ -174,8 +165,8 @@
                     }
                 }
                 voter::Action::Decided(ticket, decision) => {
-                    if let Some(proposal) = self.proposals.remove(&ticket) {
-                        self.hand_back(now, proposal.origin, decision, out);
+                    if let Some(origin) = self.tickets.remove(&ticket) {
+                        self.hand_back(now, origin, decision, out);
                     }
                 }
             }
@@ -184,11 +175,10 @@
 
     /// Tries unanswered proposals at the next voter, and gives old ones up.
     pub(crate) fn retry_proposals(&mut self, now: Time, out: &mut Vec<Action>) {
-        let own = |proposal: &&Proposal| !matches!(proposal.origin, Origin::Remote(..));
         let due = self
             .proposals
             .iter()
-            .filter(|(_, proposal)| own(proposal) && proposal.retry_at <= now);
+            .filter(|(_, proposal)| proposal.retry_at <= now);
         for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(proposal) = self.proposals.get_mut(&id) else {
                 continue;
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -6,7 +6,6 @@
 use crate::voter::Action;
 use crate::voter::Body;
 use crate::voter::Cell;
-use crate::voter::Held;
 use crate::voter::Id;
 use crate::voter::Incarnation;
 use crate::voter::Letter;
@@ -207,14 +206,7 @@
         let cells = std::mem::take(&mut self.repair.cells);
         let mut actions = vec![self.persist(Record::Reset)];
         for (key, cell) in cells {
-            self.cells.insert(
-                key,
-                Held {
-                    cell: cell.clone(),
-                    touched: now,
-                },
-            );
-            actions.push(self.persist(Record::Cell(key, cell)));
+            actions.push(self.put(now, key, cell));
         }
         for id in self.others() {
             let known = self.known[usize::from(id)];
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -463,6 +463,16 @@
         self.known.iter().zip(theirs).any(differs)
     }
 
+    /// Takes a cell and has it written.
+    pub(crate) fn put(&mut self, now: Time, key: Key, cell: Cell) -> Action {
+        let held = Held {
+            cell: cell.clone(),
+            touched: now,
+        };
+        self.cells.insert(key, held);
+        self.persist(Record::Cell(key, cell))
+    }
+
     fn prepare(
         &mut self,
         now: Time,
@@ -486,14 +496,7 @@
         let mut actions = Vec::new();
         if cell.promised < ballot {
             cell.promised = ballot;
-            self.cells.insert(
-                key,
-                Held {
-                    cell: cell.clone(),
-                    touched: now,
-                },
-            );
-            actions.push(self.persist(Record::Cell(key, cell)));
+            actions.push(self.put(now, key, cell));
         }
         actions.extend(self.post(from, Body::Promise(key, ballot, accepted)));
         actions
@@ -523,14 +526,7 @@
             promised: ballot,
             accepted: Some(value),
         };
-        self.cells.insert(
-            key,
-            Held {
-                cell: cell.clone(),
-                touched: now,
-            },
-        );
-        let mut actions = vec![self.persist(Record::Cell(key, cell))];
+        let mut actions = vec![self.put(now, key, cell)];
         actions.extend(self.post(from, Body::Accepted(key, ballot)));
         actions
     }
