--- a/adapter/src/cli.rs
+++ b/adapter/src/cli.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 use clap::Arg;
@@ -13,6 +14,7 @@
 use clap::Command;
 use clap::value_parser;
 use serde::Serialize;
+use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tracing_subscriber::EnvFilter;
 use wagtailbeam_decision::burn::Ledger;
@@ -23,11 +25,20 @@
 use crate::admin::Applied;
 use crate::client::Client;
 use crate::client::Error;
+use crate::dialect::Dialect;
+use crate::entry;
+use crate::host::Role;
+use crate::host::Settings;
 use crate::node;
+use crate::node::SignalSnafu;
 use crate::report::Report;
 use crate::settings::Config;
 use crate::settings::Format;
+use crate::signal;
+use crate::signal::Signal;
 use crate::status::Status;
+use crate::trail;
+use crate::voter;
 
 /// Exit code of success.
 pub const EXIT_OK: u8 = 0;
@@ -62,10 +73,24 @@
             Arg::new("settings")
                 .long("settings")
                 .value_name("FILE")
-                .required(true)
+                .required_unless_present("settings-from")
                 .value_parser(value_parser!(PathBuf))
                 .help("INI file with the settings of this host"),
         )
+        .arg(
+            Arg::new("settings-from")
+                .long("settings-from")
+                .value_name("VARIABLE")
+                .conflicts_with("settings")
+                .help("Environment variable that holds the path of the settings"),
+        )
+        .arg(
+            Arg::new("discover")
+                .long("discover")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("format")
+                .help("Run in a tier whose voters, entry hosts and replicas are discovered"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -172,12 +197,16 @@
 }
 
 /// Runs the daemon.
-pub fn daemon_main() -> ExitCode {
+pub fn daemon_main(dialect: Arc<dyn Dialect>) -> ExitCode {
     let matches = daemon_command().get_matches();
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+    let Some(path) = settings_path(&matches) else {
+        eprintln!("no settings are named");
         return EXIT_FAULTY.into();
     };
-    let config = match Config::load(path) {
+    if matches.get_flag("discover") {
+        return discover(path, matches.get_flag("check"), dialect);
+    }
+    let config = match Config::load(&path) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("{error}");
@@ -202,6 +231,41 @@
     }
 }
 
+fn settings_path(matches: &ArgMatches) -> Option<PathBuf> {
+    let named = matches.get_one::<PathBuf>("settings").cloned();
+    let variable = matches.get_one::<String>("settings-from");
+    named.or_else(|| variable.and_then(std::env::var_os).map(PathBuf::from))
+}
+
+/// Runs a process of a tier with discovered hosts.
+fn discover(path: PathBuf, check: bool, dialect: Arc<dyn Dialect>) -> ExitCode {
+    let settings = match Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return EXIT_FAULTY.into();
+        }
+    };
+    if check {
+        let name = &settings.name;
+        println!("{}: settings of host {name} are usable", path.display());
+        return EXIT_OK.into();
+    }
+    let guard = trail::start(&settings.log_filter);
+    let result = block_on(async {
+        let signals = signal::receive().context(SignalSnafu)?;
+        match settings.role {
+            Role::Entry => entry::run(path, settings, dialect, signals).await,
+            Role::Voter => voter::run(path, settings, dialect, signals).await,
+        }
+    });
+    drop(guard);
+    match result {
+        Ok(result) => finish(result),
+        Err(error) => finish(Err(error)),
+    }
+}
+
 fn finish<E: std::fmt::Display>(result: std::result::Result<(), E>) -> ExitCode {
     match result {
         Ok(()) => EXIT_OK.into(),
@@ -225,27 +289,18 @@
 
 async fn serve(config: Config) -> node::Result<()> {
     let sockets = node::Sockets::bind(&config).await?;
+    let mut signals = signal::receive().context(SignalSnafu)?;
     let (stop, stopped) = oneshot::channel();
     tokio::spawn(async move {
-        if terminated().await.is_ok() {
-            stop.send(()).unwrap_or_default();
+        while let Some(signal) = signals.recv().await {
+            if signal == Signal::Stop {
+                return stop.send(()).unwrap_or_default();
+            }
         }
     });
     node::run(config, sockets, stopped).await
 }
 
-async fn terminated() -> std::io::Result<()> {
-    use tokio::signal::unix::SignalKind;
-    use tokio::signal::unix::signal;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Runs the operators' client.
 pub fn client_main() -> ExitCode {
     let matches = client_command().get_matches();
--- /dev/null
+++ b/adapter/src/entry.rs
@@ -0,0 +1,587 @@
+//! The loop of an entry host in a tier with discovered hosts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::endpoint::Ending;
+use wagtailbeam_decision::endpoint::Ticket;
+use wagtailbeam_decision::feed::Message;
+use wagtailbeam_decision::feed::Subscriber;
+use wagtailbeam_decision::feed::Update;
+use wagtailbeam_decision::gateway;
+use wagtailbeam_decision::gateway::Action;
+use wagtailbeam_decision::gateway::Answer;
+use wagtailbeam_decision::gateway::Call;
+use wagtailbeam_decision::gateway::Event;
+use wagtailbeam_decision::gateway::Exchange;
+use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::gateway::Refusal;
+
+use crate::dialect::Dialect;
+use crate::host::Settings;
+use crate::http;
+use crate::ingress;
+use crate::ingress::Ingress;
+use crate::ingress::Passed;
+use crate::ingress::Reply;
+use crate::ingress::View;
+use crate::mesh;
+use crate::mesh::Mesh;
+use crate::mesh::News;
+use crate::meter;
+use crate::meter::Registered;
+use crate::node::BindSnafu;
+use crate::node::MeterSnafu;
+use crate::node::Result;
+use crate::pool;
+use crate::pool::Failure;
+use crate::pool::Pool;
+use crate::pool::Response;
+use crate::pool::Terms;
+use crate::signal::Signal;
+use crate::trail::Outcome;
+use crate::trail::Trail;
+
+/// Events waiting for the loop at most, for each of its sources.
+const CHANNEL_MAX: usize = 8_192;
+
+/// Largest answer of a replica, in bytes.
+const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time from the sending of a request by a caller to its arrival here, and from an
+/// answer here to its arrival there.
+const CALLER_MARGIN: Span = Span::from_ms(10);
+
+/// Time between two looks at the gauges and the settings file.
+const HOUSEKEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// A request that waits for its answer.
+struct Pending {
+    passed: Arc<Passed>,
+    answer: oneshot::Sender<Reply>,
+    since: Instant,
+}
+
+struct Sources {
+    callers: mpsc::Receiver<ingress::Report>,
+    backends: mpsc::Receiver<pool::Report<Ticket>>,
+    peers: mpsc::Receiver<mesh::Report>,
+    signals: mpsc::Receiver<Signal>,
+}
+
+struct Host {
+    settings: Settings,
+    path: PathBuf,
+    dialect: Arc<dyn Dialect>,
+    origin: Instant,
+    gateway: Gateway,
+    subscriber: Subscriber,
+    mesh: Mesh,
+    pool: Pool<Ticket>,
+    pending: HashMap<u64, Pending>,
+    calls: HashMap<Ticket, (Arc<Passed>, SocketAddr)>,
+    relayed: Option<(Ticket, Response)>,
+    view: watch::Sender<View>,
+    trail: Trail,
+    meter: meter::Entry,
+    fresh: bool,
+    leaving: Option<Instant>,
+    fleet_read: Option<Time>,
+    hosts: usize,
+}
+
+/// Runs an entry host until it is told to stop and its work is finished.
+pub async fn run(
+    path: PathBuf,
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    signals: mpsc::Receiver<Signal>,
+) -> Result<()> {
+    let bind = async |address| {
+        TcpListener::bind(address)
+            .await
+            .context(BindSnafu { address })
+    };
+    let callers = bind(settings.callers).await?;
+    let ready = bind(settings.ready).await?;
+    let peer = bind(settings.peer).await?;
+    let registered = Arc::new(Registered::new().context(MeterSnafu)?);
+    if let Some(address) = settings.metrics {
+        let listener = bind(address).await?;
+        tokio::spawn(meter::listen(listener, registered.clone()));
+    }
+    let (view, seen) = watch::channel(View::default());
+    let (caller_reports, caller_events) = mpsc::channel(CHANNEL_MAX);
+    let (backend_reports, backend_events) = mpsc::channel(CHANNEL_MAX);
+    let ingress = Ingress {
+        view: seen.clone(),
+        reports: caller_reports,
+        dialect: dialect.clone(),
+        last: AtomicU64::new(0),
+    };
+    tokio::spawn(ingress::listen(callers, Arc::new(ingress)));
+    tokio::spawn(answer_readiness(ready, seen, dialect.clone()));
+    let (mesh, peers) = Mesh::open(settings.peer, peer);
+    let origin = Instant::now();
+    let seed = rand::random();
+    let gateway = Gateway::new(gateway::Settings {
+        address: settings.peer,
+        extra: settings.extra,
+        cold_overage: settings.cold_overage,
+        cold_slack: settings.cold_slack,
+        margin: CALLER_MARGIN,
+        list_lag: settings.list_lag,
+        seed,
+    });
+    tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
+    let mut host = Host {
+        gateway,
+        subscriber: Subscriber::new(Time::default(), settings.seed_peers(), seed),
+        mesh,
+        pool: Pool::new(backend_reports, ANSWER_MAX_BYTES),
+        pending: HashMap::new(),
+        calls: HashMap::new(),
+        relayed: None,
+        view,
+        trail: Trail::default(),
+        meter: meter::Entry::new(&registered),
+        fresh: false,
+        leaving: None,
+        fleet_read: None,
+        hosts: 0,
+        settings,
+        path,
+        dialect,
+        origin,
+    };
+    let sources = Sources {
+        callers: caller_events,
+        backends: backend_events,
+        peers,
+        signals,
+    };
+    host.turn(sources).await;
+    tracing::info!(event = 102, host = %host.settings.name, "daemon stopped");
+    Ok(())
+}
+
+/// Answers the balancer's question whether callers should be sent here.
+async fn answer_readiness(
+    listener: TcpListener,
+    view: watch::Receiver<View>,
+    dialect: Arc<dyn Dialect>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a readiness check could not be accepted");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let (view, dialect) = (view.clone(), dialect.clone());
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let known = dialect.is_readiness(request.uri().path());
+            let reply = match (known, view.borrow().ready) {
+                (false, _) => http::text(StatusCode::NOT_FOUND, "no such page\n"),
+                (true, true) => http::text(StatusCode::OK, "ready\n"),
+                (true, false) => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            };
+            async move { Ok::<_, std::convert::Infallible>(reply) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a readiness check broke");
+            }
+        });
+    }
+}
+
+impl Host {
+    fn now(&self) -> Time {
+        Time::from_us(self.origin.elapsed().as_micros() as u64)
+    }
+
+    async fn turn(&mut self, mut sources: Sources) {
+        let mut housekeep_at = Instant::now();
+        loop {
+            let timer = self.wake_at().min(housekeep_at);
+            tokio::select! {
+                biased;
+                () = tokio::time::sleep_until(timer.into()) => {}
+                Some(report) = sources.backends.recv() => self.backend(report),
+                Some(report) = sources.peers.recv() => self.peer(report),
+                Some(report) = sources.callers.recv() => self.caller(report),
+                Some(signal) = sources.signals.recv() => self.signal(signal),
+            }
+            self.tick();
+            if housekeep_at <= Instant::now() {
+                self.housekeep();
+                housekeep_at = Instant::now() + HOUSEKEEP_EVERY;
+            }
+            self.show();
+            if self.is_finished() {
+                return;
+            }
+        }
+    }
+
+    fn wake_at(&self) -> Instant {
+        let next = self.gateway.next_timer().into_iter();
+        let next = next.chain([self.subscriber.next_timer()]).min();
+        let next = next.unwrap_or_default();
+        let wake = self.origin + Duration::from_micros(next.as_us());
+        match self.leaving {
+            Some(_) => wake.min(Instant::now() + Duration::from_millis(20)),
+            None => wake,
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let leaving = self.leaving.is_some();
+        if let Some((voter, beat)) = self.subscriber.tick(now, leaving) {
+            self.mesh.send(voter, Message::Beat(beat));
+        }
+        if self.gateway.next_timer().is_some_and(|at| at <= now) {
+            self.step(Event::Tick);
+        }
+        let fresh = self.subscriber.is_fresh(now);
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            let voter = self.subscriber.voter().map(|voter| voter.to_string());
+            match fresh {
+                true => tracing::info!(event = 714, voter, "voters regained"),
+                false => tracing::warn!(event = 715, voter, "voters lost"),
+            }
+        }
+    }
+
+    fn housekeep(&mut self) {
+        let version = self.gateway.catalog().version;
+        let age = self.fleet_read.map(|read| self.now().since(read));
+        let age_s = age.unwrap_or_default().as_us() as f64 / 1e6;
+        self.meter
+            .observe(version, age_s, self.hosts, self.pool.open());
+        self.reload();
+    }
+
+    /// Reads the settings again if they changed.
+    fn reload(&mut self) {
+        match Settings::load(&self.path) {
+            Ok(settings) if settings != self.settings => {
+                self.subscriber.reseed(settings.seed_peers());
+                self.settings = settings;
+                tracing::info!(event = 720, "settings reloaded");
+            }
+            Ok(_) => {}
+            Err(error) => tracing::error!(event = 721, %error, "settings not reloaded"),
+        }
+    }
+
+    fn show(&self) {
+        let known = self.gateway.catalog().version > 0 && self.gateway.replicas() > 0;
+        let leaving = self.leaving.is_some();
+        let drain = Duration::from_micros(self.settings.drain.as_us());
+        let view = View {
+            ready: known && !leaving,
+            leaving,
+            closing: self.leaving.is_some_and(|since| since.elapsed() >= drain),
+            limits: self.gateway.catalog().limits,
+        };
+        self.view.send_if_modified(|shown| {
+            if shown.ready != view.ready {
+                tracing::info!(event = 716, ready = view.ready, "readiness changed");
+            }
+            std::mem::replace(shown, view) != view
+        });
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(since) = self.leaving else {
+            return false;
+        };
+        let drain = Duration::from_micros(self.settings.drain.as_us());
+        let longest = Duration::from_micros(self.settings.stop_max.as_us());
+        let idle = self.pending.is_empty() && self.view.receiver_count() <= 2;
+        since.elapsed() >= longest || idle && since.elapsed() >= drain + Duration::from_millis(50)
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        match signal {
+            Signal::Stop if self.leaving.is_none() => {
+                tracing::info!(event = 101, host = %self.settings.name, "stop requested");
+                self.leaving = Some(Instant::now());
+            }
+            Signal::Stop => {}
+            Signal::Reload => self.reload(),
+        }
+    }
+
+    fn peer(&mut self, report: mesh::Report) {
+        let now = self.now();
+        match self.mesh.take(report) {
+            News::Message(from, Message::Feed(feed)) => {
+                let update = self.subscriber.take(now, from, *feed);
+                self.update(update);
+            }
+            News::Lost(address) if Some(address) == self.subscriber.voter() => {
+                self.subscriber.turn(now);
+            }
+            News::Message(..) | News::Lost(_) | News::Nothing => {}
+        }
+    }
+
+    fn update(&mut self, update: Update) {
+        if let Some((version, document)) = update.document {
+            match self.dialect.catalog(&document) {
+                Ok(catalog) => {
+                    tracing::info!(event = 710, version, "configuration in force");
+                    self.step(Event::Catalog(Arc::new(catalog)));
+                }
+                Err(fault) => {
+                    tracing::error!(event = 711, version, %fault, "configuration not understood");
+                }
+            }
+        }
+        if let Some(closed) = update.closed {
+            tracing::info!(event = 713, ?closed, "failure domains out of service");
+            self.step(Event::Closed(closed));
+        }
+        if let Some((fleet, read)) = update.fleet {
+            let age_ms = self.now().since(read).as_ms();
+            let replicas = fleet.replicas.len();
+            tracing::info!(event = 712, replicas, age_ms, "list changed");
+            self.fleet_read = Some(read);
+            self.step(Event::Fleet(fleet, read));
+        }
+        if let Some(hosts) = update.hosts {
+            self.hosts = hosts.len();
+            tracing::info!(event = 717, hosts = self.hosts, "entry hosts changed");
+            self.step(Event::Hosts(hosts));
+        }
+    }
+
+    fn caller(&mut self, report: ingress::Report) {
+        match report {
+            ingress::Report::Request(id, passed, answer) => {
+                let request = gateway::Request {
+                    host: passed.host.clone(),
+                    path: passed.target.path().into(),
+                    left: passed.left,
+                    fresh: self.fresh,
+                };
+                let pending = Pending {
+                    passed,
+                    answer,
+                    since: Instant::now(),
+                };
+                self.pending.insert(id, pending);
+                self.step(Event::Request(id, request));
+            }
+            ingress::Report::Abandoned(id) => {
+                if let Some(pending) = self.pending.remove(&id) {
+                    let id = name_of(&pending.passed);
+                    self.trail.abandoned(id, pending.since.elapsed());
+                }
+                self.step(Event::Abandoned(id));
+            }
+        }
+    }
+
+    fn backend(&mut self, report: pool::Report<Ticket>) {
+        let Some((ticket, result)) = self.pool.take(report) else {
+            return;
+        };
+        let Some((passed, address)) = self.calls.remove(&ticket) else {
+            return;
+        };
+        let exchange = self.judge(&passed, address, ticket, result);
+        self.meter.ended(exchange.ending);
+        self.step(Event::Done(ticket, exchange));
+        self.relayed = None;
+    }
+
+    /// What the end of a call means.
+    fn judge(
+        &mut self,
+        passed: &Passed,
+        address: SocketAddr,
+        ticket: Ticket,
+        result: pool::Result,
+    ) -> Exchange {
+        let end = |ending| Exchange {
+            ending,
+            stamp: None,
+            body: Bytes::new(),
+        };
+        let response = match result {
+            Ok(response) => response,
+            Err(failure) => {
+                let cause = failure.to_string();
+                let id = name_of(passed);
+                self.trail.unanswered(id, &address.to_string(), &cause);
+                return match failure {
+                    Failure::Unreachable(_) => end(Ending::Unreachable),
+                    Failure::Stale => end(Ending::Stale),
+                    Failure::Broken(_) | Failure::TooLong => end(Ending::Broken),
+                };
+            }
+        };
+        let names = self.dialect.headers();
+        let echo = response.headers.get(&names.request);
+        if echo.is_some_and(|echo| *echo != passed.id) {
+            let cause = "answer to another request";
+            let id = name_of(passed);
+            self.trail.unanswered(id, &address.to_string(), cause);
+            return end(Ending::Broken);
+        }
+        if response.status == StatusCode::MISDIRECTED_REQUEST {
+            return end(Ending::Denied);
+        }
+        if response.headers.contains_key(&names.not_run) {
+            return end(Ending::Shed);
+        }
+        let stamp = http::header_text(&response.headers, names.stamp.as_str());
+        let stamp = stamp.map(Arc::<str>::from);
+        let body = response.body.clone();
+        let success = response.status.is_success();
+        if success && stamp.is_none() {
+            return end(Ending::Broken);
+        }
+        self.relayed = Some((ticket, response));
+        match success {
+            true => Exchange {
+                ending: Ending::Answered,
+                stamp,
+                body,
+            },
+            false => end(Ending::Failed),
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now();
+        for action in self.gateway.step(now, event) {
+            match action {
+                Action::Send(call) => self.send(&call),
+                Action::Withdraw(ticket) => {
+                    self.calls.remove(&ticket);
+                    self.pool.abort(&ticket);
+                    self.meter.ended(Ending::Withdrawn);
+                }
+                Action::Answer(id, answer, report) => self.answer(id, answer, &report),
+                Action::Release(address) => self.pool.release(&address),
+                Action::Extra(id, service, replica, why) => {
+                    self.meter.extra(why);
+                    if let Some(pending) = self.pending.get(&id) {
+                        let id = name_of(&pending.passed);
+                        self.trail.extra(id, &service, &replica, why);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, call: &Call) {
+        let Some(pending) = self.pending.get(&call.request) else {
+            return tracing::error!(event = 791, request = call.request, "a call has no request");
+        };
+        let passed = pending.passed.clone();
+        let names = self.dialect.headers();
+        let mut request = Request::new(Full::new(passed.body.clone()));
+        *request.method_mut() = passed.method.clone();
+        *request.uri_mut() = passed.target.clone().into();
+        *request.headers_mut() = passed.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(names.deadline.clone(), call.left.as_ms().into());
+        match HeaderValue::from_str(&call.instance) {
+            Ok(instance) => drop(headers.insert(names.instance.clone(), instance)),
+            Err(error) => tracing::error!(event = 791, %error, "an instance is no header value"),
+        }
+        let terms = Terms {
+            address: call.address,
+            connections: call.connections,
+            careful: call.careful,
+        };
+        self.calls.insert(call.ticket, (passed, call.address));
+        self.pool.call(call.ticket, terms, request);
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer, report: &gateway::Report) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let (reply, outcome) = self.reply(answer);
+        self.trail
+            .answered(name_of(&pending.passed), outcome, report);
+        self.meter.answered(outcome, report);
+        if pending.answer.send(reply).is_err() {
+            tracing::debug!(request = id, "the caller left as it was answered");
+        }
+    }
+
+    fn reply(&mut self, answer: Answer) -> (Reply, Outcome) {
+        match answer {
+            Answer::Relay(ticket) => match self.relayed.take() {
+                Some((held, response)) if held == ticket => {
+                    (Reply::Relay(response), Outcome::Relayed)
+                }
+                _ => (Reply::Refused(Refusal::Failed, None), Outcome::Failed),
+            },
+            Answer::Merged {
+                stamps,
+                missing,
+                body,
+            } => {
+                let reply = Reply::Merged {
+                    stamps: stamps.join(", "),
+                    missing,
+                    body,
+                };
+                let complete = missing == 0;
+                let outcome = if complete {
+                    Outcome::Complete
+                } else {
+                    Outcome::Partial
+                };
+                (reply, outcome)
+            }
+            Answer::Refused(refusal, wait) => {
+                let outcome = match refusal {
+                    Refusal::NoRoute => Outcome::NoRoute,
+                    Refusal::NotRun => Outcome::NotRun,
+                    Refusal::Failed => Outcome::Failed,
+                    Refusal::Timeout => Outcome::Timeout,
+                };
+                (Reply::Refused(refusal, wait), outcome)
+            }
+        }
+    }
+}
+
+fn name_of(passed: &Passed) -> &str {
+    passed.id.to_str().unwrap_or("unprintable")
+}
--- a/adapter/src/event.rs
+++ b/adapter/src/event.rs
@@ -50,6 +50,9 @@
     /// The disk failed.
     #[display("disk failed")]
     DiskFailed,
+    /// A disk that refused writes takes them again.
+    #[display("disk regained")]
+    DiskRegained,
     /// A connection of another daemon was refused.
     #[display("peer refused")]
     PeerRefused,
@@ -66,7 +69,7 @@
 
 impl Event {
     /// All events in the order of their numbers.
-    pub const ALL: [Event; 18] = [
+    pub const ALL: [Event; 19] = [
         Event::Started,
         Event::Stopping,
         Event::Stopped,
@@ -81,6 +84,7 @@
         Event::Voter,
         Event::Members,
         Event::DiskFailed,
+        Event::DiskRegained,
         Event::PeerRefused,
         Event::PeerLost,
         Event::Applied,
@@ -104,6 +108,7 @@
             Event::Voter => 400,
             Event::Members => 410,
             Event::DiskFailed => 420,
+            Event::DiskRegained => 421,
             Event::PeerRefused => 500,
             Event::PeerLost => 501,
             Event::Applied => 600,
--- /dev/null
+++ b/adapter/src/host.rs
@@ -0,0 +1,290 @@
+//! Settings of a process in a tier with discovered hosts, read from an INI file
+//! and checked as a whole.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use snafu::ResultExt;
+use wagtailbeam_decision::allowance::Limit;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::ini::Document;
+use wagtailbeam_decision::ini::Fault;
+use wagtailbeam_decision::ini::Section;
+use wagtailbeam_decision::ini::plain;
+use wagtailbeam_decision::ini::span;
+use wagtailbeam_decision::ini::within;
+use wagtailbeam_decision::name::Name;
+
+use crate::settings::Error;
+use crate::settings::ReadSnafu;
+use crate::settings::Result;
+
+/// Sections of the file.
+const SECTIONS: &str = "host, listen, voters, list, extra, cold, stop, log";
+
+/// Most voters that may be lost.
+const LOSSES_MAX: u64 = 4;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Role {
+    /// It serves callers.
+    #[default]
+    Entry,
+    /// It keeps the replicated state and feeds the entry hosts.
+    Voter,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Host name, for logs.
+    pub name: Name,
+    /// Failure domain of the host.
+    pub domain: Name,
+    /// All failure domains.
+    pub domains: Vec<Name>,
+    /// What the process does.
+    pub role: Role,
+    /// Folder for state that must survive; needed by voters.
+    pub data: Option<PathBuf>,
+    /// Address for callers; needed by entry hosts.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks for readiness; needed by entry hosts.
+    pub ready: SocketAddr,
+    /// Address for operators; needed by voters.
+    pub operators: SocketAddr,
+    /// Address for other processes.
+    pub peer: SocketAddr,
+    /// Address for metrics.
+    pub metrics: Option<SocketAddr>,
+    /// Hosts of the first voters.
+    pub seeds: Vec<IpAddr>,
+    /// Port on which voters take messages of other processes.
+    pub voter_port: u16,
+    /// Whether the group of voters starts for the first time.
+    pub found: bool,
+    /// Voters that may be lost without losing state.
+    pub losses: u8,
+    /// Address of the platform's list of replicas.
+    pub list: SocketAddr,
+    /// Time by which the list may lag.
+    pub list_lag: Span,
+    /// Time between two reads of the list.
+    pub list_every: Span,
+    /// Limit on hedges and retries to one service, over all entry hosts.
+    pub extra: Limit,
+    /// Factor on the rate that a cold replica bears.
+    pub cold_overage: f64,
+    /// Requests a second that a cold replica bears beside that.
+    pub cold_slack: f64,
+    /// Time from a planned stop until no more connections are taken.
+    pub drain: Span,
+    /// Longest time of a planned stop.
+    pub stop_max: Span,
+    /// Log filter in the syntax of `tracing`.
+    pub log_filter: String,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            name: Name::default(),
+            domain: Name::default(),
+            domains: Vec::new(),
+            role: Role::Entry,
+            data: None,
+            callers: any,
+            ready: any,
+            operators: any,
+            peer: any,
+            metrics: None,
+            seeds: Vec::new(),
+            voter_port: 0,
+            found: false,
+            losses: 1,
+            list: any,
+            list_lag: Span::from_secs(1),
+            list_every: Span::from_ms(1_000),
+            extra: Limit::default(),
+            cold_overage: 1.0,
+            cold_slack: 0.0,
+            drain: Span::from_ms(2_200),
+            stop_max: Span::from_ms(5_500),
+            log_filter: "info".to_owned(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks the settings in `path`.
+    pub fn load(path: &Path) -> Result<Settings> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        Settings::parse(&text).map_err(|faults| Error::Faults {
+            path: path.to_owned(),
+            faults,
+        })
+    }
+
+    /// Reads settings from text.
+    pub fn parse(text: &str) -> std::result::Result<Settings, Vec<Fault>> {
+        let mut document = Document::parse(text);
+        let mut settings = Settings::default();
+        settings.read_host(&mut document);
+        settings.read_listen(&mut document);
+        settings.read_voters(&mut document);
+        settings.read_list(&mut document);
+        settings.read_limits(&mut document);
+        settings.read_stop(&mut document);
+        document.finish(Some(settings), SECTIONS)
+    }
+
+    /// Voters of the group.
+    pub fn voters(&self) -> u8 {
+        2 * self.losses + 1
+    }
+
+    /// Addresses at which the first voters take messages.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let peer = |host: &IpAddr| SocketAddr::from((*host, self.voter_port));
+        self.seeds.iter().map(peer).collect()
+    }
+
+    fn read_host(&mut self, document: &mut Document) {
+        let mut section = document.take_one("host");
+        let name = section.required(document, "name", "a host name", Name::parse);
+        let domain = section.required(document, "domain", "a failure domain", Name::parse);
+        let domains = section.optional(document, "domains", "names, split by commas", names);
+        let role = section.required(document, "role", "entry, voter", |text| match text {
+            "entry" => Some(Role::Entry),
+            "voter" => Some(Role::Voter),
+            _ => None,
+        });
+        let data = section.optional(document, "data", "a folder", |text| {
+            Some(PathBuf::from(text))
+        });
+        self.name = name.unwrap_or_default();
+        self.domain = domain.unwrap_or_default();
+        self.domains = domains.unwrap_or_default();
+        self.role = role.unwrap_or_default();
+        self.data = data;
+        if self.role == Role::Voter && self.data.is_none() {
+            document.fault(section.line, "[host] data", "a voter needs a data folder");
+        }
+        document.close(section, "name, domain, domains, role, data");
+    }
+
+    fn read_listen(&mut self, document: &mut Document) {
+        let mut section = document.take_one("listen");
+        self.peer = address(document, &mut section, "peer", self.peer);
+        match self.role {
+            Role::Entry => {
+                self.callers = address(document, &mut section, "callers", self.callers);
+                self.ready = address(document, &mut section, "ready", self.ready);
+            }
+            Role::Voter => {
+                self.operators = address(document, &mut section, "operators", self.operators);
+            }
+        }
+        self.metrics = section.optional(document, "metrics", ADDRESS, plain);
+        let allowed = match self.role {
+            Role::Entry => "peer, callers, ready, metrics",
+            Role::Voter => "peer, operators, metrics",
+        };
+        document.close(section, allowed);
+    }
+
+    fn read_voters(&mut self, document: &mut Document) {
+        let mut section = document.take_one("voters");
+        const HOSTS: &str = "addresses as IP or IP:PORT, split by commas";
+        let seeds = section.required(document, "seeds", HOSTS, hosts);
+        let port = section.required(document, "port", "1 to 65535", within(1, 65_535));
+        let losses = section.optional(document, "losses", "0 to 4", within(0, LOSSES_MAX));
+        let found = section.optional(document, "found", "true, false", plain::<bool>);
+        self.seeds = seeds.unwrap_or_default();
+        self.voter_port = port.unwrap_or_default() as u16;
+        self.losses = losses.map_or(self.losses, |losses| losses as u8);
+        self.found = found.unwrap_or_default();
+        document.close(section, "seeds, port, losses, found");
+    }
+
+    fn read_list(&mut self, document: &mut Document) {
+        let mut section = document.take_one("list");
+        self.list = address(document, &mut section, "address", self.list);
+        let lag = section.optional(document, "lag", "a time such as 800ms", span);
+        let every = section.optional(document, "every", "a time such as 1s", span);
+        self.list_lag = lag.unwrap_or(self.list_lag);
+        self.list_every = every.unwrap_or(self.list_every);
+        document.close(section, "address, lag, every");
+    }
+
+    fn read_limits(&mut self, document: &mut Document) {
+        let mut section = document.take_one("extra");
+        let ratio = section.optional(document, "ratio", AMOUNT, amount);
+        let slack = section.optional(document, "slack", AMOUNT, amount);
+        let window = section.optional(document, "window", "a time such as 10s", span);
+        let base = self.extra;
+        self.extra = Limit {
+            ratio: ratio.unwrap_or(base.ratio),
+            slack: slack.unwrap_or(base.slack),
+            window: window.unwrap_or(base.window),
+        };
+        document.close(section, "ratio, slack, window");
+        let mut section = document.take_one("cold");
+        let overage = section.optional(document, "overage", AMOUNT, amount);
+        let slack = section.optional(document, "slack", AMOUNT, amount);
+        self.cold_overage = overage.unwrap_or(self.cold_overage);
+        self.cold_slack = slack.unwrap_or(self.cold_slack);
+        document.close(section, "overage, slack");
+    }
+
+    fn read_stop(&mut self, document: &mut Document) {
+        let mut section = document.take_one("stop");
+        let drain = section.optional(document, "drain", "a time such as 2s", span);
+        let longest = section.optional(document, "longest", "a time such as 6s", span);
+        self.drain = drain.unwrap_or(self.drain);
+        self.stop_max = longest.unwrap_or(self.stop_max);
+        document.close(section, "drain, longest");
+        let mut section = document.take_one("log");
+        let filter = section.optional(document, "filter", "a tracing filter", |text| {
+            let parsed = text.parse::<tracing_subscriber::filter::EnvFilter>();
+            parsed.is_ok().then(|| text.to_owned())
+        });
+        self.log_filter = filter.unwrap_or_else(|| self.log_filter.clone());
+        document.close(section, "filter");
+    }
+}
+
+const ADDRESS: &str = "an address as IP:PORT";
+
+const AMOUNT: &str = "a number, 0 or more";
+
+fn address(
+    document: &mut Document,
+    section: &mut Section,
+    key: &str,
+    or: SocketAddr,
+) -> SocketAddr {
+    section.required(document, key, ADDRESS, plain).unwrap_or(or)
+}
+
+fn amount(text: &str) -> Option<f64> {
+    plain::<f64>(text).filter(|amount| amount.is_finite() && *amount >= 0.0)
+}
+
+fn names(text: &str) -> Option<Vec<Name>> {
+    text.split(',')
+        .map(|part| Name::parse(part.trim()))
+        .collect()
+}
+
+fn hosts(text: &str) -> Option<Vec<IpAddr>> {
+    let host = |part: &str| match plain::<SocketAddr>(part.trim()) {
+        Some(address) => Some(address.ip()),
+        None => plain(part.trim()),
+    };
+    text.split(',').map(host).collect()
+}
--- /dev/null
+++ b/adapter/src/lister.rs
@@ -0,0 +1,121 @@
+//! Reads the platform's list of replicas.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::client::conn::http1;
+use hyper::header;
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wagtailbeam_decision::fleet::Fleet;
+
+use crate::dialect::Dialect;
+use crate::socket;
+
+/// Longest time for all pages.
+const READ_MAX: Duration = Duration::from_millis(1_400);
+
+/// Pages at most.
+const PAGES_MAX: usize = 200;
+
+/// Largest page, in bytes.
+const PAGE_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why the list can't be read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The platform can't be reached.
+    #[snafu(display("connection: {source}"))]
+    Connect {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The connection broke.
+    #[snafu(display("exchange: {source}"))]
+    Exchange {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// A page was refused.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// The status.
+        status: StatusCode,
+    },
+    /// A page can't be read.
+    #[snafu(display("page: {cause}"))]
+    Page {
+        /// The cause.
+        cause: String,
+    },
+    /// It took too long.
+    #[snafu(display("no whole list in time"))]
+    Late,
+}
+
+/// The list, or why it can't be read.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reads all pages; a list that can't be read whole is an error.
+pub async fn read(address: SocketAddr, dialect: Arc<dyn Dialect>) -> Result<(Fleet, usize)> {
+    match timeout(READ_MAX, read_pages(address, dialect)).await {
+        Ok(result) => result,
+        Err(_) => LateSnafu.fail(),
+    }
+}
+
+async fn read_pages(address: SocketAddr, dialect: Arc<dyn Dialect>) -> Result<(Fleet, usize)> {
+    let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
+    socket::tune(&stream).context(ConnectSnafu)?;
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .context(ExchangeSnafu)?;
+    tokio::spawn(async move {
+        if let Err(error) = driver.await {
+            tracing::debug!(%error, "the connection to the list ended");
+        }
+    });
+    let mut replicas = Vec::new();
+    let mut skipped = 0;
+    let mut token = None;
+    for _ in 0..PAGES_MAX {
+        let path = dialect.list_path(token.as_deref());
+        let request = Request::get(&path)
+            .header(header::HOST, address.to_string())
+            .body(Full::<Bytes>::default());
+        let request = request.map_err(|error| Error::Page {
+            cause: error.to_string(),
+        })?;
+        sender.ready().await.context(ExchangeSnafu)?;
+        let response = sender.send_request(request).await.context(ExchangeSnafu)?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return StatusSnafu { status }.fail();
+        }
+        let body = Limited::new(response.into_body(), PAGE_MAX_BYTES).collect();
+        let body = body.await.map_err(|error| Error::Page {
+            cause: error.to_string(),
+        })?;
+        let page = dialect
+            .page(&body.to_bytes())
+            .map_err(|cause| Error::Page { cause })?;
+        replicas.extend(page.replicas);
+        skipped += page.skipped;
+        token = page.next;
+        if token.is_none() {
+            return Ok((Fleet::new(replicas), skipped));
+        }
+    }
+    let cause = format!("more than {PAGES_MAX} pages");
+    PageSnafu { cause }.fail()
+}
--- /dev/null
+++ b/adapter/src/meter.rs
@@ -0,0 +1,220 @@
+//! Metrics of a tier with discovered hosts, through opentelemetry, served as text.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter as Factory;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use tokio::net::TcpListener;
+use wagtailbeam_decision::endpoint::Ending;
+use wagtailbeam_decision::gateway::Extra;
+use wagtailbeam_decision::gateway::Report;
+
+use crate::http;
+use crate::metric::Error;
+use crate::metric::Result;
+use crate::trail::Outcome;
+
+/// Upper edges of latency buckets, in seconds.
+const EDGES_S: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.08, 0.12, 0.2, 0.3, 0.5, 0.8, 2.0, 5.0,
+];
+
+/// Longest time to send a head.
+const HEAD_MAX: Duration = Duration::from_secs(10);
+
+/// The registry of one process, and what makes its instruments.
+pub struct Registered {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    factory: Factory,
+}
+
+impl Registered {
+    /// An empty registry.
+    pub fn new() -> Result<Registered> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        let exporter = exporter.map_err(|error| Error::new(&error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Registered {
+            registry,
+            factory: provider.meter("wagtailbeam"),
+            _provider: provider,
+        })
+    }
+
+    fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            tracing::warn!(%error, "metrics can't be written");
+        }
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
+
+/// Serves the metrics until the process ends.
+pub async fn listen(listener: TcpListener, registered: Arc<Registered>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a connection for metrics could not be accepted");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let registered = registered.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_| {
+                let text = registered.text();
+                async move { Ok::<_, Infallible>(http::text(StatusCode::OK, &text)) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_MAX)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a connection for metrics broke");
+            }
+        });
+    }
+}
+
+/// Instruments of an entry host.
+pub struct Entry {
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    calls: Counter<u64>,
+    extra: Counter<u64>,
+    parts_missing: Counter<u64>,
+    version: Gauge<u64>,
+    list_age: Gauge<f64>,
+    hosts: Gauge<u64>,
+    connections: Gauge<u64>,
+}
+
+impl Entry {
+    /// Instruments in this registry.
+    pub fn new(registered: &Registered) -> Entry {
+        let meter = &registered.factory;
+        let latency = meter.f64_histogram("wagtailbeam_request_duration").with_unit("s");
+        Entry {
+            requests: meter.u64_counter("wagtailbeam_requests").build(),
+            latency: latency.with_boundaries(EDGES_S.to_vec()).build(),
+            calls: meter.u64_counter("wagtailbeam_calls").build(),
+            extra: meter.u64_counter("wagtailbeam_calls_extra").build(),
+            parts_missing: meter.u64_counter("wagtailbeam_parts_missing").build(),
+            version: meter.u64_gauge("wagtailbeam_configuration_version").build(),
+            list_age: meter.f64_gauge("wagtailbeam_list_age").with_unit("s").build(),
+            hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
+            connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
+        }
+    }
+
+    /// A caller was answered.
+    pub fn answered(&self, outcome: Outcome, report: &Report) {
+        let route = report.route.as_deref().unwrap_or_default().to_owned();
+        let route = KeyValue::new("route", route);
+        let kind = KeyValue::new("outcome", outcome.to_string());
+        self.requests.add(1, &[route.clone(), kind]);
+        self.latency
+            .record(report.took.as_us() as f64 / 1e6, &[route]);
+        let missing = report.parts.saturating_sub(report.done) as u64;
+        if missing > 0 && outcome == Outcome::Partial {
+            self.parts_missing.add(missing, &[]);
+        }
+    }
+
+    /// A call ended.
+    pub fn ended(&self, ending: Ending) {
+        self.calls
+            .add(1, &[KeyValue::new("ending", ending.to_string())]);
+    }
+
+    /// A hedge or a retry was sent.
+    pub fn extra(&self, why: Extra) {
+        self.extra.add(1, &[KeyValue::new("why", why.to_string())]);
+    }
+
+    /// Brings the gauges up to date.
+    pub fn observe(&self, version: u64, list_age_s: f64, hosts: usize, connections: u32) {
+        self.version.record(version, &[]);
+        self.list_age.record(list_age_s, &[]);
+        self.hosts.record(hosts as u64, &[]);
+        self.connections.record(u64::from(connections), &[]);
+    }
+}
+
+/// Instruments of a voter.
+pub struct Voter {
+    orders: Counter<u64>,
+    reads: Counter<u64>,
+    messages: Counter<u64>,
+    syncs: Counter<u64>,
+    revision: Gauge<u64>,
+    quorum: Gauge<u64>,
+    list_age: Gauge<f64>,
+    hosts: Gauge<u64>,
+}
+
+impl Voter {
+    /// Instruments in this registry.
+    pub fn new(registered: &Registered) -> Voter {
+        let meter = &registered.factory;
+        Voter {
+            orders: meter.u64_counter("wagtailbeam_orders").build(),
+            reads: meter.u64_counter("wagtailbeam_list_reads").build(),
+            messages: meter.u64_counter("wagtailbeam_messages_sent").build(),
+            syncs: meter.u64_counter("wagtailbeam_syncs").build(),
+            revision: meter.u64_gauge("wagtailbeam_state_revision").build(),
+            quorum: meter.u64_gauge("wagtailbeam_majority").build(),
+            list_age: meter.f64_gauge("wagtailbeam_list_age").with_unit("s").build(),
+            hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
+        }
+    }
+
+    /// An operator was answered.
+    pub fn ordered(&self, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// The list was read, or not.
+    pub fn listed(&self, outcome: &'static str) {
+        self.reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A message was sent.
+    pub fn sent(&self) {
+        self.messages.add(1, &[]);
+    }
+
+    /// Records were synced.
+    pub fn synced(&self) {
+        self.syncs.add(1, &[]);
+    }
+
+    /// Brings the gauges up to date.
+    pub fn observe(&self, revision: u64, quorum: bool, list_age_s: f64, hosts: usize) {
+        self.revision.record(revision, &[]);
+        self.quorum.record(u64::from(quorum), &[]);
+        self.list_age.record(list_age_s, &[]);
+        self.hosts.record(hosts as u64, &[]);
+    }
+}
--- a/adapter/src/metric.rs
+++ b/adapter/src/metric.rs
@@ -26,6 +26,15 @@
     cause: String,
 }
 
+impl Error {
+    /// An error with this cause.
+    pub fn new(cause: &str) -> Error {
+        Error {
+            cause: cause.to_owned(),
+        }
+    }
+}
+
 /// A result of the metrics.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -25,16 +25,19 @@
 use wagtailbeam_decision::message::Addresses;
 use wagtailbeam_decision::message::Event;
 use wagtailbeam_decision::message::Identity;
+use wagtailbeam_decision::message::Message;
 use wagtailbeam_decision::query::Reply;
 use wagtailbeam_decision::register::Decision;
 use wagtailbeam_decision::request::Request;
-use wagtailbeam_decision::voter::Record;
 use wagtailbeam_decision::voter::Voter;
 
 use crate::admin;
 use crate::admin::Admin;
 use crate::backend;
-use crate::backend::Pool;
+use crate::backend::Backend;
+use crate::disk;
+use crate::disk::Order;
+use crate::disk::Trouble;
 use crate::event;
 use crate::front;
 use crate::front::Front;
@@ -67,6 +70,7 @@
 
 /// Why a daemon can't run.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// An address can't be bound.
     #[snafu(display("{address}: {source}"))]
@@ -82,6 +86,12 @@
         /// The cause.
         source: store::Error,
     },
+    /// Signals can't be received.
+    #[snafu(display("signals: {source}"))]
+    Signal {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// Metrics can't be set up.
     #[snafu(display("{source}"))]
     Meter {
@@ -121,19 +131,6 @@
     }
 }
 
-/// Orders to the disk task.
-enum Order {
-    Append(u64, Record),
-    Compact(Vec<Record>),
-}
-
-/// What the disk task tells the loop.
-enum Disk {
-    Synced(u64),
-    WantsCompaction,
-    Failed(store::Error),
-}
-
 /// Writes the first state of a new voter; refused where state exists.
 pub fn format(config: &Config) -> Result<()> {
     let position = config.voters.keys().position(|voter| *voter == config.host);
@@ -146,10 +143,10 @@
 
 struct Sources {
     backends: mpsc::Receiver<backend::Report>,
-    peers: mpsc::Receiver<peer::Report>,
+    peers: mpsc::Receiver<peer::Report<Message>>,
     callers: mpsc::Receiver<front::Report>,
     operators: mpsc::Receiver<admin::Report>,
-    disk: mpsc::Receiver<Disk>,
+    disk: mpsc::Receiver<disk::Report>,
     datagrams: Arc<UdpSocket>,
     stop: oneshot::Receiver<()>,
 }
@@ -164,8 +161,8 @@
     config: Config,
     origin: Instant,
     daemon: Daemon,
-    pool: Pool,
-    links: Links,
+    pool: Backend,
+    links: Links<Message>,
     datagrams: Arc<UdpSocket>,
     key: wire::Key,
     orders: Option<mpsc::UnboundedSender<Order>>,
@@ -230,7 +227,7 @@
         key: config.operator_key,
     };
     tokio::spawn(admin::listen(sockets.admin, Arc::new(admin)));
-    let orders = disk_task.map(|store| write_in_background(store, disk_reports));
+    let orders = disk_task.map(|store| disk::write_in_background(store, disk_reports, Trouble::Stop));
     let datagrams = Arc::new(sockets.datagrams);
     let sources = Sources {
         backends,
@@ -243,7 +240,7 @@
     };
     event::Event::Started.log(&format!("host {} domain {}", config.host, config.domain));
     let mut node = Node {
-        pool: Pool::new(backend_reports, config.answer_max),
+        pool: Backend::new(backend_reports, config.answer_max),
         links: Links::new(config.host.clone(), key.clone(), peer_reports),
         ledger: load_ledger(&config),
         metric: Metric::new().context(MeterSnafu)?,
@@ -267,55 +264,6 @@
     Ok(())
 }
 
-/// Appends and syncs on a thread of its own; ends when the orders' channel closes.
-fn write_in_background(
-    mut store: Store,
-    reports: mpsc::Sender<Disk>,
-) -> mpsc::UnboundedSender<Order> {
-    let (orders, mut waiting) = mpsc::unbounded_channel();
-    tokio::task::spawn_blocking(move || {
-        while let Some(first) = waiting.blocking_recv() {
-            let mut batch = vec![first];
-            while let Ok(order) = waiting.try_recv() {
-                batch.push(order);
-            }
-            if let Err(error) = write(&mut store, batch, &reports) {
-                drop(reports.blocking_send(Disk::Failed(error)));
-                return;
-            }
-        }
-    });
-    orders
-}
-
-fn write(store: &mut Store, batch: Vec<Order>, reports: &mpsc::Sender<Disk>) -> store::Result<()> {
-    let mut records = Vec::new();
-    let mut number = None;
-    for order in batch {
-        match order {
-            Order::Append(at, record) => {
-                records.push(record);
-                number = Some(at);
-            }
-            Order::Compact(snapshot) => {
-                store.append(&std::mem::take(&mut records))?;
-                store.compact(&snapshot)?;
-                event::Event::Compacted.log("");
-            }
-        }
-    }
-    if !records.is_empty() {
-        store.append(&records)?;
-    }
-    if let Some(number) = number {
-        drop(reports.blocking_send(Disk::Synced(number)));
-    }
-    if store.wants_compaction() {
-        drop(reports.blocking_send(Disk::WantsCompaction));
-    }
-    Ok(())
-}
-
 fn ledger_path(config: &Config) -> Option<PathBuf> {
     config.data.as_ref().map(|folder| folder.join(LEDGER_FILE))
 }
@@ -455,7 +403,7 @@
             }
             Action::Call(call) => {
                 let connections = self.connections.get(&call.replica).copied().unwrap_or(1);
-                self.pool.call(call, connections);
+                self.pool.call(&call, connections);
             }
             Action::Abort(ticket) => self.pool.abort(ticket),
             Action::Release(replica) => self.pool.release(&replica),
@@ -501,15 +449,15 @@
         drop(pending.answer.send(reply));
     }
 
-    fn disk(&mut self, report: Disk) {
+    fn disk(&mut self, report: disk::Report) {
         match report {
-            Disk::Synced(number) => self.step(Event::Synced(number)),
-            Disk::WantsCompaction => {
+            disk::Report::Synced(number) => self.step(Event::Synced(number)),
+            disk::Report::WantsCompaction => {
                 if let (Some(voter), Some(orders)) = (self.daemon.voter(), &self.orders) {
                     drop(orders.send(Order::Compact(voter.snapshot())));
                 }
             }
-            Disk::Failed(error) => {
+            disk::Report::Failed(error) => {
                 event::Event::DiskFailed.log(&error.to_string());
                 self.orders = None;
                 self.step(Event::DiskFailed);
@@ -517,7 +465,7 @@
         }
     }
 
-    fn peer(&mut self, report: peer::Report) {
+    fn peer(&mut self, report: peer::Report<Message>) {
         match report {
             peer::Report::Message(host, message) => self.step(Event::Message(host, message)),
             peer::Report::Joined(host) => self.step(Event::Joined(host)),
--- a/adapter/src/peer.rs
+++ b/adapter/src/peer.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -12,10 +14,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use wagtailbeam_decision::message::Message;
 use wagtailbeam_decision::name::Name;
 
 use crate::event::Event;
+use crate::socket;
 use crate::wire::Error;
 use crate::wire::Hello;
 use crate::wire::IoSnafu;
@@ -37,11 +39,16 @@
 /// Longest time for a dialing daemon to introduce itself.
 const HELLO_MAX: Duration = Duration::from_secs(2);
 
+/// What travels over a connection.
+pub trait Payload: Serialize + DeserializeOwned + Send + Sync + 'static {}
+
+impl<M: Serialize + DeserializeOwned + Send + Sync + 'static> Payload for M {}
+
 /// What connections tell the loop.
 #[derive(Debug)]
-pub enum Report {
+pub enum Report<M> {
     /// A message came.
-    Message(Name, Message),
+    Message(Name, M),
     /// A connection from a daemon opened.
     Joined(Name),
     /// A connection to or from a daemon ended.
@@ -49,27 +56,27 @@
     /// A daemon's host refused a connection.
     Refused(Name),
     /// A message was not sent; no byte of it was.
-    Unsent(Name, Message),
+    Unsent(Name, M),
     /// The connection to a daemon at an address is to be opened anew.
     Ended(Name, SocketAddr),
 }
 
-struct Link {
+struct Link<M> {
     address: SocketAddr,
-    queue: mpsc::Sender<Message>,
+    queue: mpsc::Sender<M>,
 }
 
 /// Outgoing connections.
-pub struct Links {
+pub struct Links<M> {
     me: Name,
     key: Key,
-    reports: mpsc::Sender<Report>,
-    links: BTreeMap<Name, Link>,
+    reports: mpsc::Sender<Report<M>>,
+    links: BTreeMap<Name, Link<M>>,
 }
 
-impl Links {
+impl<M: Payload> Links<M> {
     /// No connections yet; they are opened when needed.
-    pub fn new(me: Name, key: Key, reports: mpsc::Sender<Report>) -> Links {
+    pub fn new(me: Name, key: Key, reports: mpsc::Sender<Report<M>>) -> Links<M> {
         Links {
             me,
             key,
@@ -79,8 +86,8 @@
     }
 
     /// Sends a message; one that can't be queued is returned.
-    pub fn send(&mut self, host: &Name, address: SocketAddr, message: Message) -> Option<Message> {
-        let usable = |link: &Link| link.address == address && !link.queue.is_closed();
+    pub fn send(&mut self, host: &Name, address: SocketAddr, message: M) -> Option<M> {
+        let usable = |link: &Link<M>| link.address == address && !link.queue.is_closed();
         if !self.links.get(host).is_some_and(usable) {
             self.open(host, address);
         }
@@ -115,7 +122,7 @@
 
     /// Forgets an ended connection.
     pub fn ended(&mut self, host: &Name, address: SocketAddr) {
-        let gone = |link: &Link| link.address == address && link.queue.is_closed();
+        let gone = |link: &Link<M>| link.address == address && link.queue.is_closed();
         if self.links.get(host).is_some_and(gone) {
             self.links.remove(host);
         }
@@ -130,11 +137,11 @@
 }
 
 /// Carries messages until the connection fails.
-async fn carry(
+async fn carry<M: Payload>(
     me: &Name,
     key: &Key,
     address: SocketAddr,
-    messages: &mut mpsc::Receiver<Message>,
+    messages: &mut mpsc::Receiver<M>,
 ) -> End {
     let (mut sender, mut end) = match timeout(DIAL_MAX, dial(me, key, address)).await {
         Ok(Ok(halves)) => halves,
@@ -164,7 +171,7 @@
 
 async fn dial(me: &Name, key: &Key, address: SocketAddr) -> Result<Halves> {
     let stream = TcpStream::connect(address).await.context(IoSnafu)?;
-    stream.set_nodelay(true).context(IoSnafu)?;
+    socket::tune(&stream).context(IoSnafu)?;
     let (mut read, mut write) = stream.into_split();
     let mut theirs = [0; NONCE_BYTES];
     read.read_exact(&mut theirs).await.context(IoSnafu)?;
@@ -176,7 +183,11 @@
 }
 
 /// Takes connections of other daemons until the loop ends.
-pub async fn listen(listener: TcpListener, key: Key, reports: mpsc::Sender<Report>) {
+pub async fn listen<M: Payload>(
+    listener: TcpListener,
+    key: Key,
+    reports: mpsc::Sender<Report<M>>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -206,7 +217,7 @@
 }
 
 async fn welcome(stream: TcpStream, key: &Key) -> Result<(Name, Inbound)> {
-    stream.set_nodelay(true).context(IoSnafu)?;
+    socket::tune(&stream).context(IoSnafu)?;
     let (mut read, mut write) = stream.into_split();
     let ours = rand::random::<[u8; NONCE_BYTES]>();
     write.write_all(&ours).await.context(IoSnafu)?;
@@ -223,7 +234,11 @@
     ))
 }
 
-async fn receive(host: Name, mut inbound: Inbound, reports: mpsc::Sender<Report>) {
+async fn receive<M: Payload>(
+    host: Name,
+    mut inbound: Inbound,
+    reports: mpsc::Sender<Report<M>>,
+) {
     if reports.send(Report::Joined(host.clone())).await.is_err() {
         return;
     }
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -25,6 +25,7 @@
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The file can't be read.
     #[snafu(display("{}: {source}", path.display()))]
--- a/adapter/src/store.rs
+++ b/adapter/src/store.rs
@@ -86,6 +86,7 @@
     log: File,
     log_bytes: u64,
     snapshot_bytes: u64,
+    torn: bool,
     _lock: File,
 }
 
@@ -136,6 +137,7 @@
             log,
             log_bytes: good,
             snapshot_bytes,
+            torn: false,
             _lock: lock,
         };
         Ok((store, records))
@@ -150,14 +152,24 @@
         store.compact(records)
     }
 
-    /// Appends records and syncs them.
+    /// Appends records and syncs them. After an error nothing is appended, and
+    /// the same call may be tried again.
     pub fn append(&mut self, records: &[Record]) -> Result<()> {
         let bytes = encode(records)?;
         let path = self.folder.join(log_name(self.generation));
+        if std::mem::replace(&mut self.torn, true) {
+            self.log
+                .set_len(self.log_bytes)
+                .context(IoSnafu { path: &path })?;
+            self.log
+                .seek(SeekFrom::Start(self.log_bytes))
+                .context(IoSnafu { path: &path })?;
+        }
         self.log
             .write_all(&bytes)
             .context(IoSnafu { path: &path })?;
         self.log.sync_data().context(IoSnafu { path: &path })?;
+        self.torn = false;
         self.log_bytes += bytes.len() as u64;
         Ok(())
     }
@@ -190,6 +202,7 @@
         self.generation = generation;
         self.log = log;
         self.log_bytes = 0;
+        self.torn = false;
         self.snapshot_bytes = bytes.len() as u64;
         remove_others(&self.folder, generation);
         Ok(())
--- a/bins/src/bin/wagtailbeamd.rs
+++ b/bins/src/bin/wagtailbeamd.rs
@@ -1,7 +1,10 @@
 //! The daemon.
 
 use std::process::ExitCode;
+use std::sync::Arc;
+
+use wagtailbeam_platform::Dialect;
 
 fn main() -> ExitCode {
-    wagtailbeam_adapter::cli::daemon_main()
+    wagtailbeam_adapter::cli::daemon_main(Arc::new(Dialect::default()))
 }
--- a/decision/src/clock.rs
+++ b/decision/src/clock.rs
@@ -87,6 +87,11 @@
         Span(self.0.saturating_mul(n))
     }
 
+    /// This span and `n` steps more.
+    pub const fn after_steps(self, step: Span, n: u8) -> Span {
+        Span(self.0 + step.0 * n as u64)
+    }
+
     /// One `n`th of this span; `n` of zero counts as one.
     pub const fn part(self, n: u64) -> Span {
         match self.0.checked_div(n) {
--- /dev/null
+++ b/decision/src/feed.rs
@@ -0,0 +1,288 @@
+//! What processes of a tier with discovered hosts tell each other, and how an
+//! entry host keeps in touch with the voters.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::fleet::Fleet;
+use crate::name::Name;
+use crate::tier::State;
+use crate::voter::Letter;
+use crate::voter::Place;
+
+/// Time between two beats of an entry host.
+const BEAT_EVERY: Span = Span::from_ms(400);
+
+/// Silence of a voter after which an entry host turns to another one.
+const VOTER_SILENT: Span = Span::from_ms(900);
+
+/// Time for which an entry host counts as in touch after a fresh feed.
+const FRESH_MAX: Span = Span::from_ms(1_500);
+
+/// A message between processes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Message {
+    /// An entry host is alive and tells what it has.
+    Beat(Beat),
+    /// What an entry host needs to know.
+    Feed(Box<Feed>),
+    /// Between voters.
+    Voter(Letter),
+    /// A voter is alive and tells what it has.
+    Pulse(Pulse),
+    /// Asks for the state, if it is newer than this revision.
+    WantState(u64),
+    /// A state that is chosen.
+    Chosen(Arc<State>),
+    /// Asks for the fleet.
+    WantFleet,
+    /// The fleet, and the time since it was read.
+    Fleet(Arc<Fleet>, Span),
+    /// A process without state wants to be a voter; its random number.
+    Join(u64),
+    /// A place was given to it.
+    Seated(Place),
+    /// Asks where the voters are.
+    WantVoters,
+    /// Where the voters are.
+    Voters(Vec<SocketAddr>),
+}
+
+/// What an entry host has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Digest of the fleet.
+    pub fleet: Digest,
+    /// Digest of the entry hosts' addresses.
+    pub hosts: Digest,
+    /// Whether it will stop soon.
+    pub leaving: bool,
+}
+
+/// What a voter tells an entry host.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Feed {
+    /// Whether the voter is in touch with a majority.
+    pub fresh: bool,
+    /// Revision of the state.
+    pub revision: u64,
+    /// Version of the configuration.
+    pub version: u64,
+    /// The configuration, if the host lacks it.
+    pub document: Option<Arc<[u8]>>,
+    /// Failure domains to which no new work may go.
+    pub closed: BTreeSet<Name>,
+    /// Time since the fleet was read; none if it never was.
+    pub fleet_age: Option<Span>,
+    /// Digest of the fleet.
+    pub fleet_digest: Digest,
+    /// The fleet, if the host lacks it.
+    pub fleet: Option<Arc<Fleet>>,
+    /// Digest of the entry hosts' addresses.
+    pub hosts_digest: Digest,
+    /// The entry hosts' addresses, if the host lacks them.
+    pub hosts: Option<Vec<SocketAddr>>,
+    /// Where the voters are.
+    pub voters: Vec<SocketAddr>,
+}
+
+/// What a voter has.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Pulse {
+    /// Whether it votes.
+    pub voting: bool,
+    /// Revision of the state that it knows to be chosen.
+    pub revision: u64,
+    /// Time since the fleet was read; none if it never was.
+    pub fleet_age: Option<Span>,
+    /// Digest of the fleet.
+    pub fleet_digest: Digest,
+    /// Entry hosts that it has heard lately.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Digest of a list of addresses.
+pub fn digest_of(addresses: &[SocketAddr]) -> Digest {
+    let text = addresses.iter().map(|address| format!("{address} "));
+    Digest::of(text.collect::<String>().as_bytes())
+}
+
+/// An entry host's tie to the voters.
+#[derive(Clone, Debug)]
+pub struct Subscriber {
+    seeds: Vec<SocketAddr>,
+    voters: Vec<SocketAddr>,
+    at: usize,
+    beaten: Option<Time>,
+    heard: Time,
+    fresh: Option<Time>,
+    have: Beat,
+    revision: u64,
+    fleet_read: Option<Time>,
+}
+
+/// What a feed changed for an entry host.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// A newer configuration.
+    pub document: Option<(u64, Arc<[u8]>)>,
+    /// The failure domains to which no new work may go, if that changed.
+    pub closed: Option<BTreeSet<Name>>,
+    /// A fleet that was read later, and when.
+    pub fleet: Option<(Arc<Fleet>, Time)>,
+    /// The entry hosts, if they changed.
+    pub hosts: Option<Vec<SocketAddr>>,
+}
+
+impl Subscriber {
+    /// A tie that begins at one of `seeds`, picked by `pick`.
+    pub fn new(now: Time, seeds: Vec<SocketAddr>, pick: u64) -> Subscriber {
+        let at = (pick % seeds.len().max(1) as u64) as usize;
+        Subscriber {
+            seeds,
+            voters: Vec::new(),
+            at,
+            beaten: None,
+            heard: now,
+            fresh: None,
+            have: Beat::default(),
+            revision: 0,
+            fleet_read: None,
+        }
+    }
+
+    fn known(&self) -> &[SocketAddr] {
+        if self.voters.is_empty() {
+            &self.seeds
+        } else {
+            &self.voters
+        }
+    }
+
+    /// The voter that is asked.
+    pub fn voter(&self) -> Option<SocketAddr> {
+        let known = self.known();
+        known.get(self.at % known.len().max(1)).copied()
+    }
+
+    /// Replaces the addresses with which to begin when all known voters are silent.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Whether the voters confirmed lately that nothing newer is in force.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.fresh.is_some_and(|at| now.since(at) < FRESH_MAX)
+    }
+
+    /// Time since the voters last confirmed, if they ever did.
+    pub fn age(&self, now: Time) -> Option<Span> {
+        self.fresh.map(|at| now.since(at))
+    }
+
+    /// Turns to the next voter. After a round of all known ones without a fresh
+    /// feed the seeds are tried too.
+    pub fn turn(&mut self, now: Time) {
+        self.heard = now;
+        self.beaten = None;
+        self.at += 1;
+        if self.at.is_multiple_of(self.known().len().max(1)) && !self.is_fresh(now) {
+            let missing = self.seeds.iter().filter(|seed| !self.voters.contains(seed));
+            let missing = missing.copied().collect::<Vec<_>>();
+            self.voters.extend(missing);
+        }
+    }
+
+    /// The beat that is due, and to whom.
+    pub fn tick(&mut self, now: Time, leaving: bool) -> Option<(SocketAddr, Beat)> {
+        if now.since(self.heard) >= VOTER_SILENT {
+            self.turn(now);
+        }
+        let due = self
+            .beaten
+            .is_none_or(|beaten| now.since(beaten) >= BEAT_EVERY);
+        if !due {
+            return None;
+        }
+        self.beaten = Some(now);
+        let beat = Beat {
+            leaving,
+            ..self.have
+        };
+        self.voter().map(|voter| (voter, beat))
+    }
+
+    /// When the next beat is due.
+    pub fn next_timer(&self) -> Time {
+        self.beaten.unwrap_or_default().after(BEAT_EVERY)
+    }
+
+    /// Takes a feed.
+    pub fn take(&mut self, now: Time, from: SocketAddr, feed: Feed) -> Update {
+        if !feed.voters.is_empty() && feed.voters != self.voters && feed.fresh {
+            let current = self.voter();
+            self.voters = feed.voters;
+            let position = self.voters.iter().position(|v| Some(*v) == current);
+            self.at = position.unwrap_or(self.at);
+        }
+        if !feed.fresh {
+            if Some(from) == self.voter() {
+                self.turn(now);
+            }
+            return Update::default();
+        }
+        if Some(from) == self.voter() {
+            self.heard = now;
+        }
+        let mut update = Update::default();
+        if feed.revision >= self.revision {
+            self.fresh = Some(now);
+            if feed.revision > self.revision {
+                update.closed = Some(feed.closed);
+            }
+            self.revision = feed.revision;
+            if let Some(document) = feed.document.filter(|_| feed.version > self.have.version) {
+                self.have.version = feed.version;
+                update.document = Some((feed.version, document));
+            }
+        }
+        if let Some(age) = feed.fleet_age {
+            update.fleet = self.take_fleet(now, age, feed.fleet_digest, feed.fleet);
+        }
+        if let Some(hosts) = feed.hosts {
+            self.have.hosts = feed.hosts_digest;
+            update.hosts = Some(hosts);
+        }
+        update
+    }
+
+    fn take_fleet(
+        &mut self,
+        now: Time,
+        age: Span,
+        digest: Digest,
+        fleet: Option<Arc<Fleet>>,
+    ) -> Option<(Arc<Fleet>, Time)> {
+        let read = Time::from_us(now.as_us().saturating_sub(age.as_us()));
+        if self.fleet_read.is_some_and(|last| last >= read) {
+            return None;
+        }
+        if digest == self.have.fleet {
+            self.fleet_read = Some(read);
+            return None;
+        }
+        let fleet = fleet?;
+        self.fleet_read = Some(read);
+        self.have.fleet = digest;
+        Some((fleet, read))
+    }
+}
--- /dev/null
+++ b/decision/src/flight.rs
@@ -0,0 +1,185 @@
+//! One caller's request while it is served: its parts, one for each shard.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::Display;
+
+use crate::catalog::Route;
+use crate::catalog::Target;
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::endpoint::Ticket;
+use crate::name::Name;
+
+/// Number of a replica in this process.
+pub type EndpointId = u32;
+
+/// A request that is out at a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The replica.
+    pub endpoint: EndpointId,
+    /// When it was sent.
+    pub sent: Time,
+}
+
+/// Where a part stands.
+#[derive(Clone, Debug)]
+pub enum Stage {
+    /// It is out at one replica or two.
+    Out,
+    /// It waits for a replica that may take it.
+    Waiting,
+    /// It is answered: the replica's stamp and body.
+    Done(Arc<str>, Bytes),
+    /// It is given up.
+    Missing(Cause),
+}
+
+/// Why a part is missing or a request is refused.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Cause {
+    /// No replica of the service is known and in service.
+    #[display("no replica")]
+    NoReplica,
+    /// All replicas rejected it.
+    #[display("all replicas rejected it")]
+    Shed,
+    /// A replica failed, and no other one may be asked.
+    #[display("replica failed")]
+    Failed,
+    /// The connection broke, and no other replica may be asked.
+    #[display("connection broke")]
+    Broken,
+    /// Time ran out.
+    #[display("deadline")]
+    Deadline,
+    /// Waiting longer was worth less than answering.
+    #[display("left out")]
+    LeftOut,
+}
+
+/// One part of a request.
+#[derive(Clone, Debug)]
+pub struct Part {
+    /// The service asked.
+    pub service: Name,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Requests that are out.
+    pub attempts: Vec<Attempt>,
+    /// Replicas asked so far.
+    pub tried: BTreeSet<EndpointId>,
+    /// Replicas on which it may have run, or may still run.
+    pub runs: u32,
+    /// Requests that may have arrived at a replica.
+    pub arrivals: u32,
+    /// Requests that certainly did not arrive.
+    pub unsent: u32,
+    /// When another replica is asked as well.
+    pub hedge_at: Time,
+}
+
+/// A request while it is served.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// When it came.
+    pub started: Time,
+    /// When an answer is due at the latest.
+    pub deadline: Time,
+    /// When an incomplete answer is worth more than a later complete one.
+    pub settle_at: Time,
+    /// Its parts.
+    pub parts: Vec<Part>,
+    /// Parts answered.
+    pub done: usize,
+    /// Parts given up.
+    pub missing: usize,
+    /// Hedges and retries sent.
+    pub extra: u32,
+    /// When it is looked at next.
+    pub look_at: Time,
+}
+
+impl Part {
+    /// A part that was not sent yet.
+    pub fn new(service: Name) -> Part {
+        Part {
+            service,
+            stage: Stage::Waiting,
+            attempts: Vec::new(),
+            tried: BTreeSet::new(),
+            runs: 0,
+            arrivals: 0,
+            unsent: 0,
+            hedge_at: Time::default(),
+        }
+    }
+
+    /// Whether it is neither answered nor given up.
+    pub fn is_open(&self) -> bool {
+        matches!(self.stage, Stage::Out | Stage::Waiting)
+    }
+}
+
+impl Flight {
+    /// A request whose parts go to `services`.
+    pub fn new(
+        now: Time,
+        route: Arc<Route>,
+        services: Vec<Name>,
+        left: Span,
+        margin: Span,
+    ) -> Flight {
+        let objective = route.objective.less(margin);
+        Flight {
+            started: now,
+            deadline: now.after(left),
+            settle_at: now.after(objective.min(left)),
+            parts: services.into_iter().map(Part::new).collect(),
+            done: 0,
+            missing: 0,
+            extra: 0,
+            look_at: Time::default(),
+            route,
+        }
+    }
+
+    /// Parts that must be answered for a success.
+    pub fn needed(&self) -> usize {
+        match &self.route.target {
+            Target::Split(_) => 1,
+            Target::Gather { coverage_min, .. } => {
+                let needed = self.parts.len() as f64 * coverage_min;
+                (needed - 1e-9).ceil().max(1.0) as usize
+            }
+        }
+    }
+
+    /// Whether a success is no longer possible.
+    pub fn is_lost(&self) -> bool {
+        self.parts.len() - self.missing < self.needed()
+    }
+
+    /// Whether it may have run anywhere.
+    pub fn may_have_run(&self) -> bool {
+        self.parts.iter().any(|part| part.runs > 0)
+    }
+
+    /// The most frequent cause of missing parts.
+    pub fn cause(&self) -> Option<Cause> {
+        let causes = self.parts.iter().filter_map(|part| match part.stage {
+            Stage::Missing(cause) => Some(cause),
+            _ => None,
+        });
+        let causes = causes.collect::<Vec<_>>();
+        let count = |cause: &&Cause| causes.iter().filter(|other| other == cause).count();
+        causes.iter().max_by_key(count).copied()
+    }
+}
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -4,21 +4,31 @@
 //! number: time and seeds are arguments, and every effect is returned as data.
 
 pub mod admit;
+pub mod allowance;
 pub mod burn;
 pub mod canary;
+pub mod catalog;
 pub mod clock;
+pub mod control;
 pub mod daemon;
 pub mod digest;
 pub mod earlier;
+pub mod endpoint;
 pub mod entry;
 pub mod exchange;
+pub mod feed;
+pub mod fleet;
+pub mod flight;
 pub mod gate;
+pub mod gateway;
 pub mod hedge;
 pub mod ini;
 pub mod job;
+pub mod latency;
 pub mod lease;
 pub mod manifest;
 pub mod membership;
+pub mod merge;
 pub mod message;
 pub mod name;
 pub mod once;
@@ -34,5 +44,6 @@
 pub mod roster;
 pub mod route;
 pub mod suspect;
+pub mod tier;
 pub mod trace;
 pub mod voter;
--- a/decision/src/once.rs
+++ b/decision/src/once.rs
@@ -108,7 +108,7 @@
                 retry_after: None,
             },
             Decision::Job(Verdict::Held | Verdict::Noted) => held(),
-            Decision::Unknown | Decision::File(_) | Decision::Value(_) => {
+            Decision::Unknown | Decision::File(_) | Decision::Value(_) | Decision::Tier(..) => {
                 let mut actions = vec![self.release(id, job)];
                 actions.extend(self.finish(now, id, refusal(Cause::Quorum, Ran::No)));
                 return actions;
--- a/decision/src/register.rs
+++ b/decision/src/register.rs
@@ -11,6 +11,7 @@
 use crate::job::Token;
 use crate::job::Verdict;
 use crate::request::Answer;
+use crate::tier;
 
 /// Accepted versions remembered for answers to resent files.
 const HISTORY_MAX: usize = 4_096;
@@ -22,6 +23,8 @@
     File,
     /// A job, by the digest of caller, service and idempotency key.
     Job(Digest),
+    /// The state of a tier with discovered hosts.
+    Tier,
 }
 
 /// The newest accepted file and the versions before it.
@@ -44,6 +47,8 @@
     File(Arc<File>),
     /// A job.
     Job(Job),
+    /// The state of a tier with discovered hosts.
+    Tier(Arc<tier::State>),
 }
 
 /// A change of one key, to be decided by the register.
@@ -77,6 +82,8 @@
         /// The attempt.
         token: Token,
     },
+    /// Change the state of a tier.
+    Tier(tier::Change),
 }
 
 /// What an operator is told about a file.
@@ -120,6 +127,8 @@
     File(Acceptance),
     /// About a job.
     Job(Verdict),
+    /// About the state of a tier, as it is after the change.
+    Tier(Arc<tier::State>, tier::Verdict),
     /// No majority decided in time; the change may or may not take effect.
     Unknown,
 }
@@ -133,12 +142,28 @@
                 decide_file(Some(file), *version, text)
             }
             (Change::Apply { version, text }, _) => decide_file(None, *version, text),
+            (Change::Tier(change), value) => decide_tier(change, value),
             (change, Some(Value::Job(job))) => decide_job(change, Some(job)),
             (change, _) => decide_job(change, None),
         }
     }
 }
 
+fn decide_tier(change: &tier::Change, value: Option<&Value>) -> (Option<Value>, Decision) {
+    let state = match value {
+        Some(Value::Tier(state)) => state.clone(),
+        _ => Arc::default(),
+    };
+    let (next, verdict) = state.decide(change);
+    let Some(next) = next.map(Arc::new) else {
+        return (None, Decision::Tier(state, verdict));
+    };
+    (
+        Some(Value::Tier(next.clone())),
+        Decision::Tier(next, verdict),
+    )
+}
+
 fn decide_file(
     file: Option<&Arc<File>>,
     version: u64,
@@ -197,7 +222,7 @@
         Change::Claim { token, body } => claim(*token, *body, job),
         Change::Record { token, answer } => record(*token, answer, job),
         Change::Release { token } => release(*token, job),
-        Change::Read | Change::Apply { .. } => (None, Verdict::Noted),
+        Change::Read | Change::Apply { .. } | Change::Tier(_) => (None, Verdict::Noted),
     };
     (value.map(Value::Job), Decision::Job(verdict))
 }
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -109,6 +109,7 @@
             self.repair.incarnation = Incarnation {
                 epoch,
                 nonce: self.nonce,
+                address: None,
             };
         }
         let asks = self.others().map(|to| (to, self.repair_step(to)));
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -6,6 +6,7 @@
 //! its disk is kept from voting until it has caught up, are this project's.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use derive_more::Display;
 use serde::Deserialize;
@@ -51,6 +52,8 @@
     pub epoch: u64,
     /// Random number that tells disks of one epoch apart.
     pub nonce: u64,
+    /// Where this life is reached, if the settings don't tell.
+    pub address: Option<SocketAddr>,
 }
 
 /// A voter's promise and accepted value for one key.
@@ -75,6 +78,8 @@
     Forget(Key),
     /// The number of records written before, at the start of a snapshot.
     Written(u64),
+    /// Which voter this is, of how many, where the settings don't tell.
+    Seat(Id, u8),
 }
 
 /// What a letter says.
@@ -117,6 +122,17 @@
     pub body: Body,
 }
 
+/// A place among the voters, as it is given to a voter without state.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// The voter that it is.
+    pub id: Id,
+    /// The life that it begins.
+    pub incarnation: Incarnation,
+    /// The lives of all voters.
+    pub known: Vec<Incarnation>,
+}
+
 /// Effects of a voter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -167,12 +183,49 @@
     pub(crate) repair: Repair,
     pub(crate) proposer: Proposer,
     pub(crate) expired: Time,
+    pub(crate) seated: bool,
 }
 
 impl Voter {
     /// The records of a new voter in a new group; never for a replaced disk.
     pub fn format(me: Id, nonce: u64) -> Vec<Record> {
-        vec![Record::Known(me, Incarnation { epoch: 1, nonce })]
+        let incarnation = Incarnation {
+            epoch: 1,
+            nonce,
+            address: None,
+        };
+        vec![Record::Known(me, incarnation)]
+    }
+
+    /// The records of the voter `me` of `count` in a new group, whose first
+    /// voters are reached at `addresses`.
+    pub fn found(me: Id, count: u8, nonce: u64, addresses: &[SocketAddr]) -> Vec<Record> {
+        let first = addresses.iter().zip(0..).map(|(address, id)| {
+            let (epoch, nonce) = if id == me { (1, nonce) } else { (0, 0) };
+            let address = Some(*address);
+            let incarnation = Incarnation {
+                epoch,
+                nonce,
+                address,
+            };
+            Record::Known(id, incarnation)
+        });
+        std::iter::once(Record::Seat(me, count))
+            .chain(first)
+            .collect()
+    }
+
+    /// A voter without state that was given a place: it repairs itself from the
+    /// others under `incarnation`. `written` goes on counting records.
+    pub fn join(now: Time, place: &Place, written: u64) -> Voter {
+        let mut voter = Voter::open(now, place.id, place.known.len(), 0, Vec::new());
+        voter.known.clone_from(&place.known);
+        voter.known[usize::from(place.id)] = Incarnation::default();
+        voter.repair.incarnation = place.incarnation;
+        voter.seated = true;
+        voter.written = written;
+        voter.synced = written;
+        voter
     }
 
     /// A voter from its stored records. Without any it repairs itself from the
@@ -195,6 +248,7 @@
             },
             proposer: Proposer::new(me, count),
             expired: now,
+            seated: false,
         };
         records
             .into_iter()
@@ -225,17 +279,21 @@
                 self.cells.remove(&key);
             }
             Record::Written(count) => self.written = count,
+            Record::Seat(..) => self.seated = true,
         }
     }
 
     /// Records that give the whole state, for a snapshot.
     pub fn snapshot(&self) -> Vec<Record> {
-        let mut records = Vec::with_capacity(self.cells.len() + self.count + 1);
+        let mut records = Vec::with_capacity(self.cells.len() + self.count + 2);
+        if self.seated {
+            records.push(Record::Seat(self.me, self.count as u8));
+        }
         let known = self
             .known
             .iter()
             .enumerate()
-            .filter(|(_, known)| known.epoch > 0);
+            .filter(|(_, known)| known.epoch > 0 || known.address.is_some());
         records.extend(known.map(|(id, known)| Record::Known(id as Id, *known)));
         let cells = self
             .cells
@@ -251,6 +309,26 @@
         self.mode
     }
 
+    /// Which voter it is.
+    pub fn id(&self) -> Id {
+        self.me
+    }
+
+    /// The lives of all voters, as far as known.
+    pub fn known(&self) -> &[Incarnation] {
+        &self.known
+    }
+
+    /// Records written so far.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Whether it lost its place: it has no state and no new life was given to it.
+    pub fn is_displaced(&self) -> bool {
+        self.mode == Mode::Repairing && self.repair.incarnation.epoch == 0
+    }
+
     /// Keys held.
     pub fn len(&self) -> usize {
         self.cells.len()
