--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -250,7 +250,7 @@
 
     fn wake_at(&self) -> Instant {
         let next = self.gateway.next_timer().into_iter();
-        let next = next.chain([self.subscriber.next_timer()]).min();
+        let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.origin + Duration::from_micros(next.as_us());
         match self.leaving {
--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -268,7 +268,9 @@
     key: &str,
     or: SocketAddr,
 ) -> SocketAddr {
-    section.required(document, key, ADDRESS, plain).unwrap_or(or)
+    section
+        .required(document, key, ADDRESS, plain)
+        .unwrap_or(or)
 }
 
 fn amount(text: &str) -> Option<f64> {
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -141,7 +141,10 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         if !self.answered && self.reports.try_send(Report::Abandoned(self.id)).is_err() {
-            tracing::warn!(request = self.id, "the loop could not be told of a lost caller");
+            tracing::warn!(
+                request = self.id,
+                "the loop could not be told of a lost caller"
+            );
         }
     }
 }
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -114,7 +114,9 @@
     /// Instruments in this registry.
     pub fn new(registered: &Registered) -> Entry {
         let meter = &registered.factory;
-        let latency = meter.f64_histogram("wagtailbeam_request_duration").with_unit("s");
+        let latency = meter
+            .f64_histogram("wagtailbeam_request_duration")
+            .with_unit("s");
         Entry {
             requests: meter.u64_counter("wagtailbeam_requests").build(),
             latency: latency.with_boundaries(EDGES_S.to_vec()).build(),
@@ -122,7 +124,10 @@
             extra: meter.u64_counter("wagtailbeam_calls_extra").build(),
             parts_missing: meter.u64_counter("wagtailbeam_parts_missing").build(),
             version: meter.u64_gauge("wagtailbeam_configuration_version").build(),
-            list_age: meter.f64_gauge("wagtailbeam_list_age").with_unit("s").build(),
+            list_age: meter
+                .f64_gauge("wagtailbeam_list_age")
+                .with_unit("s")
+                .build(),
             hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
             connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
         }
@@ -185,7 +190,10 @@
             syncs: meter.u64_counter("wagtailbeam_syncs").build(),
             revision: meter.u64_gauge("wagtailbeam_state_revision").build(),
             quorum: meter.u64_gauge("wagtailbeam_majority").build(),
-            list_age: meter.f64_gauge("wagtailbeam_list_age").with_unit("s").build(),
+            list_age: meter
+                .f64_gauge("wagtailbeam_list_age")
+                .with_unit("s")
+                .build(),
             hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
         }
     }
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -227,7 +227,8 @@
         key: config.operator_key,
     };
     tokio::spawn(admin::listen(sockets.admin, Arc::new(admin)));
-    let orders = disk_task.map(|store| disk::write_in_background(store, disk_reports, Trouble::Stop));
+    let orders =
+        disk_task.map(|store| disk::write_in_background(store, disk_reports, Trouble::Stop));
     let datagrams = Arc::new(sockets.datagrams);
     let sources = Sources {
         backends,
--- a/adapter/src/peer.rs
+++ b/adapter/src/peer.rs
@@ -31,7 +31,7 @@
 const QUEUE_MAX: usize = 8_192;
 
 /// Longest time to open a connection.
-const DIAL_MAX: Duration = Duration::from_millis(500);
+const DIAL_MAX: Duration = Duration::from_millis(150);
 
 /// Longest time for one write to a peer.
 const WRITE_MAX: Duration = Duration::from_millis(1_000);
@@ -183,11 +183,7 @@
 }
 
 /// Takes connections of other daemons until the loop ends.
-pub async fn listen<M: Payload>(
-    listener: TcpListener,
-    key: Key,
-    reports: mpsc::Sender<Report<M>>,
-) {
+pub async fn listen<M: Payload>(listener: TcpListener, key: Key, reports: mpsc::Sender<Report<M>>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -234,11 +230,7 @@
     ))
 }
 
-async fn receive<M: Payload>(
-    host: Name,
-    mut inbound: Inbound,
-    reports: mpsc::Sender<Report<M>>,
-) {
+async fn receive<M: Payload>(host: Name, mut inbound: Inbound, reports: mpsc::Sender<Report<M>>) {
     if reports.send(Report::Joined(host.clone())).await.is_err() {
         return;
     }
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -311,7 +311,10 @@
         headers: head.headers,
         body: whole,
     };
-    (Ok(response), Some(idle).filter(|_| !ends && body <= REUSE_BODY_MAX_BYTES))
+    (
+        Ok(response),
+        Some(idle).filter(|_| !ends && body <= REUSE_BODY_MAX_BYTES),
+    )
 }
 
 /// The time for which a server announces to keep the connection.
@@ -347,6 +350,8 @@
 
 /// Whether a response says that its connection ends.
 fn closes(headers: &HeaderMap) -> bool {
-    let text = headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    let text = headers
+        .get(header::CONNECTION)
+        .and_then(|value| value.to_str().ok());
     text.is_some_and(|text| text.eq_ignore_ascii_case("close"))
 }
--- a/adapter/src/trail.rs
+++ b/adapter/src/trail.rs
@@ -144,7 +144,13 @@
     /// A replica did not answer.
     pub fn unanswered(&mut self, request: &str, address: &str, cause: &str) {
         if self.allows(false) {
-            tracing::info!(event = 703, request, address, cause, "replica did not answer");
+            tracing::info!(
+                event = 703,
+                request,
+                address,
+                cause,
+                "replica did not answer"
+            );
         }
     }
 }
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -290,7 +290,13 @@
             Outcome::Unknown => ("unknown", self.revision()),
         };
         self.meter.ordered(word);
-        tracing::info!(event = 738, order = id, outcome = word, revision, "operator answered");
+        tracing::info!(
+            event = 738,
+            order = id,
+            outcome = word,
+            revision,
+            "operator answered"
+        );
         let answer = self.operators.remove(&id);
         if answer.is_none_or(|answer| answer.send(outcome).is_err()) {
             tracing::debug!(order = id, "the operator left before it was answered");
--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -50,10 +50,10 @@
 const PLACE_MAX: Span = Span::from_ms(1_500);
 
 /// Wait before an accepted value that may not be chosen is settled.
-const SETTLE_AFTER: Span = Span::from_ms(200);
+const SETTLE_AFTER: Span = Span::from_ms(40);
 
 /// Further wait for each voter before this one, so that they don't collide.
-const SETTLE_STEP: Span = Span::from_ms(120);
+const SETTLE_STEP: Span = Span::from_ms(60);
 
 /// Longest time for one read of the list.
 const READ_MAX: Span = Span::from_ms(1_500);
@@ -439,7 +439,10 @@
 
     /// Tells all entry hosts in touch what they lack.
     fn feed_all(&mut self, now: Time, out: &mut Vec<Action>) {
-        let fed = self.entries.iter().map(|(entry, (beat, _))| (*entry, *beat));
+        let fed = self
+            .entries
+            .iter()
+            .map(|(entry, (beat, _))| (*entry, *beat));
         for (entry, beat) in fed.collect::<Vec<_>>() {
             out.push(Action::Send(entry, self.feed(now, &beat)));
             self.assume_fed(entry);
@@ -589,12 +592,7 @@
         self.voter_actions(now, actions, out);
     }
 
-    fn voter_actions(
-        &mut self,
-        now: Time,
-        actions: Vec<voter::Action>,
-        out: &mut Vec<Action>,
-    ) {
+    fn voter_actions(&mut self, now: Time, actions: Vec<voter::Action>, out: &mut Vec<Action>) {
         for action in actions {
             match action {
                 voter::Action::Persist(number, record) => {
@@ -651,7 +649,8 @@
 
     /// Has a place given to a process without state.
     fn claim(&mut self, now: Time, from: SocketAddr, nonce: u64, out: &mut Vec<Action>) {
-        let under_way = |ticket: &Ticket| matches!(ticket, Ticket::Join(address) if *address == from);
+        let under_way =
+            |ticket: &Ticket| matches!(ticket, Ticket::Join(address) if *address == from);
         let able = self.mode() == Some(Mode::Voting) && self.quorum;
         if !able || self.tickets.values().any(under_way) {
             return;
@@ -712,10 +711,7 @@
             self.reading = Some(now);
             out.push(Action::Read);
         }
-        if self
-            .pulsed
-            .is_none_or(|at| now.since(at) >= PULSE_EVERY)
-        {
+        if self.pulsed.is_none_or(|at| now.since(at) >= PULSE_EVERY) {
             self.pulsed = Some(now);
             self.count_hosts(now, out);
             self.send_pulse(now, out);
@@ -758,7 +754,12 @@
             return;
         }
         let since = *self.unsettled.get_or_insert(now);
-        let wait = SETTLE_AFTER.after_steps(SETTLE_STEP, voter.id());
+        let first = if chosen.is_none() {
+            Span::ZERO
+        } else {
+            SETTLE_AFTER
+        };
+        let wait = first.after_steps(SETTLE_STEP, voter.id());
         let under_way = |ticket: &Ticket| matches!(ticket, Ticket::Settle);
         if now.since(since) < wait || self.tickets.values().any(under_way) {
             return;
@@ -816,7 +817,10 @@
         let known = self.voters().into_iter().chain(self.heard_voters.clone());
         let known = known.chain(self.settings.seeds.clone());
         let known = known.filter(|address| *address != self.settings.address);
-        let known = known.collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>();
+        let known = known
+            .collect::<BTreeSet<_>>()
+            .into_iter()
+            .collect::<Vec<_>>();
         self.join_at += 1;
         if let Some(address) = known.get(self.join_at % known.len().max(1)) {
             out.push(Action::Send(*address, Message::WantVoters));
@@ -834,6 +838,7 @@
             self.mode = mode;
             let name = mode.map_or("no voter".to_owned(), |mode| mode.to_string());
             out.push(Action::Note(Note::Mode(name)));
+            self.pulsed = None;
         }
         let heard = self.lives();
         let heard = heard.iter().filter_map(|life| life.address);
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -20,6 +20,12 @@
 /// Time between two beats of an entry host.
 const BEAT_EVERY: Span = Span::from_ms(400);
 
+/// The same while the host isn't in touch.
+const BEAT_UNFRESH: Span = Span::from_ms(80);
+
+/// Silence after which a host that isn't in touch turns to another voter.
+const VOTER_SILENT_UNFRESH: Span = Span::from_ms(250);
+
 /// Silence of a voter after which an entry host turns to another one.
 const VOTER_SILENT: Span = Span::from_ms(900);
 
@@ -193,7 +199,9 @@
     /// feed the seeds are tried too.
     pub fn turn(&mut self, now: Time) {
         self.heard = now;
-        self.beaten = None;
+        if self.is_fresh(now) {
+            self.beaten = None;
+        }
         self.at += 1;
         if self.at.is_multiple_of(self.known().len().max(1)) && !self.is_fresh(now) {
             let missing = self.seeds.iter().filter(|seed| !self.voters.contains(seed));
@@ -204,12 +212,16 @@
 
     /// The beat that is due, and to whom.
     pub fn tick(&mut self, now: Time, leaving: bool) -> Option<(SocketAddr, Beat)> {
-        if now.since(self.heard) >= VOTER_SILENT {
+        let silence = if self.is_fresh(now) {
+            VOTER_SILENT
+        } else {
+            VOTER_SILENT_UNFRESH
+        };
+        if now.since(self.heard) >= silence {
             self.turn(now);
         }
-        let due = self
-            .beaten
-            .is_none_or(|beaten| now.since(beaten) >= BEAT_EVERY);
+        let every = self.beat_every(now);
+        let due = self.beaten.is_none_or(|beaten| now.since(beaten) >= every);
         if !due {
             return None;
         }
@@ -221,9 +233,17 @@
         self.voter().map(|voter| (voter, beat))
     }
 
+    fn beat_every(&self, now: Time) -> Span {
+        if self.is_fresh(now) {
+            BEAT_EVERY
+        } else {
+            BEAT_UNFRESH
+        }
+    }
+
     /// When the next beat is due.
-    pub fn next_timer(&self) -> Time {
-        self.beaten.unwrap_or_default().after(BEAT_EVERY)
+    pub fn next_timer(&self, now: Time) -> Time {
+        self.beaten.unwrap_or_default().after(self.beat_every(now))
     }
 
     /// Takes a feed.
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -1,12 +1,12 @@
 //! The entry role of a tier with discovered hosts: takes callers' requests, sends
 //! their parts to replicas, hedges and retries them, and answers.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -67,7 +67,7 @@
 const RETRY_SHED: Span = Span::from_ms(150);
 
 /// Wait told to callers of a host that knows no configuration or isn't in touch.
-const RETRY_UNREADY: Span = Span::from_ms(400);
+const RETRY_UNREADY: Span = Span::from_ms(1_000);
 
 /// Number of a caller's request in this process.
 pub type RequestId = u64;
@@ -745,7 +745,10 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
-        let missing = flight.parts.iter().find(|part| !matches!(part.stage, Stage::Done(..)));
+        let missing = flight
+            .parts
+            .iter()
+            .find(|part| !matches!(part.stage, Stage::Done(..)));
         let open = flight.parts.iter().any(|part| part.is_open());
         let report = Report {
             route: Some(flight.route.name.clone()),
@@ -805,7 +808,11 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        while let Some((_, ticket)) = self.orphans.pop_front_if(|(due, _)| *due <= now) {
+        while let Some((due, ticket)) = self.orphans.front().copied() {
+            if due > now {
+                break;
+            }
+            self.orphans.pop_front();
             self.withdraw(now, ticket, out);
         }
         let mut due = BTreeSet::new();
@@ -813,7 +820,11 @@
             if *at > now {
                 break;
             }
-            if self.flights.get(id).is_some_and(|flight| flight.look_at <= now) {
+            if self
+                .flights
+                .get(id)
+                .is_some_and(|flight| flight.look_at <= now)
+            {
                 due.insert(*id);
             }
             self.timers.pop();
@@ -898,7 +909,10 @@
 
     /// Forgets replicas that are no longer listed, and closes their connections.
     fn forget_unlisted(&mut self, out: &mut Vec<Action>) {
-        let gone = self.endpoints.iter().filter(|(_, endpoint)| !endpoint.listed);
+        let gone = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| !endpoint.listed);
         let gone = gone.map(|(id, endpoint)| (*id, endpoint.replica.clone()));
         for (id, replica) in gone.collect::<Vec<_>>() {
             let idle = self.endpoints.get(&id).is_some_and(|e| e.in_flight() == 0);
@@ -941,7 +955,13 @@
     for (credit, weight) in credits.iter_mut().zip(weights) {
         *credit = (*credit + weight).clamp(-2.0 * total, 2.0 * total);
     }
-    let first = |best: usize, at: usize| if credits[at] > credits[best] { at } else { best };
+    let first = |best: usize, at: usize| {
+        if credits[at] > credits[best] {
+            at
+        } else {
+            best
+        }
+    };
     let open = (0..weights.len()).filter(|at| weights[*at] > 0.0);
     let chosen = open.reduce(first).unwrap_or_default();
     credits[chosen] -= total;
@@ -958,7 +978,8 @@
     });
     let settle = (now < flight.settle_at).then_some(flight.settle_at);
     let next = parts.chain(settle).chain([flight.deadline]).min();
-    next.unwrap_or(flight.deadline).max(now.after(Span::from_us(500)))
+    next.unwrap_or(flight.deadline)
+        .max(now.after(Span::from_us(500)))
 }
 
 fn merged(flight: &Flight) -> Answer {
--- a/decision/src/merge.rs
+++ b/decision/src/merge.rs
@@ -8,7 +8,9 @@
 /// The `top` greatest records of all `parts`, greatest first, compared byte by
 /// byte. Equal records all count.
 pub fn greatest(parts: &[Bytes], top: usize) -> Vec<u8> {
-    let records = parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES));
+    let records = parts
+        .iter()
+        .flat_map(|part| part.chunks_exact(RECORD_BYTES));
     let mut records = records.collect::<Vec<_>>();
     let falling = |a: &&[u8], b: &&[u8]| b.cmp(a);
     if records.len() > top && top > 0 {
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -16,10 +16,10 @@
 use std::collections::BTreeSet;
 
 /// Time for which a restarted voter waits for all others before a majority is enough.
-const CHECK_MAX: Span = Span::from_ms(600);
+const CHECK_MAX: Span = Span::from_ms(120);
 
 /// Time between two tries of an unanswered check or repair step.
-const RETRY_EVERY: Span = Span::from_ms(200);
+const RETRY_EVERY: Span = Span::from_ms(50);
 
 /// Cells sent in one page of a repair.
 const PAGE_CELLS: usize = 256;
