--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -52,7 +52,7 @@
 const TAKE_UP_AFTER: Span = Span::from_ms(60);
 
 /// Time for which a request that lost against its hedge may go on.
-const ORPHAN_MAX: Span = Span::from_ms(300);
+const ORPHAN_MAX: Span = Span::from_ms(50);
 
 /// Requests of one part at most, whether they arrived or not.
 const SENDS_MAX: u32 = 6;
