A host that is cut off sends its callers where they are served

Ruled out: losing touch with the voters as the sign (the hosts stayed in touch).

Change: a host counts its answers; one that fails most, while fewer than half of the hosts do, leaves the rotation for 4 s, closes connections after their answer, and refuses at once what it can't send.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -36,6 +36,8 @@
 use wagtailbeam_decision::gateway::Exchange;
 use wagtailbeam_decision::gateway::Gateway;
 use wagtailbeam_decision::gateway::Refusal;
+use wagtailbeam_decision::rotation::Others;
+use wagtailbeam_decision::rotation::Rotation;
 
 use crate::dialect::Dialect;
 use crate::host::Settings;
@@ -109,6 +111,7 @@
     meter: meter::Entry,
     fresh: bool,
     leaving: Option<Instant>,
+    rotation: Rotation,
     fleet_read: Option<Time>,
     hosts: usize,
 }
@@ -172,6 +175,7 @@
         meter: meter::Entry::new(&registered),
         fresh: false,
         leaving: None,
+        rotation: Rotation::default(),
         fleet_read: None,
         hosts: 0,
         settings,
@@ -266,8 +270,8 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        let leaving = self.leaving.is_some();
-        if let Some((voter, beat)) = self.subscriber.tick(now, leaving) {
+        let failing = self.rotation.is_failing();
+        if let Some((voter, beat)) = self.subscriber.tick(now, failing) {
             self.mesh.send(voter, Message::Beat(beat));
         }
         if self.gateway.next_timer().is_some_and(|at| at <= now) {
@@ -306,13 +310,24 @@
         }
     }
 
-    fn show(&self) {
+    fn others(&self) -> Others {
+        Others {
+            fresh: self.fresh,
+            hosts: self.hosts,
+            failing: self.subscriber.failing(),
+        }
+    }
+
+    fn show(&mut self) {
+        let now = self.now();
+        let others = self.others();
+        let in_rotation = self.rotation.is_in(now, others);
         let known = self.gateway.catalog().version > 0 && self.gateway.replicas() > 0;
         let leaving = self.leaving.is_some();
         let drain = Duration::from_micros(self.settings.drain.as_us());
         let view = View {
-            ready: known && !leaving,
-            leaving,
+            ready: known && !leaving && in_rotation,
+            leaving: leaving || known && !in_rotation,
             closing: self.leaving.is_some_and(|since| since.elapsed() >= drain),
             limits: self.gateway.catalog().limits,
         };
@@ -398,6 +413,7 @@
                     left: passed.left,
                     fresh: self.fresh,
                     first: passed.first,
+                    elsewhere: self.rotation.is_elsewhere_better(self.others()),
                 };
                 let pending = Pending {
                     passed,
@@ -544,6 +560,8 @@
         self.trail
             .answered(name_of(&pending.passed), outcome, report);
         self.meter.answered(outcome, report);
+        let now = self.now();
+        self.rotation.note(now, outcome.is_failure());
         if pending.answer.send(reply).is_err() {
             tracing::debug!(request = id, "the caller left as it was answered");
         }
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -58,7 +58,7 @@
 pub struct View {
     /// Whether the balancer should send callers here.
     pub ready: bool,
-    /// Whether a planned stop has begun.
+    /// Whether callers should go elsewhere after their answer.
     pub leaving: bool,
     /// Whether listeners are closing.
     pub closing: bool,
--- a/adapter/src/trail.rs
+++ b/adapter/src/trail.rs
@@ -66,6 +66,13 @@
     Timeout,
 }
 
+impl Outcome {
+    /// Whether the caller was not served.
+    pub fn is_failure(self) -> bool {
+        matches!(self, Outcome::NotRun | Outcome::Failed | Outcome::Timeout)
+    }
+}
+
 /// Bounds the lines about requests.
 pub struct Trail {
     second: Instant,
--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -183,6 +183,7 @@
     heard: Time,
     voting: bool,
     entries: Vec<SocketAddr>,
+    failing: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -374,6 +375,7 @@
                     heard: now,
                     voting: false,
                     entries,
+                    failing: 0,
                 };
                 self.peers.insert(from, peer);
             }
@@ -433,10 +435,24 @@
             fleet: lacking.map(|listing| listing.fleet.clone()),
             hosts_digest: self.hosts_digest,
             hosts: (self.hosts_digest != beat.hosts).then(|| self.hosts.clone()),
+            failing: self.failing(now),
             voters: self.voters(),
         }))
     }
 
+    /// Entry hosts heard by this voter that fail most requests.
+    fn own_failing(&self) -> u32 {
+        let failing = self.entries.values().filter(|(beat, _)| beat.failing);
+        failing.count() as u32
+    }
+
+    /// Entry hosts that fail most requests, as far as known.
+    fn failing(&self, now: Time) -> u32 {
+        let live = |peer: &&Peer| now.since(peer.heard) < PEER_SILENT;
+        let peers = self.peers.values().filter(live).map(|peer| peer.failing);
+        self.own_failing() + peers.sum::<u32>()
+    }
+
     /// Tells all entry hosts in touch what they lack.
     fn feed_all(&mut self, now: Time, out: &mut Vec<Action>) {
         let fed = self
@@ -484,6 +500,7 @@
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.entries = pulse.entries;
             peer.voting = pulse.voting;
+            peer.failing = pulse.failing;
         }
         let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
         if pulse.revision > revision {
@@ -793,6 +810,7 @@
             fleet_age: listing.map(|listing| now.since(listing.read)),
             fleet_digest: listing.map(|listing| listing.digest).unwrap_or_default(),
             entries: self.entries.keys().copied().collect(),
+            failing: self.own_failing(),
         };
         self.broadcast(&Message::Pulse(pulse), out);
     }
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -70,8 +70,8 @@
     pub fleet: Digest,
     /// Digest of the entry hosts' addresses.
     pub hosts: Digest,
-    /// Whether it will stop soon.
-    pub leaving: bool,
+    /// Whether it fails most requests.
+    pub failing: bool,
 }
 
 /// What a voter tells an entry host.
@@ -97,6 +97,8 @@
     pub hosts_digest: Digest,
     /// The entry hosts' addresses, if the host lacks them.
     pub hosts: Option<Vec<SocketAddr>>,
+    /// Entry hosts that fail most requests.
+    pub failing: u32,
     /// Where the voters are.
     pub voters: Vec<SocketAddr>,
 }
@@ -114,6 +116,8 @@
     pub fleet_digest: Digest,
     /// Entry hosts that it has heard lately.
     pub entries: Vec<SocketAddr>,
+    /// How many of them fail most requests.
+    pub failing: u32,
 }
 
 /// Digest of a list of addresses.
@@ -134,6 +138,7 @@
     have: Beat,
     revision: u64,
     fleet_read: Option<Time>,
+    failing: u32,
 }
 
 /// What a feed changed for an entry host.
@@ -163,9 +168,15 @@
             have: Beat::default(),
             revision: 0,
             fleet_read: None,
+            failing: 0,
         }
     }
 
+    /// Entry hosts that fail most requests, as far as the voters know.
+    pub fn failing(&self) -> u32 {
+        self.failing
+    }
+
     fn known(&self) -> &[SocketAddr] {
         if self.voters.is_empty() {
             &self.seeds
@@ -211,7 +222,7 @@
     }
 
     /// The beat that is due, and to whom.
-    pub fn tick(&mut self, now: Time, leaving: bool) -> Option<(SocketAddr, Beat)> {
+    pub fn tick(&mut self, now: Time, failing: bool) -> Option<(SocketAddr, Beat)> {
         let silence = if self.is_fresh(now) {
             VOTER_SILENT
         } else {
@@ -227,7 +238,7 @@
         }
         self.beaten = Some(now);
         let beat = Beat {
-            leaving,
+            failing,
             ..self.have
         };
         self.voter().map(|voter| (voter, beat))
@@ -263,6 +274,7 @@
         if Some(from) == self.voter() {
             self.heard = now;
         }
+        self.failing = feed.failing;
         let mut update = Update::default();
         if feed.revision >= self.revision {
             self.fresh = Some(now);
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -105,6 +105,8 @@
     pub extra: u32,
     /// When it is looked at next.
     pub look_at: Time,
+    /// Whether other entry hosts probably serve it if this one can't.
+    pub elsewhere: bool,
 }
 
 impl Part {
@@ -168,6 +170,7 @@
             missing: 0,
             extra: 0,
             look_at: Time::default(),
+            elsewhere: false,
             route,
         }
     }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -72,6 +72,9 @@
 /// Wait told to callers whose request all replicas rejected.
 const RETRY_SHED: Span = Span::from_ms(150);
 
+/// Wait told to callers whom other entry hosts probably serve.
+const RETRY_ELSEWHERE: Span = Span::from_ms(5);
+
 /// Wait told to callers of a host that knows no configuration or isn't in touch.
 const RETRY_UNREADY: Span = Span::from_ms(1_000);
 
@@ -114,6 +117,8 @@
     pub fresh: bool,
     /// Whether it is the first one on its connection.
     pub first: bool,
+    /// Whether other entry hosts probably serve what this one can't.
+    pub elsewhere: bool,
 }
 
 /// A request to be sent to a replica.
@@ -384,15 +389,36 @@
             true => self.settings.margin_first,
             false => self.settings.margin,
         };
-        let flight = Flight::new(now, route, services, left, margin);
+        let flight = Flight {
+            elsewhere: request.elsewhere,
+            ..Flight::new(now, route, services, left, margin)
+        };
         let parts = flight.parts.len();
+        let hopeless = flight.elsewhere && self.reachable(now, &flight) < flight.needed();
         self.flights.insert(id, flight);
+        if hopeless {
+            let refusal = Answer::Refused(Refusal::NotRun, Some(RETRY_ELSEWHERE));
+            return self.finish(now, id, refusal, out);
+        }
         for part in 0..parts {
             self.dispatch(now, id, part, out);
         }
         self.review(now, id, None, out);
     }
 
+    /// Parts of a request that some replica may take now.
+    fn reachable(&self, now: Time, flight: &Flight) -> usize {
+        let usable = |id: &EndpointId| {
+            let endpoint = self.endpoints.get(id);
+            endpoint.is_some_and(|endpoint| endpoint.is_usable(now))
+        };
+        let reachable = flight.parts.iter().filter(|part| {
+            let pool = self.pools.get(&part.service);
+            pool.is_some_and(|pool| pool.endpoints.iter().any(usable))
+        });
+        reachable.count()
+    }
+
     /// The services that a request of the route goes to.
     fn services(&mut self, route: &Route) -> Vec<Name> {
         match &route.target {
@@ -481,7 +507,8 @@
     fn again(&self, now: Time, id: RequestId) -> Option<Time> {
         let flight = self.flights.get(&id)?;
         let gathers = matches!(flight.route.target, Target::Gather { .. });
-        gathers.then(|| now.after(TAKE_UP_AFTER))
+        let waits = gathers && !flight.elsewhere;
+        waits.then(|| now.after(TAKE_UP_AFTER))
     }
 
     /// The cheapest replica of a service that may take one more request, was not
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod repair;
 pub mod request;
 pub mod roster;
+pub mod rotation;
 pub mod route;
 pub mod suspect;
 pub mod tier;
