--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -363,14 +363,16 @@
     fn peer(&mut self, report: mesh::Report) {
         let now = self.now();
         match self.mesh.take(report) {
-            News::Message(from, Message::Feed(feed)) => {
-                let update = self.subscriber.take(now, from, *feed);
-                self.update(update);
+            News::Message(from, message) => {
+                if let Message::Feed(feed) = *message {
+                    let update = self.subscriber.take(now, from, *feed);
+                    self.update(update);
+                }
             }
             News::Lost(address) if Some(address) == self.subscriber.voter() => {
                 self.subscriber.turn(now);
             }
-            News::Message(..) | News::Lost(_) | News::Nothing => {}
+            News::Lost(_) | News::Nothing => {}
         }
     }
 
--- a/adapter/src/mesh.rs
+++ b/adapter/src/mesh.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub enum News {
     /// A message came from a process.
-    Message(SocketAddr, Message),
+    Message(SocketAddr, Box<Message>),
     /// A process can't be reached, or its connection ended.
     Lost(SocketAddr),
     /// Nothing.
@@ -55,7 +55,7 @@
     pub fn take(&mut self, report: Report) -> News {
         match report {
             peer::Report::Message(from, message) => match from.parse() {
-                Ok(from) => News::Message(from, message),
+                Ok(from) => News::Message(from, Box::new(message)),
                 Err(_) => News::Nothing,
             },
             peer::Report::Refused(host) | peer::Report::Lost(host) => match host.parse() {
--- a/adapter/src/operate.rs
+++ b/adapter/src/operate.rs
@@ -50,6 +50,13 @@
     pub domains: Vec<Name>,
 }
 
+/// A call that was refused before it reached the loop.
+type Refused = Box<http::Reply>;
+
+fn refuse(status: StatusCode, detail: &str) -> Refused {
+    Box::new(http::text(status, detail))
+}
+
 /// Serves operators until the loop ends.
 pub async fn listen(listener: TcpListener, operate: Arc<Operate>) {
     loop {
@@ -90,31 +97,31 @@
             Some(Call::Read) => Ok(Order::Read),
             Some(Call::Close(domain)) => self.domain(&domain).map(Change::Close).map(Order::Change),
             Some(Call::Open(domain)) => self.domain(&domain).map(Change::Open).map(Order::Change),
-            None => Err(http::text(StatusCode::NOT_FOUND, "no such call\n")),
+            None => Err(refuse(StatusCode::NOT_FOUND, "no such call\n")),
         };
         match order {
             Ok(order) => self.decide(order).await,
-            Err(refused) => refused,
+            Err(refused) => *refused,
         }
     }
 
-    fn domain(&self, name: &str) -> Result<Name, http::Reply> {
+    fn domain(&self, name: &str) -> Result<Name, Refused> {
         let known = self.domains.is_empty() || self.domains.iter().any(|known| **known == *name);
         let name = Name::parse(name).filter(|_| known);
-        name.ok_or_else(|| http::text(StatusCode::NOT_FOUND, "no such failure domain\n"))
+        name.ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no such failure domain\n"))
     }
 
-    async fn configure(&self, request: Request<Incoming>) -> Result<Order, http::Reply> {
+    async fn configure(&self, request: Request<Incoming>) -> Result<Order, Refused> {
         let body = Limited::new(request.into_body(), DOCUMENT_MAX_BYTES).collect();
         let document = match tokio::time::timeout(READ_MAX, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
                 let detail = format!("the body can't be read: {error}\n");
-                return Err(http::text(StatusCode::BAD_REQUEST, &detail));
+                return Err(refuse(StatusCode::BAD_REQUEST, &detail));
             }
             Err(_) => {
                 let detail = "the body took too long\n";
-                return Err(http::text(StatusCode::REQUEST_TIMEOUT, detail));
+                return Err(refuse(StatusCode::REQUEST_TIMEOUT, detail));
             }
         };
         match self.dialect.catalog(&document) {
@@ -124,7 +131,7 @@
             })),
             Err(fault) => {
                 let detail = format!("{fault}\n");
-                Err(http::text(StatusCode::BAD_REQUEST, &detail))
+                Err(refuse(StatusCode::BAD_REQUEST, &detail))
             }
         }
     }
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -181,7 +181,7 @@
                 Some(report) = sources.disk.recv() => self.disk(report),
                 Some(report) = sources.peers.recv() => {
                     if let News::Message(from, message) = self.mesh.take(report) {
-                        self.step(Event::Message(from, message));
+                        self.step(Event::Message(from, *message));
                     }
                 }
                 Some(fleet) = sources.lists.recv() => self.step(Event::Listed(fleet)),
--- /dev/null
+++ b/decision/tests/tier/council.rs
@@ -0,0 +1,241 @@
+//! Voter processes with a network and disks that fail as a script says.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::control::Action;
+use wagtailbeam_decision::control::Control;
+use wagtailbeam_decision::control::Event;
+use wagtailbeam_decision::control::Order;
+use wagtailbeam_decision::control::Outcome;
+use wagtailbeam_decision::control::Settings;
+use wagtailbeam_decision::feed::Message;
+use wagtailbeam_decision::tier::Change;
+use wagtailbeam_decision::voter::Mode;
+use wagtailbeam_decision::voter::Record;
+
+/// Messages kept in flight at most; the oldest are lost.
+const MESSAGES_MAX: usize = 4_000;
+
+/// A machine with a disk.
+#[derive(Default)]
+struct Machine {
+    control: Option<Control>,
+    synced: Vec<Record>,
+    written: Vec<(u64, Record)>,
+    found: bool,
+}
+
+/// Voter processes by address.
+pub struct Council {
+    pub now: Time,
+    pub answers: BTreeMap<u64, Outcome>,
+    machines: BTreeMap<SocketAddr, Machine>,
+    messages: Vec<(SocketAddr, SocketAddr, Message)>,
+    cut: BTreeSet<SocketAddr>,
+    /// Addresses with which a process begins; later ones may be others.
+    pub seeds: Vec<SocketAddr>,
+    boots: u64,
+    last: u64,
+}
+
+/// The address of a machine.
+pub fn machine(at: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, at as u8], 70))
+}
+
+impl Council {
+    /// A new group of five machines, three of which are the seeds.
+    pub fn new() -> Council {
+        let mut council = Council {
+            now: Time::from_us(1),
+            answers: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            messages: Vec::new(),
+            cut: BTreeSet::new(),
+            seeds: (0..3).map(machine).collect(),
+            boots: 0,
+            last: 0,
+        };
+        for at in 0..5 {
+            council.add(at, true);
+        }
+        council
+    }
+
+    /// Adds a machine with an empty disk.
+    pub fn add(&mut self, at: usize, found: bool) {
+        let new = Machine {
+            found,
+            ..Machine::default()
+        };
+        self.machines.insert(machine(at), new);
+        self.start(at);
+    }
+
+    /// Removes a machine for good.
+    pub fn remove(&mut self, at: usize) {
+        self.machines.remove(&machine(at));
+    }
+
+    pub fn start(&mut self, at: usize) {
+        self.boots += 1;
+        let (now, boots) = (self.now, self.boots);
+        let Some(host) = self.machines.get_mut(&machine(at)) else {
+            return;
+        };
+        if host.control.is_some() {
+            return;
+        }
+        let settings = Settings {
+            address: machine(at),
+            seeds: self.seeds.clone(),
+            found: host.found,
+            voters: 5,
+            read_every: Span::from_secs(1),
+            nonce: 1_000 + boots,
+        };
+        let (control, actions) = Control::new(now, settings, host.synced.clone());
+        host.control = Some(control);
+        self.take(machine(at), actions);
+    }
+
+    /// Loss of power: what was not synced is gone.
+    pub fn crash(&mut self, at: usize) {
+        if let Some(host) = self.machines.get_mut(&machine(at)) {
+            host.control = None;
+            host.written.clear();
+            host.found = false;
+        }
+    }
+
+    /// Loss of power and of the disk.
+    pub fn wipe(&mut self, at: usize) {
+        self.crash(at);
+        if let Some(host) = self.machines.get_mut(&machine(at)) {
+            host.synced.clear();
+        }
+    }
+
+    /// Cuts machines off from all others, or joins them again.
+    pub fn cut(&mut self, machines: &[usize], cut: bool) {
+        for at in machines {
+            match cut {
+                true => self.cut.insert(machine(*at)),
+                false => self.cut.remove(&machine(*at)),
+            };
+        }
+    }
+
+    /// Gives a machine an order; its number finds the answer.
+    pub fn order(&mut self, at: usize, order: Order) -> u64 {
+        self.last += 1;
+        self.step(machine(at), Event::Order(self.last, order));
+        self.last
+    }
+
+    pub fn configure(&mut self, at: usize, version: u64) -> u64 {
+        let document = Arc::from(version.to_string().as_bytes());
+        let change = Change::Configure { version, document };
+        self.order(at, Order::Change(change))
+    }
+
+    /// Machines that vote.
+    pub fn voting(&self) -> usize {
+        let modes = self
+            .machines
+            .values()
+            .filter_map(|host| host.control.as_ref()?.mode());
+        modes.filter(|mode| *mode == Mode::Voting).count()
+    }
+
+    /// Whether a machine is in touch with a majority.
+    pub fn has_quorum(&self, at: usize) -> bool {
+        let host = self.machines.get(&machine(at));
+        let control = host.and_then(|host| host.control.as_ref());
+        control.is_some_and(Control::has_quorum)
+    }
+
+    /// Lets time pass in steps of 5 ms, without losses but those of cuts.
+    pub fn pass(&mut self, span: Span) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.now = self.now.after(Span::from_ms(5));
+            self.tick();
+            for _ in 0..3 {
+                self.sync_all();
+                self.deliver_all();
+            }
+        }
+    }
+
+    pub fn tick(&mut self) {
+        for address in self.machines.keys().copied().collect::<Vec<_>>() {
+            self.step(address, Event::Tick);
+        }
+    }
+
+    pub fn sync_all(&mut self) {
+        for address in self.machines.keys().copied().collect::<Vec<_>>() {
+            let Some(host) = self.machines.get_mut(&address) else {
+                continue;
+            };
+            let written = std::mem::take(&mut host.written);
+            let Some(last) = written.last().map(|(number, _)| *number) else {
+                continue;
+            };
+            host.synced
+                .extend(written.into_iter().map(|(_, record)| record));
+            self.step(address, Event::Synced(last));
+        }
+    }
+
+    pub fn deliver_all(&mut self) {
+        for (from, to, message) in std::mem::take(&mut self.messages) {
+            if !self.cut.contains(&from) && !self.cut.contains(&to) {
+                self.step(to, Event::Message(from, message));
+            }
+        }
+    }
+
+    /// Loses one message in flight.
+    pub fn lose(&mut self, pick: usize) {
+        if !self.messages.is_empty() {
+            let pick = pick % self.messages.len();
+            self.messages.swap_remove(pick);
+        }
+    }
+
+    fn step(&mut self, at: SocketAddr, event: Event) {
+        let now = self.now;
+        let host = self.machines.get_mut(&at);
+        if let Some(control) = host.and_then(|host| host.control.as_mut()) {
+            let actions = control.step(now, event);
+            self.take(at, actions);
+        }
+    }
+
+    fn take(&mut self, at: SocketAddr, actions: Vec<Action>) {
+        for action in actions {
+            let Some(host) = self.machines.get_mut(&at) else {
+                return;
+            };
+            match action {
+                Action::Send(to, message) => self.messages.push((at, to, message)),
+                Action::Persist(number, record) => host.written.push((number, record)),
+                Action::Replace(records) => {
+                    host.written.clear();
+                    host.synced = records;
+                }
+                Action::Answer(id, outcome) => drop(self.answers.insert(id, outcome)),
+                Action::Read | Action::Note(_) => {}
+            }
+        }
+        let surplus = self.messages.len().saturating_sub(MESSAGES_MAX);
+        self.messages.drain(..surplus);
+    }
+}
--- /dev/null
+++ b/decision/tests/tier/endpoint.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::endpoint::Ending;
+use wagtailbeam_decision::endpoint::Endpoint;
+use wagtailbeam_decision::endpoint::Expected;
+
+use crate::model;
+
+const EXPECTED: Expected = Expected {
+    median: Span::from_ms(20),
+    high: Span::from_ms(40),
+};
+
+const WARMUP: Span = Span::from_secs(3);
+
+fn ms(ms: u64) -> Time {
+    Time::from_us(ms * 1_000)
+}
+
+fn endpoint() -> Endpoint {
+    let replica = model::replica("gate", 0, "east");
+    Endpoint::new(ms(0), Arc::new(replica), ms(0))
+}
+
+#[test]
+fn a_paused_replica_costs_more_until_it_answers() {
+    let mut paused = endpoint();
+    let idle = paused.cost(ms(0));
+    paused.send(ms(0), 1, EXPECTED);
+    let busy = paused.cost(ms(10));
+    let overdue = paused.cost(ms(60));
+    assert!(idle < busy && busy * 3.0 < overdue);
+    paused.end(ms(61), 1, Ending::Answered, EXPECTED, WARMUP);
+    assert!(paused.cost(ms(62)) < overdue / 3.0);
+}
+
+#[test]
+fn a_silent_replica_is_not_asked_and_an_answer_ends_that() {
+    let mut silent = endpoint();
+    silent.send(ms(0), 1, EXPECTED);
+    silent.send(ms(300), 2, EXPECTED);
+    assert!(!silent.is_usable(ms(450)));
+    silent.end(ms(451), 1, Ending::Answered, EXPECTED, WARMUP);
+    assert!(silent.is_usable(ms(800)));
+}
+
+#[test]
+fn a_refusing_replica_is_tried_by_one_request_after_a_wait() {
+    let mut refusing = endpoint();
+    refusing.send(ms(0), 1, EXPECTED);
+    refusing.end(ms(1), 1, Ending::Unreachable, EXPECTED, WARMUP);
+    assert!(!refusing.is_usable(ms(100)));
+    assert!(refusing.is_usable(ms(200)));
+    refusing.send(ms(200), 2, EXPECTED);
+    assert!(!refusing.is_usable(ms(201)));
+}
+
+#[test]
+fn a_cold_replica_bears_its_share_in_each_second() {
+    let mut cold = endpoint();
+    cold.chill(ms(5_000));
+    let mut sent = Vec::new();
+    for at in 0..4_000 {
+        if cold.bears(ms(at), 2) {
+            cold.send(ms(at), at, EXPECTED);
+            cold.end(ms(at), at, Ending::Answered, EXPECTED, WARMUP);
+            sent.push(at);
+        }
+    }
+    let crowded = sent.windows(3).any(|three| three[2] - three[0] < 1_000);
+    assert!(!crowded && sent.len() >= 6);
+}
--- /dev/null
+++ b/decision/tests/tier/main.rs
@@ -0,0 +1,28 @@
+//! Tests of a tier with discovered hosts.
+
+mod allowance;
+mod catalog;
+mod council;
+mod endpoint;
+mod feed;
+mod gateway;
+mod merge;
+mod model;
+mod rotation;
+mod state;
+mod voters;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+/// Seed of all generated cases.
+const SEED: u64 = 0x0077_6174_7461;
+
+/// Runs a property on generated cases, the same on each run.
+fn check<P: Testable>(property: P, tests: u64, size: usize) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(size, SEED))
+        .tests(tests)
+        .quickcheck(property);
+}
--- /dev/null
+++ b/decision/tests/tier/model.rs
@@ -0,0 +1,366 @@
+//! Replicas in virtual time behind a gateway: slots, queues, slow work, pauses,
+//! silence, refused connections, sheds and lost answers.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use wagtailbeam_decision::allowance::Limit;
+use wagtailbeam_decision::catalog::Catalog;
+use wagtailbeam_decision::catalog::Limits;
+use wagtailbeam_decision::catalog::Repeat;
+use wagtailbeam_decision::catalog::Route;
+use wagtailbeam_decision::catalog::Service;
+use wagtailbeam_decision::catalog::Target;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::endpoint::Ending;
+use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::fleet::Instance;
+use wagtailbeam_decision::fleet::Replica;
+use wagtailbeam_decision::fleet::State;
+use wagtailbeam_decision::gateway::Action;
+use wagtailbeam_decision::gateway::Answer;
+use wagtailbeam_decision::gateway::Call;
+use wagtailbeam_decision::gateway::Event;
+use wagtailbeam_decision::gateway::Exchange;
+use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::gateway::Request;
+use wagtailbeam_decision::gateway::Settings;
+use wagtailbeam_decision::name::Name;
+
+/// One way between the gateway and a replica.
+const TRANSIT: Span = Span::from_ms(1);
+
+/// Time after which a connection that isn't answered is given up.
+const DIAL_MAX: Span = Span::from_ms(400);
+
+/// Time that a replica works on a part.
+pub const WORK: Span = Span::from_ms(15);
+
+/// What ails a replica.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Ailment {
+    /// Nothing.
+    #[default]
+    None,
+    /// Its work takes this many times as long.
+    Slow(u64),
+    /// It answers nothing.
+    Dark,
+    /// It refuses connections.
+    Down,
+    /// It rejects what comes, unrun.
+    Sheds,
+    /// It runs what comes and loses the answer.
+    Loses,
+    /// It runs what comes and answers with a failure.
+    Fails,
+}
+
+#[derive(Default)]
+struct Server {
+    ailment: Ailment,
+    running: Vec<u64>,
+    waiting: VecDeque<Call>,
+}
+
+enum Step {
+    Request(u64, Request),
+    Arrive(Call),
+    End(Call),
+    Done(u64, Ending),
+}
+
+/// A gateway and its replicas.
+pub struct World {
+    pub now: Time,
+    pub gateway: Gateway,
+    pub answers: BTreeMap<u64, (Answer, Span)>,
+    /// Runs by request.
+    pub runs: HashMap<u64, u32>,
+    /// Calls sent, withdrawn and ended.
+    pub sent: u64,
+    pub withdrawn: u64,
+    servers: HashMap<SocketAddr, Server>,
+    started: HashMap<u64, Time>,
+    withdrawn_calls: Vec<u64>,
+    steps: BinaryHeap<Reverse<(Time, u64)>>,
+    due: HashMap<u64, Step>,
+    last: u64,
+}
+
+/// A listed replica of a service.
+pub fn replica(service: &str, index: u8, domain: &str) -> Replica {
+    let number = service.bytes().fold(7_u8, u8::wrapping_add);
+    Replica {
+        instance: Instance {
+            id: Name::from(format!("{service}-{index}")),
+            born: 1,
+        },
+        service: Name::from(service),
+        address: SocketAddr::from(([10, index, 0, number], 80)),
+        domain: Name::from(domain),
+        slots: 2,
+        state: State::Ready,
+        cold_left: Span::ZERO,
+    }
+}
+
+fn route(name: &str, repeat: Repeat, target: Target) -> Route {
+    Route {
+        name: Name::from(name),
+        host: "desk.example".into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        timeout: Span::from_ms(800),
+        objective: Span::from_ms(120),
+        priority: 0,
+        attempts_max: 2,
+        target,
+    }
+}
+
+impl World {
+    /// A world with this many shards of two replicas each, named `shard-0` and so
+    /// on, behind the route `all`, of which three quarters must answer. The route
+    /// `once` sends to `shard-0` what may run only once.
+    pub fn new(shards: usize) -> World {
+        let names = (0..shards).map(|at| Name::from(format!("shard-{at}")));
+        let names = names.collect::<Vec<_>>();
+        let service = Service {
+            health_path: "/healthz".into(),
+            connections_max: 26,
+            warmup: Span::from_secs(3),
+            warmup_per_s: 0.0,
+        };
+        let services = names.iter().map(|name| (name.clone(), service.clone()));
+        let once = Target::Split(vec![(names[0].clone(), 1.0)]);
+        let all = Target::Gather {
+            shards: names.clone(),
+            top: 5,
+            coverage_min: 0.75,
+        };
+        let routes = vec![
+            route("all", Repeat::Idempotent, all),
+            route("once", Repeat::Once, once),
+        ];
+        let catalog = Catalog::new(1, routes, services.collect(), Limits::default());
+        let replicas = names
+            .iter()
+            .flat_map(|name| [replica(name, 0, "east"), replica(name, 1, "west")]);
+        let replicas = replicas.collect::<Vec<_>>();
+        let servers = replicas
+            .iter()
+            .map(|replica| (replica.address, Server::default()));
+        let mut world = World {
+            now: Time::from_us(1),
+            gateway: Gateway::new(settings()),
+            answers: BTreeMap::new(),
+            runs: HashMap::new(),
+            sent: 0,
+            withdrawn: 0,
+            servers: servers.collect(),
+            started: HashMap::new(),
+            withdrawn_calls: Vec::new(),
+            steps: BinaryHeap::new(),
+            due: HashMap::new(),
+            last: 0,
+        };
+        let now = world.now;
+        let catalog = Arc::new(catalog.expect("a sound catalog"));
+        world.step(Event::Catalog(catalog));
+        world.step(Event::Fleet(Arc::new(Fleet::new(replicas)), now));
+        world
+    }
+
+    /// Makes a replica ail.
+    pub fn ail(&mut self, shard: usize, index: u8, ailment: Ailment) {
+        let address = replica(&format!("shard-{shard}"), index, "").address;
+        if let Some(server) = self.servers.get_mut(&address) {
+            server.ailment = ailment;
+        }
+    }
+
+    /// Has a request come after `wait`.
+    pub fn request(&mut self, id: u64, route: &str, wait: Span) {
+        let request = Request {
+            host: "desk.example".into(),
+            path: format!("/{route}/x").into(),
+            left: None,
+            fresh: true,
+            first: false,
+            elsewhere: false,
+        };
+        self.plan(wait, Step::Request(id, request));
+    }
+
+    /// Has `count` requests come, one each `gap`.
+    pub fn load(&mut self, first: u64, count: u64, route: &str, gap: Span) {
+        for at in 0..count {
+            self.request(first + at, route, gap.times(at));
+        }
+    }
+
+    fn plan(&mut self, wait: Span, step: Step) {
+        self.last += 1;
+        self.due.insert(self.last, step);
+        self.steps.push(Reverse((self.now.after(wait), self.last)));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Span) {
+        let end = self.now.after(span);
+        loop {
+            let step = self.steps.peek().map(|Reverse((at, _))| *at);
+            let timer = self.gateway.next_timer();
+            let next = step.into_iter().chain(timer).min();
+            let Some(next) = next.filter(|next| *next <= end) else {
+                self.now = end;
+                return;
+            };
+            self.now = self.now.max(next);
+            if timer.is_some_and(|at| at <= self.now) {
+                self.step(Event::Tick);
+            }
+            if step == Some(next) {
+                let Some(Reverse((_, number))) = self.steps.pop() else {
+                    return;
+                };
+                if let Some(step) = self.due.remove(&number) {
+                    self.take(step);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Request(id, request) => {
+                self.started.insert(id, self.now);
+                self.step(Event::Request(id, request));
+            }
+            Step::Arrive(call) => self.arrive(call),
+            Step::End(call) => self.end(call),
+            Step::Done(ticket, ending) => {
+                let exchange = Exchange {
+                    ending,
+                    stamp: (ending == Ending::Answered).then(|| ticket.to_string().into()),
+                    body: Bytes::from(vec![1; 16]),
+                };
+                self.step(Event::Done(ticket, exchange));
+            }
+        }
+    }
+
+    fn arrive(&mut self, call: Call) {
+        let Some(server) = self.servers.get_mut(&call.address) else {
+            return;
+        };
+        match server.ailment {
+            Ailment::Dark => self.plan(DIAL_MAX, Step::Done(call.ticket, Ending::Unreachable)),
+            Ailment::Down => self.plan(TRANSIT, Step::Done(call.ticket, Ending::Unreachable)),
+            Ailment::Sheds => self.plan(TRANSIT, Step::Done(call.ticket, Ending::Shed)),
+            _ => {
+                server.waiting.push_back(call.clone());
+                self.start(call.address);
+            }
+        }
+    }
+
+    fn start(&mut self, address: SocketAddr) {
+        while let Some(server) = self.servers.get_mut(&address) {
+            if server.running.len() >= 2 {
+                return;
+            }
+            let Some(call) = server.waiting.pop_front() else {
+                return;
+            };
+            if self.withdrawn_calls.contains(&call.ticket) {
+                continue;
+            }
+            server.running.push(call.ticket);
+            *self.runs.entry(call.request).or_default() += 1;
+            let times = match server.ailment {
+                Ailment::Slow(times) => times,
+                _ => 1,
+            };
+            self.plan(WORK.times(times), Step::End(call));
+        }
+    }
+
+    fn end(&mut self, call: Call) {
+        let Some(server) = self.servers.get_mut(&call.address) else {
+            return;
+        };
+        server.running.retain(|ticket| *ticket != call.ticket);
+        let ending = match server.ailment {
+            Ailment::Loses => Ending::Broken,
+            Ailment::Fails => Ending::Failed,
+            _ => Ending::Answered,
+        };
+        self.plan(TRANSIT, Step::Done(call.ticket, ending));
+        self.start(call.address);
+    }
+
+    /// Gives the gateway an event and does what it says.
+    pub fn step(&mut self, event: Event) {
+        for action in self.gateway.step(self.now, event) {
+            match action {
+                Action::Send(call) => {
+                    self.sent += 1;
+                    self.plan(TRANSIT, Step::Arrive(call));
+                }
+                Action::Withdraw(ticket) => {
+                    self.withdrawn += 1;
+                    self.withdrawn_calls.push(ticket);
+                }
+                Action::Answer(id, answer, _) => {
+                    let started = self.started.get(&id).copied().unwrap_or_default();
+                    let earlier = self.answers.insert(id, (answer, self.now.since(started)));
+                    assert!(earlier.is_none(), "request {id} was answered twice");
+                }
+                Action::Release(_) | Action::Extra(..) => {}
+            }
+        }
+    }
+
+    /// Answers that are complete, within this time.
+    pub fn complete(&self, within: Span) -> usize {
+        let complete = |(answer, took): &&(Answer, Span)| {
+            matches!(answer, Answer::Merged { missing: 0, .. }) && *took <= within
+        };
+        self.answers.values().filter(complete).count()
+    }
+
+    /// Merged answers, complete or not, within this time.
+    pub fn merged(&self, within: Span) -> usize {
+        let merged = |(answer, took): &&(Answer, Span)| {
+            matches!(answer, Answer::Merged { .. }) && *took <= within
+        };
+        self.answers.values().filter(merged).count()
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        address: SocketAddr::from(([10, 9, 0, 1], 70)),
+        domain: Name::from("north"),
+        extra: Limit {
+            ratio: 0.2,
+            slack: 54.0,
+            window: Span::from_secs(10),
+        },
+        cold_overage: 1.5,
+        cold_slack: 5.0,
+        margin: Span::from_ms(11),
+        margin_first: Span::from_ms(17),
+        list_lag: Span::from_ms(800),
+        seed: 7,
+    }
+}
