The short waits of a starting voter hold for discovered tiers only

Cause: accepted_files_survive_a_lost_disk_at_a_time failed once a restarted voter checked for 120 ms and asked each 50 ms: 'the healed group decides nothing'. A late answer to the check of an earlier run makes a voter give its state up; with a second voter that had lost its disk no majority was left.

Ruled out: a lost version (none of the failures showed one).

Change: the waits are a parameter of the voter; the group of the settings file has its old ones, a discovered tier the short ones. There a late answer can reach a new run only if the sender had it waiting while it dialed, and a displaced voter asks for a place again.

--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -19,6 +19,7 @@
 use crate::register::Decision;
 use crate::register::Key;
 use crate::register::Value;
+use crate::repair::Timing;
 use crate::tier;
 use crate::tier::Claim;
 use crate::tier::State;
@@ -31,6 +32,13 @@
 use crate::voter::Record;
 use crate::voter::Voter;
 
+/// Waits of a voter that starts: the processes of a tier are started together,
+/// and callers wait for them.
+const START: Timing = Timing {
+    check_max: Span::from_ms(120),
+    retry_every: Span::from_ms(50),
+};
+
 /// Time between two pulses to the other voters.
 const PULSE_EVERY: Span = Span::from_ms(250);
 
@@ -251,6 +259,7 @@
             ));
             out.push(Action::Replace(records));
         }
+        let voter = voter.map(|voter| voter.with_timing(START));
         let control = Control {
             written: voter.as_ref().map_or(0, Voter::written),
             settings,
@@ -715,7 +724,8 @@
             std::iter::once(seat).chain(records).collect(),
         ));
         out.push(Action::Note(Note::Seated(place.id)));
-        self.voter = Some(Voter::join(now, &place, self.written));
+        let voter = Voter::join(now, &place, self.written);
+        self.voter = Some(voter.with_timing(START));
         self.place = Some((place, now));
     }
 
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -15,11 +15,24 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-/// Time for which a restarted voter waits for all others before a majority is enough.
-const CHECK_MAX: Span = Span::from_ms(120);
+/// Waits of a voter that starts or repairs itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timing {
+    /// Time for which a restarted voter waits for all others before a majority is
+    /// enough.
+    pub check_max: Span,
+    /// Time between two tries of an unanswered check or repair step.
+    pub retry_every: Span,
+}
 
-/// Time between two tries of an unanswered check or repair step.
-const RETRY_EVERY: Span = Span::from_ms(50);
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            check_max: Span::from_ms(600),
+            retry_every: Span::from_ms(200),
+        }
+    }
+}
 
 /// Cells sent in one page of a repair.
 const PAGE_CELLS: usize = 256;
@@ -36,6 +49,7 @@
     pub(crate) restored: bool,
     pub(crate) started: Time,
     pub(crate) tried: Option<Time>,
+    pub(crate) timing: Timing,
 }
 
 impl Voter {
@@ -43,7 +57,7 @@
         let due = self
             .repair
             .tried
-            .is_none_or(|tried| now.since(tried) >= RETRY_EVERY);
+            .is_none_or(|tried| now.since(tried) >= self.repair.timing.retry_every);
         if due {
             self.repair.tried = Some(now);
         }
@@ -51,7 +65,7 @@
     }
 
     pub(crate) fn check(&mut self, now: Time) -> Vec<Action> {
-        let waited = now.since(self.repair.started) >= CHECK_MAX;
+        let waited = now.since(self.repair.started) >= self.repair.timing.check_max;
         let enough = self.repair.heard.len() + 1 >= self.majority();
         let all = self.repair.heard.len() + 1 == self.count;
         if all || (waited && enough) {
@@ -88,6 +102,7 @@
         self.repair = Repair {
             started: now,
             epoch_floor,
+            timing: self.repair.timing,
             ..Repair::default()
         };
         let record = self.persist(Record::Reset);
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -20,6 +20,7 @@
 use crate::register::Key;
 use crate::register::Value;
 use crate::repair::Repair;
+use crate::repair::Timing;
 
 /// Time for which a job is kept after its last change.
 const JOB_KEEP: Span = Span::from_secs(72 * 3_600);
@@ -260,6 +261,12 @@
         voter
     }
 
+    /// The same voter with other waits while it starts or repairs itself.
+    pub fn with_timing(mut self, timing: Timing) -> Voter {
+        self.repair.timing = timing;
+        self
+    }
+
     fn load(&mut self, now: Time, record: Record) {
         self.written += 1;
         match record {
