--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -8,14 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -33,15 +28,12 @@
 use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Call;
 use wagtailbeam_decision::gateway::Event;
-use wagtailbeam_decision::gateway::Exchange;
 use wagtailbeam_decision::gateway::Gateway;
-use wagtailbeam_decision::gateway::Refusal;
 use wagtailbeam_decision::rotation::Others;
 use wagtailbeam_decision::rotation::Rotation;
 
 use crate::dialect::Dialect;
 use crate::host::Settings;
-use crate::http;
 use crate::ingress;
 use crate::ingress::Ingress;
 use crate::ingress::Passed;
@@ -56,12 +48,11 @@
 use crate::node::MeterSnafu;
 use crate::node::Result;
 use crate::pool;
-use crate::pool::Failure;
 use crate::pool::Pool;
 use crate::pool::Response;
 use crate::pool::Terms;
+use crate::readiness;
 use crate::signal::Signal;
-use crate::trail::Outcome;
 use crate::trail::Trail;
 
 /// Events waiting for the loop at most, for each of its sources.
@@ -81,7 +72,7 @@
 const HOUSEKEEP_EVERY: Duration = Duration::from_secs(1);
 
 /// A request that waits for its answer.
-struct Pending {
+pub(crate) struct Pending {
     passed: Arc<Passed>,
     answer: oneshot::Sender<Reply>,
     since: Instant,
@@ -94,26 +85,26 @@
     signals: mpsc::Receiver<Signal>,
 }
 
-struct Host {
-    settings: Settings,
-    path: PathBuf,
-    dialect: Arc<dyn Dialect>,
-    origin: Instant,
-    gateway: Gateway,
-    subscriber: Subscriber,
-    mesh: Mesh,
-    pool: Pool<Ticket>,
-    pending: HashMap<u64, Pending>,
-    calls: HashMap<Ticket, (Arc<Passed>, SocketAddr)>,
-    relayed: Option<(Ticket, Response)>,
-    view: watch::Sender<View>,
-    trail: Trail,
-    meter: meter::Entry,
-    fresh: bool,
-    leaving: Option<Instant>,
-    rotation: Rotation,
-    fleet_read: Option<Time>,
-    hosts: usize,
+pub(crate) struct Host {
+    pub(crate) settings: Settings,
+    pub(crate) path: PathBuf,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) origin: Instant,
+    pub(crate) gateway: Gateway,
+    pub(crate) subscriber: Subscriber,
+    pub(crate) mesh: Mesh,
+    pub(crate) pool: Pool<Ticket>,
+    pub(crate) pending: HashMap<u64, Pending>,
+    pub(crate) calls: HashMap<Ticket, (Arc<Passed>, SocketAddr)>,
+    pub(crate) relayed: Option<(Ticket, Response)>,
+    pub(crate) view: watch::Sender<View>,
+    pub(crate) trail: Trail,
+    pub(crate) meter: meter::Entry,
+    pub(crate) fresh: bool,
+    pub(crate) leaving: Option<Instant>,
+    pub(crate) rotation: Rotation,
+    pub(crate) fleet_read: Option<Time>,
+    pub(crate) hosts: usize,
 }
 
 /// Runs an entry host until it is told to stop and its work is finished.
@@ -146,7 +137,7 @@
         last: AtomicU64::new(0),
     };
     tokio::spawn(ingress::listen(callers, Arc::new(ingress)));
-    tokio::spawn(answer_readiness(ready, seen, dialect.clone()));
+    tokio::spawn(readiness::listen(ready, seen, dialect.clone()));
     let (mesh, peers) = Mesh::open(settings.peer, peer);
     let origin = Instant::now();
     let seed = rand::random();
@@ -194,40 +185,6 @@
     Ok(())
 }
 
-/// Answers the balancer's question whether callers should be sent here.
-async fn answer_readiness(
-    listener: TcpListener,
-    view: watch::Receiver<View>,
-    dialect: Arc<dyn Dialect>,
-) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "a readiness check could not be accepted");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            }
-        };
-        let (view, dialect) = (view.clone(), dialect.clone());
-        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-            let known = dialect.is_readiness(request.uri().path());
-            let reply = match (known, view.borrow().ready) {
-                (false, _) => http::text(StatusCode::NOT_FOUND, "no such page\n"),
-                (true, true) => http::text(StatusCode::OK, "ready\n"),
-                (true, false) => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            };
-            async move { Ok::<_, std::convert::Infallible>(reply) }
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "a readiness check broke");
-            }
-        });
-    }
-}
-
 impl Host {
     fn now(&self) -> Time {
         Time::from_us(self.origin.elapsed().as_micros() as u64)
@@ -396,9 +353,12 @@
             let age_ms = self.now().since(read).as_ms();
             let replicas = fleet.replicas.len();
             tracing::info!(event = 712, replicas, age_ms, "list changed");
-            self.fleet_read = Some(read);
             self.step(Event::Fleet(fleet, read));
         }
+        if let Some(read) = update.read {
+            self.fleet_read = Some(read);
+            self.step(Event::Read(read));
+        }
         if let Some(hosts) = update.hosts {
             self.hosts = hosts.len();
             tracing::info!(event = 717, hosts = self.hosts, "entry hosts changed");
@@ -448,64 +408,6 @@
         self.relayed = None;
     }
 
-    /// What the end of a call means.
-    fn judge(
-        &mut self,
-        passed: &Passed,
-        address: SocketAddr,
-        ticket: Ticket,
-        result: pool::Result,
-    ) -> Exchange {
-        let end = |ending| Exchange {
-            ending,
-            stamp: None,
-            body: Bytes::new(),
-        };
-        let response = match result {
-            Ok(response) => response,
-            Err(failure) => {
-                let cause = failure.to_string();
-                let id = name_of(passed);
-                self.trail.unanswered(id, &address.to_string(), &cause);
-                return match failure {
-                    Failure::Unreachable(_) => end(Ending::Unreachable),
-                    Failure::Stale => end(Ending::Stale),
-                    Failure::Broken(_) | Failure::TooLong => end(Ending::Broken),
-                };
-            }
-        };
-        let names = self.dialect.headers();
-        let echo = response.headers.get(&names.request);
-        if echo.is_some_and(|echo| *echo != passed.id) {
-            let cause = "answer to another request";
-            let id = name_of(passed);
-            self.trail.unanswered(id, &address.to_string(), cause);
-            return end(Ending::Broken);
-        }
-        if response.status == StatusCode::MISDIRECTED_REQUEST {
-            return end(Ending::Denied);
-        }
-        if response.headers.contains_key(&names.not_run) {
-            return end(Ending::Shed);
-        }
-        let stamp = http::header_text(&response.headers, names.stamp.as_str());
-        let stamp = stamp.map(Arc::<str>::from);
-        let body = response.body.clone();
-        let success = response.status.is_success();
-        if success && stamp.is_none() {
-            return end(Ending::Broken);
-        }
-        self.relayed = Some((ticket, response));
-        match success {
-            true => Exchange {
-                ending: Ending::Answered,
-                stamp,
-                body,
-            },
-            false => end(Ending::Failed),
-        }
-    }
-
     fn step(&mut self, event: Event) {
         let now = self.now();
         for action in self.gateway.step(now, event) {
@@ -568,46 +470,8 @@
             tracing::debug!(request = id, "the caller left as it was answered");
         }
     }
-
-    fn reply(&mut self, answer: Answer) -> (Reply, Outcome) {
-        match answer {
-            Answer::Relay(ticket) => match self.relayed.take() {
-                Some((held, response)) if held == ticket => {
-                    (Reply::Relay(response), Outcome::Relayed)
-                }
-                _ => (Reply::Refused(Refusal::Failed, None), Outcome::Failed),
-            },
-            Answer::Merged {
-                stamps,
-                missing,
-                body,
-            } => {
-                let reply = Reply::Merged {
-                    stamps: stamps.join(", "),
-                    missing,
-                    body,
-                };
-                let complete = missing == 0;
-                let outcome = if complete {
-                    Outcome::Complete
-                } else {
-                    Outcome::Partial
-                };
-                (reply, outcome)
-            }
-            Answer::Refused(refusal, wait) => {
-                let outcome = match refusal {
-                    Refusal::NoRoute => Outcome::NoRoute,
-                    Refusal::NotRun => Outcome::NotRun,
-                    Refusal::Failed => Outcome::Failed,
-                    Refusal::Timeout => Outcome::Timeout,
-                };
-                (Reply::Refused(refusal, wait), outcome)
-            }
-        }
-    }
 }
 
-fn name_of(passed: &Passed) -> &str {
+pub(crate) fn name_of(passed: &Passed) -> &str {
     passed.id.to_str().unwrap_or("unprintable")
 }
--- /dev/null
+++ b/adapter/src/readiness.rs
@@ -0,0 +1,46 @@
+//! The port at which the balancer asks whether callers should be sent to a host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::http;
+use crate::ingress::View;
+
+/// Answers the balancer's question whether callers should be sent here.
+pub async fn listen(listener: TcpListener, view: watch::Receiver<View>, dialect: Arc<dyn Dialect>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a readiness check could not be accepted");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let (view, dialect) = (view.clone(), dialect.clone());
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let known = dialect.is_readiness(request.uri().path());
+            let reply = match (known, view.borrow().ready) {
+                (false, _) => http::text(StatusCode::NOT_FOUND, "no such page\n"),
+                (true, true) => http::text(StatusCode::OK, "ready\n"),
+                (true, false) => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            };
+            async move { Ok::<_, std::convert::Infallible>(reply) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a readiness check broke");
+            }
+        });
+    }
+}
--- a/adapter/tests/documents.rs
+++ b/adapter/tests/documents.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step is a failed test")]
 
+use std::collections::BTreeSet;
+
 use wagtailbeam_adapter::event::Event;
 use wagtailbeam_adapter::settings::Config;
 use wagtailbeam_decision::read;
@@ -57,8 +59,31 @@
         let row = format!("| {} | {} | {event} |", event.number(), event.level());
         assert!(catalogue.contains(&row), "docs/EVENTS.md lacks: {row}");
     }
-    let rows = catalogue
-        .lines()
-        .filter(|line| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit());
-    assert_eq!(rows.count(), Event::ALL.len());
+    let (fixed, discovered) = catalogue.split_once("## Discovered tiers").unwrap();
+    assert_eq!(rows(fixed).count(), Event::ALL.len());
+    let listed = rows(discovered).flat_map(numbers).collect::<BTreeSet<_>>();
+    assert_eq!(listed, logged());
+}
+
+fn rows(text: &str) -> impl Iterator<Item = &str> {
+    text.lines()
+        .filter(|line| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit())
+}
+
+/// The numbers in the first column of a row.
+fn numbers(row: &str) -> Vec<u32> {
+    let column = row.split('|').nth(1).unwrap_or_default();
+    column
+        .split(',')
+        .map(|number| number.trim().parse().unwrap())
+        .collect()
+}
+
+/// The numbers from 700 on that the sources log.
+fn logged() -> BTreeSet<u32> {
+    let sources = ["trail", "entry", "judge", "voter"];
+    let texts = sources.map(|name| std::fs::read_to_string(format!("src/{name}.rs")).unwrap());
+    let numbers = texts.iter().flat_map(|text| text.split("event = ").skip(1));
+    let numbers = numbers.filter_map(|rest| rest.get(..3)?.parse().ok());
+    numbers.filter(|number| *number >= 700).collect()
 }
--- /dev/null
+++ b/decision/src/attempt.rs
@@ -0,0 +1,327 @@
+//! Requests to replicas for the parts of a caller's request: sending, hedging,
+//! trying again and withdrawing.
+
+use std::collections::BTreeSet;
+
+use crate::catalog::Repeat;
+use crate::catalog::Target;
+use crate::choice::Pick;
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::endpoint::Ending;
+use crate::endpoint::Ticket;
+use crate::flight::Attempt;
+use crate::flight::Cause;
+use crate::flight::EndpointId;
+use crate::flight::Stage;
+use crate::gateway::Action;
+use crate::gateway::Call;
+use crate::gateway::Exchange;
+use crate::gateway::Extra;
+use crate::gateway::Gateway;
+use crate::gateway::LOOK_AGAIN;
+use crate::gateway::Out;
+use crate::gateway::RequestId;
+
+/// Time after which a part that was left out is tried again, if it is needed.
+const TAKE_UP_AFTER: Span = Span::from_ms(60);
+
+/// Requests of one part at most, whether they arrived or not.
+const SENDS_MAX: u32 = 6;
+
+impl Gateway {
+    /// Sends an open part to a replica, has it wait, or gives it up.
+    pub(crate) fn dispatch(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let part = &flight.parts[at];
+        let (service, tried) = (part.service.clone(), part.tried.clone());
+        let only = part.allowed(flight.route.attempts_max);
+        let mut pick = self.pick(now, &service, &tried, only.as_ref());
+        if matches!(pick, Pick::Nobody) && !tried.is_empty() {
+            pick = self.pick(now, &service, &BTreeSet::new(), only.as_ref());
+        }
+        match pick {
+            Pick::Endpoint(endpoint) => self.send(now, id, at, endpoint, out),
+            Pick::Wait => self.set_stage(id, at, Stage::Waiting),
+            Pick::Nobody => {
+                let again = self.again(now, id);
+                self.leave_out(id, at, Cause::NoReplica, again);
+            }
+        }
+    }
+
+    pub(crate) fn set_stage(&mut self, id: RequestId, at: usize, stage: Stage) {
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.parts[at].stage = stage;
+        }
+    }
+
+    /// Leaves a part out, for good or until `again`.
+    pub(crate) fn leave_out(
+        &mut self,
+        id: RequestId,
+        at: usize,
+        cause: Cause,
+        again: Option<Time>,
+    ) {
+        if let Some(flight) = self.flights.get_mut(&id)
+            && flight.parts[at].is_open()
+        {
+            flight.parts[at].stage = Stage::Missing(cause, again);
+            flight.missing += 1;
+        }
+    }
+
+    /// Takes a part up again that was left out for a while.
+    pub(crate) fn take_up(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let arrived = flight.parts[at].arrivals > 0;
+        let service = flight.parts[at].service.clone();
+        let (limit, hosts) = (self.settings.extra, self.hosts.len());
+        let pool = self.pools.entry(service).or_default();
+        if arrived && !pool.allowance.take(now, &limit, hosts) {
+            flight.parts[at].postpone(now.after(TAKE_UP_AFTER));
+            return;
+        }
+        flight.parts[at].stage = Stage::Waiting;
+        flight.missing -= 1;
+        flight.extra += u32::from(arrived);
+        self.dispatch(now, id, at, out);
+    }
+
+    /// When a part that can't be sent now may be tried again: never if only one
+    /// replica is asked, since the caller can be told to come back.
+    pub(crate) fn again(&self, now: Time, id: RequestId) -> Option<Time> {
+        let flight = self.flights.get(&id)?;
+        let gathers = matches!(flight.route.target, Target::Gather { .. });
+        let waits = gathers && !flight.elsewhere;
+        waits.then(|| now.after(TAKE_UP_AFTER))
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        at: usize,
+        endpoint: EndpointId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(route) = self.flights.get(&id).map(|flight| flight.route.clone()) else {
+            return;
+        };
+        let expected = self.expected(&route);
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        let (Some(flight), Some(target)) =
+            (self.flights.get_mut(&id), self.endpoints.get_mut(&endpoint))
+        else {
+            return;
+        };
+        target.send(now, ticket, expected);
+        let part = &mut flight.parts[at];
+        part.stage = Stage::Out;
+        part.tried.insert(endpoint);
+        part.ran.insert(endpoint);
+        part.arrivals += 1;
+        part.hedge_at = now.after(expected.high);
+        part.attempts.push(Attempt {
+            ticket,
+            endpoint,
+            sent: now,
+        });
+        let service = part.service.clone();
+        let call = Call {
+            ticket,
+            request: id,
+            address: target.replica.address,
+            instance: target.replica.instance.id.clone(),
+            left: Span::from_us(flight.deadline.as_us().saturating_sub(now.as_us())),
+            connections: 0,
+            careful: route.repeat == Repeat::Once,
+        };
+        let connections = self.connections(&service);
+        out.push(Action::Send(Call {
+            connections,
+            ..call
+        }));
+        self.out.insert(
+            ticket,
+            Out {
+                request: id,
+                part: at,
+                endpoint,
+                route,
+            },
+        );
+    }
+
+    pub(crate) fn done(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        exchange: Exchange,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.out.remove(&ticket) else {
+            return;
+        };
+        let ending = exchange.ending;
+        self.observe(now, ticket, &call, ending);
+        let Some(flight) = self.flights.get_mut(&call.request) else {
+            return;
+        };
+        let part = &mut flight.parts[call.part];
+        part.attempts.retain(|attempt| attempt.ticket != ticket);
+        match ending {
+            Ending::Shed | Ending::Denied => part.unrun(call.endpoint),
+            Ending::Unreachable | Ending::Stale => {
+                part.unrun(call.endpoint);
+                part.arrivals -= 1;
+                part.unsent += 1;
+            }
+            Ending::Answered | Ending::Failed | Ending::Broken | Ending::Withdrawn => {}
+        }
+        if ending == Ending::Stale {
+            part.tried.remove(&call.endpoint);
+        }
+        if part.is_open() {
+            match (ending, exchange.stamp) {
+                (Ending::Answered, Some(stamp)) => {
+                    part.stage = Stage::Done(stamp, exchange.body);
+                    flight.done += 1;
+                }
+                _ if part.attempts.is_empty() => {
+                    self.retry(now, call.request, call.part, ending, out);
+                }
+                _ => {}
+            }
+        }
+        self.review(now, call.request, Some((ticket, ending)), out);
+    }
+
+    /// Updates what is known of the replica and the route.
+    pub(crate) fn observe(&mut self, now: Time, ticket: Ticket, call: &Out, ending: Ending) {
+        let expected = self.expected(&call.route);
+        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else {
+            return;
+        };
+        let service = endpoint.replica.service.clone();
+        let known = self.catalog.services.get(&service);
+        let warmup = known.map_or(Span::ZERO, |service| service.warmup);
+        let took = endpoint.end(now, ticket, ending, expected, warmup);
+        if let Some(took) = took.filter(|_| ending == Ending::Answered)
+            && let Some(latency) = self.latencies.get_mut(&call.route.name)
+        {
+            latency.add(took);
+        }
+    }
+
+    /// Sends a part again after an attempt ended without an answer, if it may run
+    /// again and the limits allow it.
+    pub(crate) fn retry(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        at: usize,
+        ending: Ending,
+        out: &mut Vec<Action>,
+    ) {
+        let limit = self.settings.extra;
+        let hosts = self.hosts.len();
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let part = &flight.parts[at];
+        let repeatable = flight.route.repeat == Repeat::Idempotent;
+        let may_run = repeatable || part.ran.is_empty();
+        let few = part.arrivals + part.unsent < SENDS_MAX;
+        let pool = self.pools.entry(part.service.clone()).or_default();
+        let allowed = part.arrivals == 0 || pool.allowance.take(now, &limit, hosts);
+        if !may_run || !few || !allowed || now >= flight.deadline {
+            let again = self.again(now, id).filter(|_| may_run && few);
+            let cause = match ending {
+                Ending::Shed | Ending::Denied => Cause::Shed,
+                Ending::Failed => Cause::Failed,
+                Ending::Unreachable | Ending::Stale => Cause::NoReplica,
+                Ending::Answered | Ending::Broken | Ending::Withdrawn => Cause::Broken,
+            };
+            return self.leave_out(id, at, cause, again);
+        }
+        flight.extra += 1;
+        self.dispatch(now, id, at, out);
+        self.note_extra(id, at, Extra::Retry(ending), out);
+    }
+
+    pub(crate) fn note_extra(&self, id: RequestId, at: usize, why: Extra, out: &mut Vec<Action>) {
+        let Some(part) = self.flights.get(&id).map(|flight| &flight.parts[at]) else {
+            return;
+        };
+        let target = part.attempts.last();
+        let target = target.and_then(|attempt| self.endpoints.get(&attempt.endpoint));
+        if let Some(endpoint) = target {
+            let instance = endpoint.replica.instance.id.clone();
+            out.push(Action::Extra(id, part.service.clone(), instance, why));
+        }
+    }
+
+    pub(crate) fn abandon(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&id) else {
+            return;
+        };
+        let attempts = flight.parts.iter().flat_map(|part| &part.attempts);
+        for ticket in attempts.map(|attempt| attempt.ticket).collect::<Vec<_>>() {
+            self.withdraw(now, ticket, out);
+        }
+    }
+
+    pub(crate) fn withdraw(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        let Some(call) = self.out.remove(&ticket) else {
+            return;
+        };
+        let silent = self
+            .endpoints
+            .get(&call.endpoint)
+            .is_some_and(|endpoint| endpoint.is_silent(now));
+        self.observe(now, ticket, &call, Ending::Withdrawn);
+        if silent && let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
+            endpoint.hold_silent(now);
+        }
+        out.push(Action::Withdraw(ticket));
+    }
+
+    /// Asks another replica for a late part, if one can answer sooner and the
+    /// limits allow it.
+    pub(crate) fn hedge(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+        let limit = self.settings.extra;
+        let hosts = self.hosts.len();
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let route = flight.route.clone();
+        let part = &mut flight.parts[at];
+        part.hedge_at = now.after(LOOK_AGAIN);
+        let single = part.attempts.len() == 1;
+        let only = part.allowed(route.attempts_max);
+        if !single || route.repeat == Repeat::Once {
+            part.hedge_at = flight.deadline;
+            return;
+        }
+        let (service, tried) = (part.service.clone(), part.tried.clone());
+        let Pick::Endpoint(endpoint) = self.pick(now, &service, &tried, only.as_ref()) else {
+            return;
+        };
+        let pool = self.pools.entry(service).or_default();
+        if !pool.allowance.take(now, &limit, hosts) {
+            return;
+        }
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.extra += 1;
+        }
+        self.send(now, id, at, endpoint, out);
+        self.note_extra(id, at, Extra::Hedge, out);
+    }
+}
--- /dev/null
+++ b/decision/src/choice.rs
@@ -0,0 +1,141 @@
+//! The choice of a replica for a part, within the limits of this host.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand_chacha::rand_core::Rng;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::endpoint::Endpoint;
+use crate::flight::EndpointId;
+use crate::flight::Flight;
+use crate::gateway::Gateway;
+use crate::name::Name;
+
+/// Cost of a replica in another failure domain, relative to one in the same.
+const FAR_COST: f64 = 1.1;
+
+/// Part of a replica's connections that the entry hosts use together.
+const CONNECTIONS_USED: f64 = 0.85;
+
+/// Part of the limit on a cold replica that the entry hosts use together.
+const COLD_USED: f64 = 0.8;
+
+/// Which replica takes a part.
+pub(crate) enum Pick {
+    Endpoint(EndpointId),
+    Wait,
+    Nobody,
+}
+
+impl Gateway {
+    /// Parts of a request that some replica may take now.
+    pub(crate) fn reachable(&self, now: Time, flight: &Flight) -> usize {
+        let usable = |id: &EndpointId| {
+            let endpoint = self.endpoints.get(id);
+            endpoint.is_some_and(|endpoint| endpoint.is_usable(now))
+        };
+        let reachable = flight.parts.iter().filter(|part| {
+            let pool = self.pools.get(&part.service);
+            pool.is_some_and(|pool| pool.endpoints.iter().any(usable))
+        });
+        reachable.count()
+    }
+
+    /// The cheapest replica of a service that may take one more request, was not
+    /// tried, and is one of `only` if that is given.
+    pub(crate) fn pick(
+        &mut self,
+        now: Time,
+        service: &Name,
+        tried: &BTreeSet<EndpointId>,
+        only: Option<&BTreeSet<EndpointId>>,
+    ) -> Pick {
+        let Some(pool) = self.pools.get(service) else {
+            return Pick::Nobody;
+        };
+        let connections = self.connections(service) as usize;
+        let mut best: Option<(f64, EndpointId)> = None;
+        let mut busy = false;
+        for id in pool.endpoints.clone() {
+            let Some(endpoint) = self.endpoints.get(&id) else {
+                continue;
+            };
+            let open = !self.closed.contains(&endpoint.replica.domain);
+            let barred = tried.contains(&id) || only.is_some_and(|only| !only.contains(&id));
+            if barred || !open || !endpoint.is_usable(now) {
+                continue;
+            }
+            if endpoint.in_flight() >= connections || !self.bears(now, id, service) {
+                busy = true;
+                continue;
+            }
+            let jitter = 1.0 + f64::from(self.random.next_u32() % 256) / 2_560.0;
+            let endpoint = &self.endpoints[&id];
+            let near = endpoint.replica.domain == self.settings.domain;
+            let distance = if near { 1.0 } else { FAR_COST };
+            let cost = endpoint.cost(now) * jitter * distance;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        match best {
+            Some((_, id)) => Pick::Endpoint(id),
+            None if busy => Pick::Wait,
+            None => Pick::Nobody,
+        }
+    }
+
+    /// Connections to each replica of a service that this host may have.
+    pub(crate) fn connections(&self, service: &Name) -> u32 {
+        let known = self.catalog.services.get(service);
+        let all = known.map_or(1, |service| service.connections_max);
+        let part = f64::from(all) * CONNECTIONS_USED / self.hosts.len().max(1) as f64;
+        (part as u32).max(1)
+    }
+
+    /// Whether the limit on a cold replica leaves room for a request of this host.
+    pub(crate) fn bears(&mut self, now: Time, id: EndpointId, service: &Name) -> bool {
+        let cold = |endpoint: &Endpoint| endpoint.is_cold(now);
+        if !self.endpoints.get(&id).is_some_and(cold) {
+            return true;
+        }
+        let share = match self.cold_shares.get(&id) {
+            Some(share) => *share,
+            None => self.cold_share(id, service),
+        };
+        self.cold_shares.insert(id, share);
+        let endpoint = self.endpoints.get_mut(&id);
+        endpoint.is_some_and(|endpoint| endpoint.bears(now, share))
+    }
+
+    /// This host's part of the requests a second that a cold replica bears. If
+    /// there are more hosts than requests, rendezvous hashing picks the hosts.
+    pub(crate) fn cold_share(&self, id: EndpointId, service: &Name) -> u32 {
+        let known = self.catalog.services.get(service);
+        let rate = known.map_or(0.0, |service| service.warmup_per_s);
+        let total = rate * self.settings.cold_overage + self.settings.cold_slack;
+        let total = (total * COLD_USED) as u32;
+        let hosts = self.hosts.len().max(1) as u32;
+        if total >= hosts {
+            return total / hosts;
+        }
+        let Some(endpoint) = self.endpoints.get(&id) else {
+            return 0;
+        };
+        let instance = &endpoint.replica.instance.id;
+        let rank = |host: &SocketAddr| {
+            Digest::of_parts(&[instance.as_bytes(), host.to_string().as_bytes()]).rank()
+        };
+        let own = rank(&self.settings.address);
+        let before = self.hosts.iter().filter(|host| rank(host) > own).count();
+        u32::from((before as u32) < total)
+    }
+
+    pub(crate) fn warmup(&self, service: &Name) -> Span {
+        let known = self.catalog.services.get(service);
+        known.map_or(Span::ZERO, |service| service.warmup)
+    }
+}
--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -2,7 +2,6 @@
 //! reads the platform's list of replicas, and feeds the entry hosts.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,9 +9,7 @@
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::feed::Beat;
-use crate::feed::Feed;
 use crate::feed::Message;
-use crate::feed::Pulse;
 use crate::feed::digest_of;
 use crate::fleet::Fleet;
 use crate::register::Change;
@@ -21,12 +18,10 @@
 use crate::register::Value;
 use crate::repair::Timing;
 use crate::tier;
-use crate::tier::Claim;
 use crate::tier::State;
 use crate::tier::Verdict;
 use crate::voter;
 use crate::voter::Id;
-use crate::voter::Incarnation;
 use crate::voter::Mode;
 use crate::voter::Place;
 use crate::voter::Record;
@@ -34,7 +29,7 @@
 
 /// Waits of a voter that starts: the processes of a tier are started together,
 /// and callers wait for them.
-const START: Timing = Timing {
+pub(crate) const START: Timing = Timing {
     check_max: Span::from_ms(120),
     retry_every: Span::from_ms(50),
 };
@@ -43,19 +38,7 @@
 const PULSE_EVERY: Span = Span::from_ms(250);
 
 /// Silence after which a voter counts as out of touch.
-const PEER_SILENT: Span = Span::from_ms(900);
-
-/// Silence after which a voter's place may be given to another process.
-const PLACE_SILENT: Span = Span::from_ms(2_000);
-
-/// Silence after which an entry host counts as gone.
-const ENTRY_SILENT: Span = Span::from_ms(2_500);
-
-/// Time between two tries to become a voter.
-const JOIN_EVERY: Span = Span::from_ms(250);
-
-/// Time after which a place that came to nothing is asked for again.
-const PLACE_MAX: Span = Span::from_ms(1_500);
+pub(crate) const PEER_SILENT: Span = Span::from_ms(900);
 
 /// Wait before an accepted value that may not be chosen is settled.
 const SETTLE_AFTER: Span = Span::from_ms(40);
@@ -63,15 +46,6 @@
 /// Further wait for each voter before this one, so that they don't collide.
 const SETTLE_STEP: Span = Span::from_ms(60);
 
-/// Longest time for one read of the list.
-const READ_MAX: Span = Span::from_ms(1_500);
-
-/// Wait, beyond the usual time between reads, of voters that didn't read last.
-const READ_GRACE: Span = Span::from_ms(350);
-
-/// Further wait for each voter before this one.
-const READ_STEP: Span = Span::from_ms(150);
-
 /// Longest time for an operator's read of the configuration.
 const ORDER_READ_MAX: Span = Span::from_ms(900);
 
@@ -187,15 +161,15 @@
 }
 
 #[derive(Clone, Debug)]
-struct Peer {
-    heard: Time,
-    voting: bool,
-    entries: Vec<SocketAddr>,
-    failing: u32,
+pub(crate) struct Peer {
+    pub(crate) heard: Time,
+    pub(crate) voting: bool,
+    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) failing: u32,
 }
 
 #[derive(Clone, Debug)]
-enum Ticket {
+pub(crate) enum Ticket {
     Order {
         id: u64,
         order: Order,
@@ -206,36 +180,36 @@
 }
 
 #[derive(Clone, Debug)]
-struct Listing {
-    fleet: Arc<Fleet>,
-    digest: Digest,
-    read: Time,
+pub(crate) struct Listing {
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) digest: Digest,
+    pub(crate) read: Time,
 }
 
 /// A voter process.
 #[derive(Debug)]
 pub struct Control {
-    settings: Settings,
-    voter: Option<Voter>,
-    written: u64,
-    place: Option<(Place, Time)>,
-    chosen: Option<Arc<State>>,
-    peers: BTreeMap<SocketAddr, Peer>,
-    entries: BTreeMap<SocketAddr, (Beat, Time)>,
-    hosts: Vec<SocketAddr>,
-    hosts_digest: Digest,
-    listing: Option<Listing>,
-    reading: Option<Time>,
-    read_last: bool,
-    tickets: BTreeMap<u64, Ticket>,
-    last: u64,
-    pulsed: Option<Time>,
-    joined: Option<Time>,
-    join_at: usize,
-    unsettled: Option<Time>,
-    mode: Option<Mode>,
-    quorum: bool,
-    heard_voters: Vec<SocketAddr>,
+    pub(crate) settings: Settings,
+    pub(crate) voter: Option<Voter>,
+    pub(crate) written: u64,
+    pub(crate) place: Option<(Place, Time)>,
+    pub(crate) chosen: Option<Arc<State>>,
+    pub(crate) peers: BTreeMap<SocketAddr, Peer>,
+    pub(crate) entries: BTreeMap<SocketAddr, (Beat, Time)>,
+    pub(crate) hosts: Vec<SocketAddr>,
+    pub(crate) hosts_digest: Digest,
+    pub(crate) listing: Option<Listing>,
+    pub(crate) reading: Option<Time>,
+    pub(crate) read_last: bool,
+    pub(crate) tickets: BTreeMap<u64, Ticket>,
+    pub(crate) last: u64,
+    pub(crate) pulsed: Option<Time>,
+    pub(crate) joined: Option<Time>,
+    pub(crate) join_at: usize,
+    pub(crate) unsettled: Option<Time>,
+    pub(crate) mode: Option<Mode>,
+    pub(crate) quorum: bool,
+    pub(crate) heard_voters: Vec<SocketAddr>,
 }
 
 impl Control {
@@ -340,7 +314,13 @@
         out
     }
 
-    fn message(&mut self, now: Time, from: SocketAddr, message: Message, out: &mut Vec<Action>) {
+    pub(crate) fn message(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
         match message {
             Message::Beat(beat) => self.beat(now, from, beat, out),
             Message::Voter(letter) => {
@@ -375,7 +355,7 @@
         }
     }
 
-    fn hear(&mut self, now: Time, from: SocketAddr) {
+    pub(crate) fn hear(&mut self, now: Time, from: SocketAddr) {
         match self.peers.get_mut(&from) {
             Some(peer) => peer.heard = now,
             None => {
@@ -391,145 +371,12 @@
         }
     }
 
-    /// Addresses of the voters, as far as known.
-    fn voters(&self) -> Vec<SocketAddr> {
-        let known = self.lives();
-        let known = known
-            .iter()
-            .filter_map(|life| life.address)
-            .collect::<BTreeSet<_>>();
-        known.into_iter().collect()
-    }
-
-    /// The voters' newest lives that this process knows.
-    fn lives(&self) -> Vec<Incarnation> {
-        let known = self.voter.as_ref().map(Voter::known).unwrap_or_default();
-        let given = self.chosen.as_ref().map(|state| state.seats.as_slice());
-        let given = given.unwrap_or_default();
-        let newest = |(id, known): (usize, &Incarnation)| match given.get(id) {
-            Some(given) if given.epoch > known.epoch => *given,
-            _ => *known,
-        };
-        known.iter().enumerate().map(newest).collect()
-    }
-
-    fn is_heard(&self, now: Time, address: SocketAddr, silence: Span) -> bool {
+    pub(crate) fn is_heard(&self, now: Time, address: SocketAddr, silence: Span) -> bool {
         let heard = self.peers.get(&address).map(|peer| peer.heard);
         address == self.settings.address || heard.is_some_and(|at| now.since(at) < silence)
     }
 
-    fn beat(&mut self, now: Time, from: SocketAddr, beat: Beat, out: &mut Vec<Action>) {
-        let known = self.entries.insert(from, (beat, now)).is_some();
-        if !known {
-            self.count_hosts(now, out);
-        }
-        out.push(Action::Send(from, self.feed(now, &beat)));
-    }
-
-    fn feed(&self, now: Time, beat: &Beat) -> Message {
-        let Some(state) = self.chosen.as_ref().filter(|_| self.quorum) else {
-            return Message::Feed(Box::default());
-        };
-        let listing = self.listing.as_ref();
-        let digest = listing.map(|listing| listing.digest).unwrap_or_default();
-        let lacking = listing.filter(|listing| listing.digest != beat.fleet);
-        Message::Feed(Box::new(Feed {
-            fresh: true,
-            revision: state.revision,
-            version: state.version,
-            document: (state.version > beat.version).then(|| state.document.clone()),
-            closed: state.closed.clone(),
-            fleet_age: listing.map(|listing| now.since(listing.read)),
-            fleet_digest: digest,
-            fleet: lacking.map(|listing| listing.fleet.clone()),
-            hosts_digest: self.hosts_digest,
-            hosts: (self.hosts_digest != beat.hosts).then(|| self.hosts.clone()),
-            failing: self.failing(now),
-            voters: self.voters(),
-        }))
-    }
-
-    /// Entry hosts heard by this voter that fail most requests.
-    fn own_failing(&self) -> u32 {
-        let failing = self.entries.values().filter(|(beat, _)| beat.failing);
-        failing.count() as u32
-    }
-
-    /// Entry hosts that fail most requests, as far as known.
-    fn failing(&self, now: Time) -> u32 {
-        let live = |peer: &&Peer| now.since(peer.heard) < PEER_SILENT;
-        let peers = self.peers.values().filter(live).map(|peer| peer.failing);
-        self.own_failing() + peers.sum::<u32>()
-    }
-
-    /// Tells all entry hosts in touch what they lack.
-    fn feed_all(&mut self, now: Time, out: &mut Vec<Action>) {
-        let fed = self
-            .entries
-            .iter()
-            .map(|(entry, (beat, _))| (*entry, *beat));
-        for (entry, beat) in fed.collect::<Vec<_>>() {
-            out.push(Action::Send(entry, self.feed(now, &beat)));
-            self.assume_fed(entry);
-        }
-    }
-
-    /// Notes what an entry host has once a feed arrives; a lost one is made up
-    /// for after its next beat.
-    fn assume_fed(&mut self, entry: SocketAddr) {
-        let version = self.chosen.as_ref().map_or(0, |state| state.version);
-        let fleet = self.listing.as_ref().map(|listing| listing.digest);
-        if let Some((beat, _)) = self.entries.get_mut(&entry) {
-            beat.version = version;
-            beat.fleet = fleet.unwrap_or_default();
-            beat.hosts = self.hosts_digest;
-        }
-    }
-
-    fn count_hosts(&mut self, now: Time, out: &mut Vec<Action>) {
-        let silent = |at: &Time| now.since(*at) >= ENTRY_SILENT;
-        self.entries.retain(|_, (_, heard)| !silent(heard));
-        let live = self.peers.values().filter(|peer| !silent(&peer.heard));
-        let mut hosts = live
-            .flat_map(|peer| &peer.entries)
-            .copied()
-            .collect::<BTreeSet<_>>();
-        hosts.extend(self.entries.keys().copied());
-        let hosts = hosts.into_iter().collect::<Vec<_>>();
-        if hosts == self.hosts {
-            return;
-        }
-        self.hosts_digest = digest_of(&hosts);
-        self.hosts = hosts;
-        out.push(Action::Note(Note::Entries(self.hosts.len())));
-    }
-
-    fn pulse(&mut self, now: Time, from: SocketAddr, pulse: Pulse, out: &mut Vec<Action>) {
-        self.hear(now, from);
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.entries = pulse.entries;
-            peer.voting = pulse.voting;
-            peer.failing = pulse.failing;
-        }
-        let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
-        if pulse.revision > revision {
-            out.push(Action::Send(from, Message::WantState(revision)));
-        }
-        let Some(age) = pulse.fleet_age else {
-            return;
-        };
-        let read = Time::from_us(now.as_us().saturating_sub(age.as_us()));
-        match &mut self.listing {
-            Some(listing) if listing.read >= read => {}
-            Some(listing) if listing.digest == pulse.fleet_digest => {
-                listing.read = read;
-                self.read_last = false;
-            }
-            _ => out.push(Action::Send(from, Message::WantFleet)),
-        }
-    }
-
-    fn choose(&mut self, now: Time, state: Arc<State>, out: &mut Vec<Action>) {
+    pub(crate) fn choose(&mut self, now: Time, state: Arc<State>, out: &mut Vec<Action>) {
         let known = self.chosen.as_ref();
         if known.is_some_and(|known| known.revision >= state.revision) {
             return;
@@ -543,58 +390,13 @@
         self.feed_all(now, out);
     }
 
-    fn learn_fleet(&mut self, now: Time, fleet: Arc<Fleet>, read: Time, out: &mut Vec<Action>) {
-        if self
-            .listing
-            .as_ref()
-            .is_some_and(|listing| listing.read >= read)
-        {
-            return;
-        }
-        self.read_last = false;
-        let digest = fleet.digest();
-        let same = self
-            .listing
-            .as_ref()
-            .is_some_and(|listing| listing.digest == digest);
-        let replicas = fleet.replicas.len();
-        self.listing = Some(Listing {
-            fleet,
-            digest,
-            read,
-        });
-        if same {
-            return;
-        }
-        let age = now.since(read);
-        out.push(Action::Note(Note::Fleet { replicas, age }));
-        self.feed_all(now, out);
-    }
-
-    fn listed(&mut self, now: Time, fleet: Option<Fleet>, out: &mut Vec<Action>) {
-        let Some(started) = self.reading.take() else {
-            return;
-        };
-        let Some(fleet) = fleet else {
-            return out.push(Action::Note(Note::ListFailed));
-        };
-        let before = self.listing.as_ref().map(|listing| listing.digest);
-        self.learn_fleet(now, Arc::new(fleet), started, out);
-        self.read_last = true;
-        let changed = self.listing.as_ref().map(|listing| listing.digest) != before;
-        if changed && let Some(listing) = &self.listing {
-            let message = Message::Fleet(listing.fleet.clone(), now.since(started));
-            self.broadcast(&message, out);
-        }
-    }
-
-    fn broadcast(&self, message: &Message, out: &mut Vec<Action>) {
+    pub(crate) fn broadcast(&self, message: &Message, out: &mut Vec<Action>) {
         let others = self.voters().into_iter();
         let others = others.filter(|address| *address != self.settings.address);
         out.extend(others.map(|address| Action::Send(address, message.clone())));
     }
 
-    fn order(&mut self, now: Time, id: u64, order: Order, out: &mut Vec<Action>) {
+    pub(crate) fn order(&mut self, now: Time, id: u64, order: Order, out: &mut Vec<Action>) {
         let change = match &order {
             Order::Read => Change::Read,
             Order::Change(change) => Change::Tier(change.clone()),
@@ -607,7 +409,13 @@
         self.propose(now, ticket, change, out);
     }
 
-    fn propose(&mut self, now: Time, ticket: Ticket, change: Change, out: &mut Vec<Action>) {
+    pub(crate) fn propose(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        change: Change,
+        out: &mut Vec<Action>,
+    ) {
         self.last += 1;
         let id = self.last;
         self.tickets.insert(id, ticket);
@@ -618,7 +426,12 @@
         self.voter_actions(now, actions, out);
     }
 
-    fn voter_actions(&mut self, now: Time, actions: Vec<voter::Action>, out: &mut Vec<Action>) {
+    pub(crate) fn voter_actions(
+        &mut self,
+        now: Time,
+        actions: Vec<voter::Action>,
+        out: &mut Vec<Action>,
+    ) {
         for action in actions {
             match action {
                 voter::Action::Persist(number, record) => {
@@ -635,7 +448,13 @@
         }
     }
 
-    fn decided(&mut self, now: Time, id: u64, decision: Decision, out: &mut Vec<Action>) {
+    pub(crate) fn decided(
+        &mut self,
+        now: Time,
+        id: u64,
+        decision: Decision,
+        out: &mut Vec<Action>,
+    ) {
         let Some(ticket) = self.tickets.remove(&id) else {
             return;
         };
@@ -667,69 +486,13 @@
         }
     }
 
-    fn undecided(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
+    pub(crate) fn undecided(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
         if let Ticket::Order { id, .. } = ticket {
             out.push(Action::Answer(id, Outcome::Unknown));
         }
     }
 
-    /// Has a place given to a process without state.
-    fn claim(&mut self, now: Time, from: SocketAddr, nonce: u64, out: &mut Vec<Action>) {
-        let under_way =
-            |ticket: &Ticket| matches!(ticket, Ticket::Join(address) if *address == from);
-        let able = self.mode() == Some(Mode::Voting) && self.quorum;
-        if !able || self.tickets.values().any(under_way) {
-            return;
-        }
-        let known = self.lives();
-        let vacant = |life: &Incarnation| life.epoch == 0 && life.address.is_none();
-        let silent = |life: &Incarnation| {
-            let address = life.address.filter(|_| life.epoch > 0);
-            address.is_some_and(|address| !self.is_heard(now, address, PLACE_SILENT))
-        };
-        let free = known.iter().zip(0..);
-        let free = free.filter(|(life, _)| vacant(life) || silent(life));
-        let claim = Claim {
-            address: from,
-            nonce,
-            free: free.map(|(_, id)| id).collect(),
-            known,
-        };
-        let change = Change::Tier(tier::Change::Seat(claim));
-        self.propose(now, Ticket::Join(from), change, out);
-    }
-
-    /// Takes a place that was given to this process.
-    fn seated(&mut self, now: Time, place: Place, out: &mut Vec<Action>) {
-        let own = place.incarnation.address == Some(self.settings.address);
-        let settled = self
-            .voter
-            .as_ref()
-            .is_some_and(|voter| !voter.is_displaced() && self.place.is_none());
-        let same = self
-            .place
-            .as_ref()
-            .is_some_and(|(held, _)| held.incarnation == place.incarnation);
-        if !own || settled || same || place.incarnation.nonce != self.settings.nonce {
-            return;
-        }
-        let records = place
-            .known
-            .iter()
-            .zip(0..)
-            .filter(|(_, id)| *id != place.id)
-            .map(|(life, id)| Record::Known(id, *life));
-        let seat = Record::Seat(place.id, place.known.len() as u8);
-        out.push(Action::Replace(
-            std::iter::once(seat).chain(records).collect(),
-        ));
-        out.push(Action::Note(Note::Seated(place.id)));
-        let voter = Voter::join(now, &place, self.written);
-        self.voter = Some(voter.with_timing(START));
-        self.place = Some((place, now));
-    }
-
-    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let actions = self.voter.as_mut().map(|voter| voter.tick(now));
         self.voter_actions(now, actions.unwrap_or_default(), out);
         self.expire_orders(now, out);
@@ -746,7 +509,7 @@
         self.ask_for_place(now, out);
     }
 
-    fn expire_orders(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(crate) fn expire_orders(&mut self, now: Time, out: &mut Vec<Action>) {
         let late = |ticket: &Ticket| match ticket {
             Ticket::Order { order, started, .. } => {
                 let limit = match order {
@@ -766,7 +529,7 @@
     }
 
     /// Settles a value that was accepted here and isn't known to be chosen.
-    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(crate) fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(voter) = self.voter.as_ref().filter(|v| v.mode() == Mode::Voting) else {
             self.unsettled = Some(now);
             return;
@@ -795,69 +558,8 @@
         self.propose(now, Ticket::Settle, Change::Read, out);
     }
 
-    /// Whether it is this voter's turn to read the list.
-    fn should_read(&self, now: Time) -> bool {
-        if self.reading.is_some_and(|at| now.since(at) < READ_MAX) {
-            return false;
-        }
-        let Some(listing) = &self.listing else {
-            let first = self.settings.seeds.first() == Some(&self.settings.address);
-            return first || self.unsettled.is_none();
-        };
-        let grace = match &self.voter {
-            _ if self.read_last => Span::ZERO,
-            Some(voter) => READ_GRACE.after_steps(READ_STEP, voter.id()),
-            None => READ_GRACE.after_steps(READ_STEP, self.settings.voters),
-        };
-        now.since(listing.read) >= self.settings.read_every + grace
-    }
-
-    fn send_pulse(&mut self, now: Time, out: &mut Vec<Action>) {
-        let listing = self.listing.as_ref();
-        let pulse = Pulse {
-            voting: self.mode() == Some(Mode::Voting),
-            revision: self.chosen.as_ref().map_or(0, |state| state.revision),
-            fleet_age: listing.map(|listing| now.since(listing.read)),
-            fleet_digest: listing.map(|listing| listing.digest).unwrap_or_default(),
-            entries: self.entries.keys().copied().collect(),
-            failing: self.own_failing(),
-        };
-        self.broadcast(&Message::Pulse(pulse), out);
-    }
-
-    /// Asks for a voter's place while this process has none.
-    fn ask_for_place(&mut self, now: Time, out: &mut Vec<Action>) {
-        let voting = self.mode() == Some(Mode::Voting);
-        if voting {
-            self.place = None;
-            return;
-        }
-        let displaced = self.voter.as_ref().is_none_or(Voter::is_displaced);
-        let stuck = self
-            .place
-            .as_ref()
-            .is_some_and(|(_, since)| now.since(*since) >= PLACE_MAX);
-        let due = self.joined.is_none_or(|at| now.since(at) >= JOIN_EVERY);
-        if !(displaced || stuck) || !due {
-            return;
-        }
-        self.joined = Some(now);
-        let known = self.voters().into_iter().chain(self.heard_voters.clone());
-        let known = known.chain(self.settings.seeds.clone());
-        let known = known.filter(|address| *address != self.settings.address);
-        let known = known
-            .collect::<BTreeSet<_>>()
-            .into_iter()
-            .collect::<Vec<_>>();
-        self.join_at += 1;
-        if let Some(address) = known.get(self.join_at % known.len().max(1)) {
-            out.push(Action::Send(*address, Message::WantVoters));
-            out.push(Action::Send(*address, Message::Join(self.settings.nonce)));
-        }
-    }
-
     /// Draws the consequences of what was heard.
-    fn review(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(crate) fn review(&mut self, now: Time, out: &mut Vec<Action>) {
         if let Some(voter) = &self.voter {
             self.written = self.written.max(voter.written());
         }
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -150,6 +150,8 @@
     pub closed: Option<BTreeSet<Name>>,
     /// A fleet that was read later, and when.
     pub fleet: Option<(Arc<Fleet>, Time)>,
+    /// When the list was read of which the fleet is, if that is later now.
+    pub read: Option<Time>,
     /// The entry hosts, if they changed.
     pub hosts: Option<Vec<SocketAddr>>,
 }
@@ -289,6 +291,7 @@
         }
         if let Some(age) = feed.fleet_age {
             update.fleet = self.take_fleet(now, age, feed.fleet_digest, feed.fleet);
+            update.read = self.fleet_read;
         }
         if let Some(hosts) = feed.hosts {
             self.have.hosts = feed.hosts_digest;
--- /dev/null
+++ b/decision/src/listing.rs
@@ -0,0 +1,74 @@
+//! Replicas that come and go, and failure domains out of service.
+
+use std::collections::BTreeSet;
+
+use crate::clock::Time;
+use crate::endpoint::Endpoint;
+use crate::fleet::Fleet;
+use crate::gateway::Action;
+use crate::gateway::Gateway;
+use crate::name::Name;
+
+impl Gateway {
+    pub(crate) fn fleet(&mut self, now: Time, fleet: &Fleet, read: Time, out: &mut Vec<Action>) {
+        let listed_at = read;
+        self.fleet_read = read;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.listed = false;
+        }
+        for (instance, replica) in &fleet.replicas {
+            let known = self.ids.get(instance);
+            if let Some(endpoint) = known.and_then(|id| self.endpoints.get_mut(id)) {
+                endpoint.relist(replica.clone(), listed_at);
+                continue;
+            }
+            self.last_endpoint += 1;
+            let id = self.last_endpoint;
+            let endpoint = Endpoint::new(now, replica.clone(), listed_at);
+            self.endpoints.insert(id, endpoint);
+            self.ids.insert(instance.clone(), id);
+            let pool = self.pools.entry(replica.service.clone()).or_default();
+            pool.endpoints.push(id);
+        }
+        self.forget_unlisted(out);
+    }
+
+    /// Forgets replicas that are no longer listed, and closes their connections.
+    pub(crate) fn forget_unlisted(&mut self, out: &mut Vec<Action>) {
+        let gone = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| !endpoint.listed);
+        let gone = gone.map(|(id, endpoint)| (*id, endpoint.replica.clone()));
+        for (id, replica) in gone.collect::<Vec<_>>() {
+            let idle = self.endpoints.get(&id).is_some_and(|e| e.in_flight() == 0);
+            out.push(Action::Release(replica.address));
+            if !idle {
+                continue;
+            }
+            self.endpoints.remove(&id);
+            self.ids.remove(&replica.instance);
+            self.cold_shares.remove(&id);
+            if let Some(pool) = self.pools.get_mut(&replica.service) {
+                pool.endpoints.retain(|other| *other != id);
+            }
+        }
+    }
+
+    /// Takes failure domains out of service or back. Replicas of one that comes
+    /// back may have become cold meanwhile.
+    pub(crate) fn close(&mut self, now: Time, closed: BTreeSet<Name>) {
+        let opened = self.closed.difference(&closed).cloned().collect::<Vec<_>>();
+        for id in self.endpoints.keys().copied().collect::<Vec<_>>() {
+            let Some(replica) = self.endpoints.get(&id).map(|e| e.replica.clone()) else {
+                continue;
+            };
+            if opened.contains(&replica.domain) {
+                let until = now.after(self.warmup(&replica.service));
+                let until = until.after(self.settings.list_lag);
+                self.endpoints.entry(id).and_modify(|e| e.chill(until));
+            }
+        }
+        self.closed = closed;
+    }
+}
