A host is cut off only if listed replicas can't be reached

At 27.84 s one host, and after the restart of all processes every host, left the rotation for 4 s although it served: requests of a route whose service has no replica left, and those before a configuration was known, had counted as failures.

Ruled out: voters out of touch (no line 715), replicas out of reach (no line 703).

Change: replicas that are listed and held back are told apart from none listed, and only the former make a host count as cut off.

Seen failing first: the new test, before the causes were told apart, would not build; the report had no such field.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -465,7 +465,8 @@
             .answered(name_of(&pending.passed), outcome, report);
         self.meter.answered(outcome, report);
         let now = self.now();
-        self.rotation.note(now, outcome.is_failure());
+        let failed = outcome.is_failure() && report.is_cut_off();
+        self.rotation.note(now, failed);
         if pending.answer.send(reply).is_err() {
             tracing::debug!(request = id, "the caller left as it was answered");
         }
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -47,7 +47,11 @@
             Pick::Wait => self.set_stage(id, at, Stage::Waiting),
             Pick::Nobody => {
                 let again = self.again(now, id);
-                self.leave_out(id, at, Cause::NoReplica, again);
+                let cause = match self.is_held_back(now, &service) {
+                    true => Cause::HeldBack,
+                    false => Cause::NoReplica,
+                };
+                self.leave_out(id, at, cause, again);
             }
         }
     }
@@ -246,7 +250,7 @@
             let cause = match ending {
                 Ending::Shed | Ending::Denied => Cause::Shed,
                 Ending::Failed => Cause::Failed,
-                Ending::Unreachable | Ending::Stale => Cause::NoReplica,
+                Ending::Unreachable | Ending::Stale => Cause::HeldBack,
                 Ending::Answered | Ending::Broken | Ending::Withdrawn => Cause::Broken,
             };
             return self.leave_out(id, at, cause, again);
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -31,6 +31,18 @@
 }
 
 impl Gateway {
+    /// Whether a service has replicas, and all are held back after failures.
+    pub(crate) fn is_held_back(&self, now: Time, service: &Name) -> bool {
+        let Some(pool) = self.pools.get(service) else {
+            return false;
+        };
+        let mut known = pool
+            .endpoints
+            .iter()
+            .filter_map(|id| self.endpoints.get(id));
+        known.any(|endpoint| endpoint.is_held(now))
+    }
+
     /// Parts of a request that some replica may take now.
     pub(crate) fn reachable(&self, now: Time, flight: &Flight) -> usize {
         let usable = |id: &EndpointId| {
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -43,9 +43,12 @@
 /// Why a part is missing or a request is refused.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Cause {
-    /// No replica of the service is known and in service.
+    /// No replica of the service is listed and in service.
     #[display("no replica")]
     NoReplica,
+    /// All replicas are held back after failures.
+    #[display("replicas held back")]
+    HeldBack,
     /// All replicas rejected it.
     #[display("all replicas rejected it")]
     Shed,
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -176,6 +176,17 @@
     pub missing: Option<Name>,
 }
 
+impl Report {
+    /// Whether replicas that are listed could not be reached in time.
+    pub fn is_cut_off(&self) -> bool {
+        match self.cause {
+            Some(Cause::HeldBack) => true,
+            Some(Cause::LeftOut | Cause::Deadline) => self.parts > 1,
+            _ => false,
+        }
+    }
+}
+
 /// An input.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -1,11 +1,13 @@
 //! Load patterns replayed against the entry role.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Refusal;
+use wagtailbeam_decision::gateway::Report;
 use wagtailbeam_decision::name::Name;
 
 use crate::check;
@@ -114,6 +116,27 @@
     assert_eq!(world.sent, sent);
 }
 
+/// Pattern: a route still names a service whose replicas have all left the list.
+/// That is no sign that this host is cut off.
+#[test]
+fn a_service_without_listed_replicas_is_told_from_one_that_is_cut_off() {
+    let mut world = warm(8);
+    for shard in 0..3 {
+        world.ail(shard, 0, Ailment::Down);
+        world.ail(shard, 1, Ailment::Down);
+    }
+    world.load(1, 3, "once", Span::from_ms(1));
+    world.run(Span::from_ms(20));
+    assert!(world.reports.values().any(Report::is_cut_off));
+    world.reports.clear();
+    let now = world.now;
+    world.step(Event::Fleet(Arc::default(), now));
+    world.load(10, 3, "once", Span::from_ms(1));
+    world.run(Span::from_ms(20));
+    assert_eq!(world.reports.len(), 3);
+    assert!(!world.reports.values().any(Report::is_cut_off));
+}
+
 #[test]
 fn a_shed_request_goes_to_the_other_replica() {
     let mut world = warm(4);
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -30,6 +30,7 @@
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Exchange;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::gateway::Report;
 use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::gateway::Settings;
 use wagtailbeam_decision::name::Name;
@@ -82,6 +83,8 @@
     pub now: Time,
     pub gateway: Gateway,
     pub answers: BTreeMap<u64, (Answer, Span)>,
+    /// How requests were decided.
+    pub reports: BTreeMap<u64, Report>,
     /// Runs by request.
     pub runs: HashMap<u64, u32>,
     /// Calls sent, withdrawn and ended.
@@ -162,6 +165,7 @@
             now: Time::from_us(1),
             gateway: Gateway::new(settings()),
             answers: BTreeMap::new(),
+            reports: BTreeMap::new(),
             runs: HashMap::new(),
             sent: 0,
             withdrawn: 0,
@@ -320,7 +324,8 @@
                     self.withdrawn += 1;
                     self.withdrawn_calls.push(ticket);
                 }
-                Action::Answer(id, answer, _) => {
+                Action::Answer(id, answer, report) => {
+                    self.reports.insert(id, report);
                     let started = self.started.get(&id).copied().unwrap_or_default();
                     let earlier = self.answers.insert(id, (answer, self.now.since(started)));
                     assert!(earlier.is_none(), "request {id} was answered twice");
