Gathers of many shards are split into branches that several hosts gather

Each host also kept a connection to each replica, above the replicas' limit.

Two hosts of each failure domain, picked by rendezvous hashing, gather for a branch; the host that has the caller orders the branches and merges what they tell. An order is confirmed before anything is sent for it, so one that isn't confirmed can go to another host without a part running on more replicas than allowed. Limits are shared between the hosts that gather for a service and the rest.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -16,10 +16,15 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use wagtailbeam_decision::branch;
+use wagtailbeam_decision::branch::Envelope;
+use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
+use wagtailbeam_decision::fanout;
+use wagtailbeam_decision::fanout::Fanout;
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::feed::Subscriber;
 use wagtailbeam_decision::feed::Update;
@@ -29,6 +34,8 @@
 use wagtailbeam_decision::gateway::Call;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::plan;
+use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::rotation::Others;
 use wagtailbeam_decision::rotation::Rotation;
 
@@ -73,9 +80,18 @@
 
 /// A request that waits for its answer.
 pub(crate) struct Pending {
-    passed: Arc<Passed>,
-    answer: oneshot::Sender<Reply>,
-    since: Instant,
+    pub(crate) passed: Arc<Passed>,
+    pub(crate) envelope: Option<Arc<Envelope>>,
+    pub(crate) origin: Origin,
+    pub(crate) since: Instant,
+}
+
+/// Who waits for a request's answer.
+pub(crate) enum Origin {
+    /// A caller.
+    Caller(oneshot::Sender<Reply>),
+    /// An entry host that gave an order; none is this one.
+    Host(Option<SocketAddr>, OrderId),
 }
 
 struct Sources {
@@ -91,6 +107,9 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) origin: Instant,
     pub(crate) gateway: Gateway,
+    pub(crate) fanout: Fanout,
+    pub(crate) branches: HashMap<(Option<SocketAddr>, OrderId), u64>,
+    pub(crate) ids: Arc<AtomicU64>,
     pub(crate) subscriber: Subscriber,
     pub(crate) mesh: Mesh,
     pub(crate) pool: Pool<Ticket>,
@@ -104,7 +123,7 @@
     pub(crate) leaving: Option<Instant>,
     pub(crate) rotation: Rotation,
     pub(crate) fleet_read: Option<Time>,
-    pub(crate) hosts: usize,
+    pub(crate) hosts: Vec<plan::Host>,
 }
 
 /// Runs an entry host until it is told to stop and its work is finished.
@@ -130,11 +149,12 @@
     let (view, seen) = watch::channel(View::default());
     let (caller_reports, caller_events) = mpsc::channel(CHANNEL_MAX);
     let (backend_reports, backend_events) = mpsc::channel(CHANNEL_MAX);
+    let ids = Arc::new(AtomicU64::new(0));
     let ingress = Ingress {
         view: seen.clone(),
         reports: caller_reports,
         dialect: dialect.clone(),
-        last: AtomicU64::new(0),
+        last: ids.clone(),
     };
     tokio::spawn(ingress::listen(callers, Arc::new(ingress)));
     tokio::spawn(readiness::listen(ready, seen, dialect.clone()));
@@ -152,10 +172,22 @@
         list_lag: settings.list_lag,
         seed,
     });
+    let own = plan::Host {
+        address: settings.peer,
+        domain: settings.domain.clone(),
+    };
     tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
     let mut host = Host {
         gateway,
-        subscriber: Subscriber::new(Time::default(), settings.seed_peers(), seed),
+        fanout: Fanout::new(fanout::Settings { host: own, seed }),
+        branches: HashMap::new(),
+        ids,
+        subscriber: Subscriber::new(
+            Time::default(),
+            settings.domain.clone(),
+            settings.seed_peers(),
+            seed,
+        ),
         mesh,
         pool: Pool::new(backend_reports, ANSWER_MAX_BYTES),
         pending: HashMap::new(),
@@ -168,7 +200,7 @@
         leaving: None,
         rotation: Rotation::default(),
         fleet_read: None,
-        hosts: 0,
+        hosts: Vec::new(),
         settings,
         path,
         dialect,
@@ -186,7 +218,7 @@
 }
 
 impl Host {
-    fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         Time::from_us(self.origin.elapsed().as_micros() as u64)
     }
 
@@ -216,6 +248,7 @@
 
     fn wake_at(&self) -> Instant {
         let next = self.gateway.next_timer().into_iter();
+        let next = next.chain(self.fanout.next_timer());
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.origin + Duration::from_micros(next.as_us());
@@ -234,6 +267,9 @@
         if self.gateway.next_timer().is_some_and(|at| at <= now) {
             self.step(Event::Tick);
         }
+        if self.fanout.next_timer().is_some_and(|at| at <= now) {
+            self.fan(fanout::Event::Tick);
+        }
         let fresh = self.subscriber.is_fresh(now);
         if fresh != self.fresh {
             self.fresh = fresh;
@@ -250,7 +286,7 @@
         let age = self.fleet_read.map(|read| self.now().since(read));
         let age_s = age.unwrap_or_default().as_us() as f64 / 1e6;
         self.meter
-            .observe(version, age_s, self.hosts, self.pool.open());
+            .observe(version, age_s, self.hosts.len(), self.pool.open());
         self.reload();
     }
 
@@ -270,7 +306,7 @@
     fn others(&self) -> Others {
         Others {
             fresh: self.fresh,
-            hosts: self.hosts,
+            hosts: self.hosts.len(),
             failing: self.subscriber.failing(),
         }
     }
@@ -320,16 +356,24 @@
     fn peer(&mut self, report: mesh::Report) {
         let now = self.now();
         match self.mesh.take(report) {
-            News::Message(from, message) => {
-                if let Message::Feed(feed) = *message {
+            News::Message(from, message) => match *message {
+                Message::Feed(feed) => {
                     let update = self.subscriber.take(now, from, *feed);
                     self.update(update);
                 }
-            }
+                Message::Branch(message) => self.hear(from, message),
+                other => tracing::debug!(%from, ?other, "a message that no entry host takes"),
+            },
             News::Lost(address) if Some(address) == self.subscriber.voter() => {
                 self.subscriber.turn(now);
             }
-            News::Lost(_) | News::Nothing => {}
+            News::Lost(address) => self.lose_host(address),
+            News::Unsent(message) => {
+                if let Message::Branch(branch::Message::Order(order)) = *message {
+                    self.fan(fanout::Event::Unsent(order.id));
+                }
+            }
+            News::Nothing => {}
         }
     }
 
@@ -339,6 +383,7 @@
                 Ok(catalog) => {
                     tracing::info!(event = 710, version, "configuration in force");
                     self.step(Event::Catalog(Arc::new(catalog)));
+                    self.replan();
                 }
                 Err(fault) => {
                     tracing::error!(event = 711, version, %fault, "configuration not understood");
@@ -357,33 +402,35 @@
         }
         if let Some(read) = update.read {
             self.fleet_read = Some(read);
+            self.fanout.note_read(read);
             self.step(Event::Read(read));
         }
         if let Some(hosts) = update.hosts {
-            self.hosts = hosts.len();
-            tracing::info!(event = 717, hosts = self.hosts, "entry hosts changed");
-            self.step(Event::Hosts(hosts));
+            tracing::info!(event = 717, hosts = hosts.len(), "entry hosts changed");
+            self.hosts = hosts;
+            self.replan();
         }
     }
 
+    /// Decides anew which hosts send to which services.
+    fn replan(&mut self) {
+        let catalog = self.gateway.catalog().clone();
+        let plan = Arc::new(Plan::new(&catalog, &self.hosts));
+        self.fanout.replan(catalog, plan.clone());
+        self.step(Event::Plan(plan));
+    }
+
     fn caller(&mut self, report: ingress::Report) {
         match report {
             ingress::Report::Request(id, passed, answer) => {
-                let request = gateway::Request {
-                    host: passed.host.clone(),
-                    path: passed.target.path().into(),
-                    left: passed.left,
-                    fresh: self.fresh,
-                    first: passed.first,
-                    elsewhere: self.rotation.is_elsewhere_better(self.others()),
-                };
                 let pending = Pending {
-                    passed,
-                    answer,
+                    passed: passed.clone(),
+                    envelope: None,
+                    origin: Origin::Caller(answer),
                     since: Instant::now(),
                 };
                 self.pending.insert(id, pending);
-                self.step(Event::Request(id, request));
+                self.serve(id, &passed);
             }
             ingress::Report::Abandoned(id) => {
                 if let Some(pending) = self.pending.remove(&id) {
@@ -391,10 +438,36 @@
                     self.trail.abandoned(id, pending.since.elapsed());
                 }
                 self.step(Event::Abandoned(id));
+                self.fan(fanout::Event::Abandoned(id));
             }
         }
     }
 
+    fn serve(&mut self, id: u64, passed: &Passed) {
+        let path = passed.target.path();
+        if let Some(route) = self.fanout.takes(&passed.host, path) {
+            let margin = match passed.first {
+                true => CALLER_MARGIN_FIRST,
+                false => CALLER_MARGIN,
+            };
+            let request = fanout::Request {
+                route,
+                left: passed.left,
+                margin,
+            };
+            return self.fan(fanout::Event::Request(id, request));
+        }
+        let request = gateway::Request {
+            host: passed.host.clone(),
+            path: path.into(),
+            left: passed.left,
+            fresh: self.fresh,
+            first: passed.first,
+            elsewhere: self.rotation.is_elsewhere_better(self.others()),
+        };
+        self.step(Event::Request(id, request));
+    }
+
     fn backend(&mut self, report: pool::Report<Ticket>) {
         let Some((ticket, result)) = self.pool.take(report) else {
             return;
@@ -408,7 +481,7 @@
         self.relayed = None;
     }
 
-    fn step(&mut self, event: Event) {
+    pub(crate) fn step(&mut self, event: Event) {
         let now = self.now();
         for action in self.gateway.step(now, event) {
             match action {
@@ -419,6 +492,7 @@
                     self.meter.ended(Ending::Withdrawn);
                 }
                 Action::Answer(id, answer, report) => self.answer(id, answer, &report),
+                Action::Piece(id, piece) => self.piece(id, piece),
                 Action::Release(address) => self.pool.release(&address),
                 Action::Extra(id, service, replica, why) => {
                     self.meter.extra(why);
@@ -456,7 +530,7 @@
         self.pool.call(call.ticket, terms, request);
     }
 
-    fn answer(&mut self, id: u64, answer: Answer, report: &gateway::Report) {
+    pub(crate) fn answer(&mut self, id: u64, answer: Answer, report: &gateway::Report) {
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
@@ -467,7 +541,10 @@
         let now = self.now();
         let failed = outcome.is_failure() && report.is_cut_off();
         self.rotation.note(now, failed);
-        if pending.answer.send(reply).is_err() {
+        let Origin::Caller(answer) = pending.origin else {
+            return tracing::error!(event = 791, request = id, "a branch has an answer");
+        };
+        if answer.send(reply).is_err() {
             tracing::debug!(request = id, "the caller left as it was answered");
         }
     }
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -123,7 +123,7 @@
     /// The platform's names.
     pub dialect: Arc<dyn Dialect>,
     /// Number of the last request.
-    pub last: AtomicU64,
+    pub last: Arc<AtomicU64>,
 }
 
 /// A refusal as problem details (RFC 9457).
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -1,6 +1,7 @@
 //! Adapters of wagtailbeam: everything that touches sockets, files and clocks.
 
 pub mod admin;
+mod aggregate;
 pub mod backend;
 pub mod cli;
 pub mod client;
--- a/adapter/src/mesh.rs
+++ b/adapter/src/mesh.rs
@@ -24,6 +24,8 @@
     Message(SocketAddr, Box<Message>),
     /// A process can't be reached, or its connection ended.
     Lost(SocketAddr),
+    /// A message to a process was not sent.
+    Unsent(Box<Message>),
     /// Nothing.
     Nothing,
 }
@@ -66,7 +68,8 @@
                 self.links.ended(&host, address);
                 News::Lost(address)
             }
-            peer::Report::Joined(_) | peer::Report::Unsent(..) => News::Nothing,
+            peer::Report::Unsent(_, message) => News::Unsent(Box::new(message)),
+            peer::Report::Joined(_) => News::Nothing,
         }
     }
 }
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -103,6 +103,7 @@
     latency: Histogram<f64>,
     calls: Counter<u64>,
     extra: Counter<u64>,
+    moved: Counter<u64>,
     parts_missing: Counter<u64>,
     version: Gauge<u64>,
     list_age: Gauge<f64>,
@@ -122,6 +123,7 @@
             latency: latency.with_boundaries(EDGES_S.to_vec()).build(),
             calls: meter.u64_counter("wagtailbeam_calls").build(),
             extra: meter.u64_counter("wagtailbeam_calls_extra").build(),
+            moved: meter.u64_counter("wagtailbeam_orders_moved").build(),
             parts_missing: meter.u64_counter("wagtailbeam_parts_missing").build(),
             version: meter.u64_gauge("wagtailbeam_configuration_version").build(),
             list_age: meter
@@ -158,6 +160,11 @@
         self.extra.add(1, &[KeyValue::new("why", why.to_string())]);
     }
 
+    /// An order went to another entry host.
+    pub fn moved(&self) {
+        self.moved.add(1, &[]);
+    }
+
     /// Brings the gauges up to date.
     pub fn observe(&self, version: u64, list_age_s: f64, hosts: usize, connections: u32) {
         self.version.record(version, &[]);
--- a/adapter/src/trail.rs
+++ b/adapter/src/trail.rs
@@ -3,12 +3,14 @@
 //!
 //! docs/EVENTS.md is the catalogue of their numbers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
+use wagtailbeam_decision::branch::Piece;
 use wagtailbeam_decision::control::Note;
 use wagtailbeam_decision::gateway::Extra;
 use wagtailbeam_decision::gateway::Report;
@@ -148,6 +150,31 @@
         }
     }
 
+    /// An order went to another host, since one did not confirm it.
+    pub fn moved(&mut self, request: &str, host: SocketAddr) {
+        if self.allows(false) {
+            tracing::info!(event = 704, request, %host, "order moved to another host");
+        }
+    }
+
+    /// A branch is told of which parts are missing.
+    pub fn gathered(&mut self, request: &str, from: Option<SocketAddr>, piece: &Piece) {
+        if !self.allows(false) {
+            return;
+        }
+        tracing::info!(
+            event = 705,
+            request,
+            from = from.map(|from| from.to_string()),
+            done = piece.stamps.len(),
+            last = piece.last,
+            extra = piece.extra,
+            cause = piece.cause.map(|cause| cause.to_string()),
+            missing = piece.missing.as_deref(),
+            "branch lacks parts"
+        );
+    }
+
     /// A replica did not answer.
     pub fn unanswered(&mut self, request: &str, address: &str, cause: &str) {
         if self.allows(false) {
--- a/decision/src/allowance.rs
+++ b/decision/src/allowance.rs
@@ -2,7 +2,7 @@
 //!
 //! All entry hosts together may exceed the requests of callers by a ratio of
 //! them and a constant in each window. Each host earns the ratio from its own
-//! requests and holds an equal part of the constant, so that the sum over hosts
+//! requests and holds a part of the constant, its share, so that the sum over hosts
 //! keeps to the limit whatever each of them knows of the others' load.
 
 use crate::clock::Span;
@@ -41,15 +41,15 @@
 
 impl Allowance {
     /// Earns the ratio for one request of a caller.
-    pub fn earn(&mut self, now: Time, limit: &Limit, hosts: usize) {
-        self.refill(now, limit, hosts);
+    pub fn earn(&mut self, now: Time, limit: &Limit, share: f64) {
+        self.refill(now, limit, share);
         self.tokens += limit.ratio * USED;
-        self.tokens = self.tokens.min(Self::capacity(limit, hosts));
+        self.tokens = self.tokens.min(Self::capacity(limit, share));
     }
 
     /// Takes one extra request, if there is any.
-    pub fn take(&mut self, now: Time, limit: &Limit, hosts: usize) -> bool {
-        self.refill(now, limit, hosts);
+    pub fn take(&mut self, now: Time, limit: &Limit, share: f64) -> bool {
+        self.refill(now, limit, share);
         if self.tokens < 1.0 {
             return false;
         }
@@ -59,17 +59,17 @@
 
     /// Half of a host's part of the constant may be spent at once, and the other
     /// half comes back over a window, so that no window sees more than the part.
-    fn capacity(limit: &Limit, hosts: usize) -> f64 {
-        (limit.slack * USED / hosts.max(1) as f64 / 2.0).max(1.0)
+    fn capacity(limit: &Limit, share: f64) -> f64 {
+        (limit.slack * USED * share / 2.0).max(1.0)
     }
 
-    fn refill(&mut self, now: Time, limit: &Limit, hosts: usize) {
-        let capacity = Self::capacity(limit, hosts);
+    fn refill(&mut self, now: Time, limit: &Limit, share: f64) {
+        let capacity = Self::capacity(limit, share);
         let Some(refilled) = self.refilled.replace(now) else {
             self.tokens = capacity / 2.0;
             return;
         };
-        let share = now.since(refilled).as_us() as f64 / limit.window.as_us().max(1) as f64;
-        self.tokens = (self.tokens + capacity * share).min(capacity);
+        let passed = now.since(refilled).as_us() as f64 / limit.window.as_us().max(1) as f64;
+        self.tokens = (self.tokens + capacity * passed).min(capacity);
     }
 }
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::gateway::LOOK_AGAIN;
 use crate::gateway::Out;
 use crate::gateway::RequestId;
+use crate::name::Name;
 
 /// Time after which a part that was left out is tried again, if it is needed.
 const TAKE_UP_AFTER: Span = Span::from_ms(60);
@@ -80,23 +81,37 @@
 
     /// Takes a part up again that was left out for a while.
     pub(crate) fn take_up(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.get_mut(&id) else {
+        let Some(flight) = self.flights.get(&id) else {
             return;
         };
         let arrived = flight.parts[at].arrivals > 0;
         let service = flight.parts[at].service.clone();
-        let (limit, hosts) = (self.settings.extra, self.hosts.len());
-        let pool = self.pools.entry(service).or_default();
-        if arrived && !pool.allowance.take(now, &limit, hosts) {
-            flight.parts[at].postpone(now.after(TAKE_UP_AFTER));
+        if arrived && !self.take_extra(now, &service) {
+            self.postpone(now, id, at);
             return;
         }
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
         flight.parts[at].stage = Stage::Waiting;
         flight.missing -= 1;
         flight.extra += u32::from(arrived);
         self.dispatch(now, id, at, out);
     }
 
+    /// Takes one extra request to a service from what this host may send.
+    fn take_extra(&mut self, now: Time, service: &Name) -> bool {
+        let (limit, share) = (self.settings.extra, self.share(service));
+        let pool = self.pools.entry(service.clone()).or_default();
+        pool.allowance.take(now, &limit, share)
+    }
+
+    fn postpone(&mut self, now: Time, id: RequestId, at: usize) {
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.parts[at].postpone(now.after(TAKE_UP_AFTER));
+        }
+    }
+
     /// When a part that can't be sent now may be tried again: never if only one
     /// replica is asked, since the caller can be told to come back.
     pub(crate) fn again(&self, now: Time, id: RequestId) -> Option<Time> {
@@ -234,18 +249,17 @@
         ending: Ending,
         out: &mut Vec<Action>,
     ) {
-        let limit = self.settings.extra;
-        let hosts = self.hosts.len();
-        let Some(flight) = self.flights.get_mut(&id) else {
+        let Some(flight) = self.flights.get(&id) else {
             return;
         };
         let part = &flight.parts[at];
+        let (service, arrivals) = (part.service.clone(), part.arrivals);
         let repeatable = flight.route.repeat == Repeat::Idempotent;
         let may_run = repeatable || part.ran.is_empty();
         let few = part.arrivals + part.unsent < SENDS_MAX;
-        let pool = self.pools.entry(part.service.clone()).or_default();
-        let allowed = part.arrivals == 0 || pool.allowance.take(now, &limit, hosts);
-        if !may_run || !few || !allowed || now >= flight.deadline {
+        let in_time = now < flight.deadline;
+        let allowed = arrivals == 0 || self.take_extra(now, &service);
+        if !may_run || !few || !allowed || !in_time {
             let again = self.again(now, id).filter(|_| may_run && few);
             let cause = match ending {
                 Ending::Shed | Ending::Denied => Cause::Shed,
@@ -255,7 +269,9 @@
             };
             return self.leave_out(id, at, cause, again);
         }
-        flight.extra += 1;
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.extra += 1;
+        }
         self.dispatch(now, id, at, out);
         self.note_extra(id, at, Extra::Retry(ending), out);
     }
@@ -300,8 +316,6 @@
     /// Asks another replica for a late part, if one can answer sooner and the
     /// limits allow it.
     pub(crate) fn hedge(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
-        let limit = self.settings.extra;
-        let hosts = self.hosts.len();
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
@@ -318,8 +332,7 @@
         let Pick::Endpoint(endpoint) = self.pick(now, &service, &tried, only.as_ref()) else {
             return;
         };
-        let pool = self.pools.entry(service).or_default();
-        if !pool.allowance.take(now, &limit, hosts) {
+        if !self.take_extra(now, &service) {
             return;
         }
         if let Some(flight) = self.flights.get_mut(&id) {
--- a/decision/src/catalog.rs
+++ b/decision/src/catalog.rs
@@ -48,6 +48,27 @@
     },
 }
 
+impl Target {
+    /// Most records in the merged answer.
+    pub fn top(&self) -> usize {
+        match self {
+            Target::Gather { top, .. } => *top,
+            Target::Split(_) => 0,
+        }
+    }
+
+    /// How many of `parts` must be in for a success.
+    pub fn needed(&self, parts: usize) -> usize {
+        match self {
+            Target::Gather { coverage_min, .. } => {
+                let needed = parts as f64 * coverage_min;
+                (needed - 1e-9).ceil().max(1.0) as usize
+            }
+            Target::Split(_) => 1,
+        }
+    }
+}
+
 /// A route: which requests it takes, and how they are served.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -100,11 +100,16 @@
         }
     }
 
+    /// The part of a service's limits that this host may use.
+    pub(crate) fn share(&self, service: &Name) -> f64 {
+        self.plan.share(service, self.settings.address)
+    }
+
     /// Connections to each replica of a service that this host may have.
     pub(crate) fn connections(&self, service: &Name) -> u32 {
         let known = self.catalog.services.get(service);
         let all = known.map_or(1, |service| service.connections_max);
-        let part = f64::from(all) * CONNECTIONS_USED / self.hosts.len().max(1) as f64;
+        let part = f64::from(all) * CONNECTIONS_USED * self.share(service);
         (part as u32).max(1)
     }
 
@@ -130,7 +135,11 @@
         let rate = known.map_or(0.0, |service| service.warmup_per_s);
         let total = rate * self.settings.cold_overage + self.settings.cold_slack;
         let total = (total * COLD_USED) as u32;
-        let hosts = self.hosts.len().max(1) as u32;
+        let senders = self.plan.senders(service);
+        if !senders.is_empty() && !senders.contains(&self.settings.address) {
+            return 0;
+        }
+        let hosts = senders.len().max(1) as u32;
         if total >= hosts {
             return total / hosts;
         }
@@ -142,7 +151,7 @@
             Digest::of_parts(&[instance.as_bytes(), host.to_string().as_bytes()]).rank()
         };
         let own = rank(&self.settings.address);
-        let before = self.hosts.iter().filter(|host| rank(host) > own).count();
+        let before = senders.iter().filter(|host| rank(host) > own).count();
         u32::from((before as u32) < total)
     }
 
--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -12,6 +12,7 @@
 use crate::feed::Message;
 use crate::feed::digest_of;
 use crate::fleet::Fleet;
+use crate::plan::Host;
 use crate::register::Change;
 use crate::register::Decision;
 use crate::register::Key;
@@ -164,7 +165,7 @@
 pub(crate) struct Peer {
     pub(crate) heard: Time,
     pub(crate) voting: bool,
-    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) entries: Vec<Host>,
     pub(crate) failing: u32,
 }
 
@@ -196,7 +197,7 @@
     pub(crate) chosen: Option<Arc<State>>,
     pub(crate) peers: BTreeMap<SocketAddr, Peer>,
     pub(crate) entries: BTreeMap<SocketAddr, (Beat, Time)>,
-    pub(crate) hosts: Vec<SocketAddr>,
+    pub(crate) hosts: Vec<Host>,
     pub(crate) hosts_digest: Digest,
     pub(crate) listing: Option<Listing>,
     pub(crate) reading: Option<Time>,
@@ -351,7 +352,7 @@
                 out.push(Action::Send(from, Message::Voters(self.voters())));
             }
             Message::Voters(voters) => self.heard_voters = voters,
-            Message::Feed(_) => {}
+            Message::Feed(_) | Message::Branch(_) => {}
         }
     }
 
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -8,11 +8,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::branch;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::fleet::Fleet;
 use crate::name::Name;
+use crate::plan::Host;
 use crate::tier::State;
 use crate::voter::Letter;
 use crate::voter::Place;
@@ -33,7 +35,7 @@
 const FRESH_MAX: Span = Span::from_ms(1_500);
 
 /// A message between processes.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
     /// An entry host is alive and tells what it has.
     Beat(Beat),
@@ -59,16 +61,20 @@
     WantVoters,
     /// Where the voters are.
     Voters(Vec<SocketAddr>),
+    /// Between entry hosts.
+    Branch(branch::Message),
 }
 
 /// What an entry host has.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Beat {
+    /// The host's failure domain.
+    pub domain: Name,
     /// Version of the configuration.
     pub version: u64,
     /// Digest of the fleet.
     pub fleet: Digest,
-    /// Digest of the entry hosts' addresses.
+    /// Digest of the entry hosts.
     pub hosts: Digest,
     /// Whether it fails most requests.
     pub failing: bool,
@@ -93,10 +99,10 @@
     pub fleet_digest: Digest,
     /// The fleet, if the host lacks it.
     pub fleet: Option<Arc<Fleet>>,
-    /// Digest of the entry hosts' addresses.
+    /// Digest of the entry hosts.
     pub hosts_digest: Digest,
-    /// The entry hosts' addresses, if the host lacks them.
-    pub hosts: Option<Vec<SocketAddr>>,
+    /// The entry hosts, if the host lacks them.
+    pub hosts: Option<Vec<Host>>,
     /// Entry hosts that fail most requests.
     pub failing: u32,
     /// Where the voters are.
@@ -115,14 +121,16 @@
     /// Digest of the fleet.
     pub fleet_digest: Digest,
     /// Entry hosts that it has heard lately.
-    pub entries: Vec<SocketAddr>,
+    pub entries: Vec<Host>,
     /// How many of them fail most requests.
     pub failing: u32,
 }
 
-/// Digest of a list of addresses.
-pub fn digest_of(addresses: &[SocketAddr]) -> Digest {
-    let text = addresses.iter().map(|address| format!("{address} "));
+/// Digest of a list of entry hosts.
+pub fn digest_of(hosts: &[Host]) -> Digest {
+    let text = hosts
+        .iter()
+        .map(|host| format!("{} {} ", host.address, host.domain));
     Digest::of(text.collect::<String>().as_bytes())
 }
 
@@ -153,12 +161,12 @@
     /// When the list was read of which the fleet is, if that is later now.
     pub read: Option<Time>,
     /// The entry hosts, if they changed.
-    pub hosts: Option<Vec<SocketAddr>>,
+    pub hosts: Option<Vec<Host>>,
 }
 
 impl Subscriber {
-    /// A tie that begins at one of `seeds`, picked by `pick`.
-    pub fn new(now: Time, seeds: Vec<SocketAddr>, pick: u64) -> Subscriber {
+    /// A tie of a host in `domain` that begins at one of `seeds`, picked by `pick`.
+    pub fn new(now: Time, domain: Name, seeds: Vec<SocketAddr>, pick: u64) -> Subscriber {
         let at = (pick % seeds.len().max(1) as u64) as usize;
         Subscriber {
             seeds,
@@ -167,7 +175,10 @@
             beaten: None,
             heard: now,
             fresh: None,
-            have: Beat::default(),
+            have: Beat {
+                domain,
+                ..Beat::default()
+            },
             revision: 0,
             fleet_read: None,
             failing: 0,
@@ -241,7 +252,7 @@
         self.beaten = Some(now);
         let beat = Beat {
             failing,
-            ..self.have
+            ..self.have.clone()
         };
         self.voter().map(|voter| (voter, beat))
     }
--- a/decision/src/feeding.rs
+++ b/decision/src/feeding.rs
@@ -15,6 +15,7 @@
 use crate::feed::Message;
 use crate::feed::Pulse;
 use crate::feed::digest_of;
+use crate::plan::Host;
 use crate::voter::Mode;
 
 /// Silence after which an entry host counts as gone.
@@ -22,13 +23,21 @@
 
 impl Control {
     pub(crate) fn beat(&mut self, now: Time, from: SocketAddr, beat: Beat, out: &mut Vec<Action>) {
-        let known = self.entries.insert(from, (beat, now)).is_some();
+        let known = self.entries.insert(from, (beat.clone(), now)).is_some();
         if !known {
             self.count_hosts(now, out);
         }
         out.push(Action::Send(from, self.feed(now, &beat)));
     }
 
+    /// Entry hosts that this voter has heard lately.
+    fn own_hosts(&self) -> impl Iterator<Item = Host> {
+        self.entries.iter().map(|(address, (beat, _))| Host {
+            address: *address,
+            domain: beat.domain.clone(),
+        })
+    }
+
     pub(crate) fn feed(&self, now: Time, beat: &Beat) -> Message {
         let Some(state) = self.chosen.as_ref().filter(|_| self.quorum) else {
             return Message::Feed(Box::default());
@@ -70,7 +79,7 @@
         let fed = self
             .entries
             .iter()
-            .map(|(entry, (beat, _))| (*entry, *beat));
+            .map(|(entry, (beat, _))| (*entry, beat.clone()));
         for (entry, beat) in fed.collect::<Vec<_>>() {
             out.push(Action::Send(entry, self.feed(now, &beat)));
             self.assume_fed(entry);
@@ -95,9 +104,9 @@
         let live = self.peers.values().filter(|peer| !silent(&peer.heard));
         let mut hosts = live
             .flat_map(|peer| &peer.entries)
-            .copied()
+            .cloned()
             .collect::<BTreeSet<_>>();
-        hosts.extend(self.entries.keys().copied());
+        hosts.extend(self.own_hosts());
         let hosts = hosts.into_iter().collect::<Vec<_>>();
         if hosts == self.hosts {
             return;
@@ -145,7 +154,7 @@
             revision: self.chosen.as_ref().map_or(0, |state| state.revision),
             fleet_age: listing.map(|listing| now.since(listing.read)),
             fleet_digest: listing.map(|listing| listing.digest).unwrap_or_default(),
-            entries: self.entries.keys().copied().collect(),
+            entries: self.own_hosts().collect(),
             failing: self.own_failing(),
         };
         self.broadcast(&Message::Pulse(pulse), out);
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -5,9 +5,11 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
 
+use crate::branch::OrderId;
 use crate::catalog::Route;
-use crate::catalog::Target;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::endpoint::Ticket;
@@ -41,7 +43,7 @@
 }
 
 /// Why a part is missing or a request is refused.
-#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Cause {
     /// No replica of the service is listed and in service.
     #[display("no replica")]
@@ -58,6 +60,9 @@
     /// The connection broke, and no other replica may be asked.
     #[display("connection broke")]
     Broken,
+    /// The entry host that gathered it was lost.
+    #[display("entry host lost")]
+    HostLost,
     /// Time ran out.
     #[display("deadline")]
     Deadline,
@@ -87,9 +92,25 @@
     pub hedge_at: Time,
 }
 
+/// For whom parts are gathered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// For a caller.
+    Whole,
+    /// For an entry host that merges branches.
+    Branch {
+        /// The order.
+        order: OrderId,
+        /// Parts told so far.
+        told: usize,
+    },
+}
+
 /// A request while it is served.
 #[derive(Clone, Debug)]
 pub struct Flight {
+    /// For whom its parts are gathered.
+    pub kind: Kind,
     /// Its route.
     pub route: Arc<Route>,
     /// When it came.
@@ -165,6 +186,7 @@
     ) -> Flight {
         let objective = route.objective.less(margin);
         Flight {
+            kind: Kind::Whole,
             started: now,
             deadline: now.after(left),
             settle_at: now.after(objective.min(left)),
@@ -178,14 +200,14 @@
         }
     }
 
-    /// Parts that must be answered for a success.
+    /// Parts that must be answered for a success. A branch may lack one, for which
+    /// the other branches make up.
     pub fn needed(&self) -> usize {
-        match &self.route.target {
-            Target::Split(_) => 1,
-            Target::Gather { coverage_min, .. } => {
-                let needed = self.parts.len() as f64 * coverage_min;
-                (needed - 1e-9).ceil().max(1.0) as usize
-            }
+        let parts = self.parts.len();
+        let needed = self.route.target.needed(parts);
+        match self.kind {
+            Kind::Whole => needed,
+            Kind::Branch { .. } => needed.min(parts.saturating_sub(1)),
         }
     }
 
@@ -196,6 +218,16 @@
         self.parts.len() - lost < self.needed()
     }
 
+    /// Whether no part is open or will be taken up again.
+    pub fn is_settled(&self) -> bool {
+        let needs = self.needs_missing();
+        self.parts.iter().all(|part| match part.stage {
+            Stage::Out | Stage::Waiting => false,
+            Stage::Missing(_, Some(_)) => !needs,
+            Stage::Done(..) | Stage::Missing(_, None) => true,
+        })
+    }
+
     /// Whether parts that were left out are needed for a success.
     pub fn needs_missing(&self) -> bool {
         self.parts.len() - self.missing < self.needed()
@@ -216,4 +248,16 @@
         let count = |cause: &&Cause| causes.iter().filter(|other| other == cause).count();
         causes.iter().max_by_key(count).copied()
     }
+    /// Why parts are missing now, mostly.
+    pub fn cause_now(&self) -> Option<Cause> {
+        let open = self.parts.iter().any(Part::is_open);
+        self.cause().or(open.then_some(Cause::LeftOut))
+    }
+
+    /// The service of the first part that is missing now.
+    pub fn first_missing(&self) -> Option<&Name> {
+        let mut parts = self.parts.iter();
+        let missing = parts.find(|part| !matches!(part.stage, Stage::Done(..)));
+        missing.map(|part| &part.service)
+    }
 }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -16,6 +16,8 @@
 
 use crate::allowance::Allowance;
 use crate::allowance::Limit;
+use crate::branch::OrderId;
+use crate::branch::Piece;
 use crate::catalog::Catalog;
 use crate::catalog::Route;
 use crate::catalog::Target;
@@ -30,9 +32,11 @@
 use crate::flight::Cause;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
+use crate::flight::Kind;
 use crate::flight::Stage;
 use crate::latency::Latency;
 use crate::name::Name;
+use crate::plan::Plan;
 
 /// Quantile of latency after which a second replica is asked.
 const HEDGE_QUANTILE: f64 = 0.9;
@@ -75,6 +79,19 @@
     pub seed: u64,
 }
 
+/// A branch to gather for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Branch {
+    /// The order for it.
+    pub order: OrderId,
+    /// Which shards, and how.
+    pub route: Arc<Route>,
+    /// Time until what is there is told.
+    pub settle: Span,
+    /// Time until the deadline.
+    pub left: Span,
+}
+
 /// What the decisions need to know of a caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -192,6 +209,8 @@
 pub enum Event {
     /// A caller's request.
     Request(RequestId, Request),
+    /// A branch of a request, for another host or this one.
+    Branch(RequestId, Branch),
     /// The caller of a request went away.
     Abandoned(RequestId),
     /// A call ended.
@@ -205,7 +224,7 @@
     /// Failure domains out of service.
     Closed(BTreeSet<Name>),
     /// The entry hosts.
-    Hosts(Vec<SocketAddr>),
+    Plan(Arc<Plan>),
     /// Time passes.
     Tick,
 }
@@ -219,6 +238,8 @@
     Withdraw(Ticket),
     /// Answer a caller.
     Answer(RequestId, Answer, Report),
+    /// Tell what was gathered for a branch.
+    Piece(RequestId, Piece),
     /// Close idle connections to an address.
     Release(SocketAddr),
     /// A second or later request was sent for a part: of which request, to which
@@ -255,7 +276,7 @@
     pub(crate) settings: Settings,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) closed: BTreeSet<Name>,
-    pub(crate) hosts: Vec<SocketAddr>,
+    pub(crate) plan: Arc<Plan>,
     pub(crate) fleet_read: Time,
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) ids: HashMap<Instance, EndpointId>,
@@ -280,7 +301,7 @@
             settings,
             catalog: Arc::default(),
             closed: BTreeSet::new(),
-            hosts: Vec::new(),
+            plan: Arc::default(),
             fleet_read: Time::default(),
             endpoints: BTreeMap::new(),
             ids: HashMap::new(),
@@ -329,14 +350,15 @@
         let mut out = Vec::new();
         match event {
             Event::Request(id, request) => self.request(now, id, &request, &mut out),
+            Event::Branch(id, branch) => self.branch(now, id, &branch, &mut out),
             Event::Abandoned(id) => self.abandon(now, id, &mut out),
             Event::Done(ticket, exchange) => self.done(now, ticket, exchange, &mut out),
             Event::Catalog(catalog) => self.catalog = catalog,
             Event::Fleet(fleet, read) => self.fleet(now, &fleet, read, &mut out),
             Event::Read(read) => self.fleet_read = self.fleet_read.max(read),
             Event::Closed(closed) => self.close(now, closed),
-            Event::Hosts(hosts) => {
-                self.hosts = hosts;
+            Event::Plan(plan) => {
+                self.plan = plan;
                 self.cold_shares.clear();
             }
             Event::Tick => self.tick(now, &mut out),
@@ -362,12 +384,6 @@
             return out.push(Action::Answer(id, refusal, report));
         };
         let services = self.services(&route);
-        let limit = self.settings.extra;
-        let hosts = self.hosts.len();
-        for service in &services {
-            let pool = self.pools.entry(service.clone()).or_default();
-            pool.allowance.earn(now, &limit, hosts);
-        }
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
         let margin = match request.first {
             true => self.settings.margin_first,
@@ -377,13 +393,39 @@
             elsewhere: request.elsewhere,
             ..Flight::new(now, route, services, left, margin)
         };
-        let parts = flight.parts.len();
-        let hopeless = flight.elsewhere && self.reachable(now, &flight) < flight.needed();
-        self.flights.insert(id, flight);
-        if hopeless {
+        if flight.elsewhere && self.reachable(now, &flight) < flight.needed() {
+            self.flights.insert(id, flight);
             let refusal = Answer::Refused(Refusal::NotRun, Some(RETRY_ELSEWHERE));
             return self.finish(now, id, refusal, out);
         }
+        self.start(now, id, flight, out);
+    }
+
+    /// Gathers for another host's request, or for a branch of one of this host.
+    fn branch(&mut self, now: Time, id: RequestId, branch: &Branch, out: &mut Vec<Action>) {
+        let route = branch.route.clone();
+        let services = self.services(&route);
+        let flight = Flight {
+            settle_at: now.after(branch.settle),
+            kind: Kind::Branch {
+                order: branch.order,
+                told: 0,
+            },
+            ..Flight::new(now, route, services, branch.left, Span::ZERO)
+        };
+        self.start(now, id, flight, out);
+    }
+
+    /// Sends the parts of a request.
+    fn start(&mut self, now: Time, id: RequestId, flight: Flight, out: &mut Vec<Action>) {
+        let limit = self.settings.extra;
+        for part in &flight.parts {
+            let share = self.share(&part.service);
+            let pool = self.pools.entry(part.service.clone()).or_default();
+            pool.allowance.earn(now, &limit, share);
+        }
+        let parts = flight.parts.len();
+        self.flights.insert(id, flight);
         for part in 0..parts {
             self.dispatch(now, id, part, out);
         }
--- a/decision/src/settle.rs
+++ b/decision/src/settle.rs
@@ -1,9 +1,12 @@
 //! When and with what a caller's request is answered.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 
 use rand_chacha::rand_core::Rng;
 
+use crate::branch::OrderId;
+use crate::branch::Piece;
 use crate::catalog::Repeat;
 use crate::catalog::Target;
 use crate::clock::Span;
@@ -12,6 +15,7 @@
 use crate::endpoint::Ticket;
 use crate::flight::Cause;
 use crate::flight::Flight;
+use crate::flight::Kind;
 use crate::flight::Stage;
 use crate::gateway::Action;
 use crate::gateway::Answer;
@@ -43,6 +47,9 @@
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
+        if let Kind::Branch { order, told } = flight.kind {
+            return self.review_branch(now, id, order, told, out);
+        }
         if let (Target::Split(_), Some((ticket, ending))) = (&flight.route.target, last) {
             let relayed = match flight.parts[0].stage {
                 Stage::Done(..) => true,
@@ -67,6 +74,40 @@
             let refusal = Answer::Refused(Refusal::Timeout, None);
             return self.finish(now, id, refusal, out);
         }
+        self.plan_look(now, id);
+    }
+
+    /// Tells what a branch has once nothing more will come, and from the time to
+    /// settle on whatever is new.
+    fn review_branch(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        order: OrderId,
+        told: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let last = flight.is_settled() || now >= flight.deadline;
+        let news = now >= flight.settle_at && flight.done > told;
+        if last || news {
+            let done = flight.done;
+            flight.kind = Kind::Branch { order, told: done };
+            let piece = piece(flight, order, last);
+            out.push(Action::Piece(id, piece));
+        }
+        if last {
+            return self.close_flight(now, id, out);
+        }
+        self.plan_look(now, id);
+    }
+
+    fn plan_look(&mut self, now: Time, id: RequestId) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
         let at = next_look(flight, now);
         if flight.look_at <= now || at < flight.look_at {
             flight.look_at = at;
@@ -98,14 +139,9 @@
         answer: Answer,
         out: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flights.remove(&id) else {
+        let Some(flight) = self.flights.get(&id) else {
             return;
         };
-        let missing = flight
-            .parts
-            .iter()
-            .find(|part| !matches!(part.stage, Stage::Done(..)));
-        let open = flight.parts.iter().any(|part| part.is_open());
         let report = Report {
             route: Some(flight.route.name.clone()),
             version: self.catalog.version,
@@ -114,10 +150,19 @@
             parts: flight.parts.len(),
             done: flight.done,
             extra: flight.extra,
-            cause: flight.cause().or(open.then_some(Cause::LeftOut)),
-            missing: missing.map(|part| part.service.clone()),
+            cause: flight.cause_now(),
+            missing: flight.first_missing().cloned(),
         };
         out.push(Action::Answer(id, answer, report));
+        self.close_flight(now, id, out);
+    }
+
+    /// Forgets an answered request. Calls that lost against a hedge may go on for a
+    /// while; those for parts that are missing are withdrawn.
+    fn close_flight(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&id) else {
+            return;
+        };
         let due = now.after(ORPHAN_MAX);
         for part in &flight.parts {
             let answered = matches!(part.stage, Stage::Done(..));
@@ -161,7 +206,32 @@
         .max(now.after(Span::from_us(500)))
 }
 
+/// What a branch has gathered.
+fn piece(flight: &Flight, order: OrderId, last: bool) -> Piece {
+    let (stamps, body) = gathered(flight);
+    Piece {
+        order,
+        last,
+        stamps,
+        body,
+        ran: flight.may_have_run(),
+        extra: flight.extra,
+        cause: flight.cause_now(),
+        missing: flight.first_missing().cloned(),
+    }
+}
+
 fn merged(flight: &Flight) -> Answer {
+    let (stamps, body) = gathered(flight);
+    Answer::Merged {
+        missing: flight.parts.len() - stamps.len(),
+        stamps,
+        body,
+    }
+}
+
+/// Stamps of the parts that are in, and their greatest records.
+fn gathered(flight: &Flight) -> (Vec<Arc<str>>, Vec<u8>) {
     let mut stamps = Vec::with_capacity(flight.parts.len());
     let mut bodies = Vec::with_capacity(flight.parts.len());
     for part in &flight.parts {
@@ -170,13 +240,6 @@
             bodies.push(body.clone());
         }
     }
-    let top = match flight.route.target {
-        Target::Gather { top, .. } => top,
-        Target::Split(_) => 0,
-    };
-    Answer::Merged {
-        missing: flight.parts.len() - stamps.len(),
-        body: merge::greatest(&bodies, top),
-        stamps,
-    }
+    let top = flight.route.target.top();
+    (stamps, merge::greatest(&bodies, top))
 }
--- a/decision/tests/tier/allowance.rs
+++ b/decision/tests/tier/allowance.rs
@@ -17,16 +17,17 @@
             slack: 54.0,
             window: Span::from_secs(10),
         };
+        let share = 1.0 / HOSTS as f64;
         let mut hosts = vec![Allowance::default(); HOSTS];
         let mut now = Time::from_us(1);
         let (mut requests, mut extras) = (Vec::new(), Vec::new());
         for (host, greed, wait) in steps {
             now = now.after(Span::from_ms(u64::from(wait % 400)));
             let host = &mut hosts[usize::from(host) % HOSTS];
-            host.earn(now, &limit, HOSTS);
+            host.earn(now, &limit, share);
             requests.push(now);
             for _ in 0..greed % 8 {
-                if host.take(now, &limit, HOSTS) {
+                if host.take(now, &limit, share) {
                     extras.push(now);
                 }
             }
--- a/decision/tests/tier/feed.rs
+++ b/decision/tests/tier/feed.rs
@@ -5,13 +5,19 @@
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::feed::Feed;
 use wagtailbeam_decision::feed::Subscriber;
+use wagtailbeam_decision::name::Name;
 
 fn voter(at: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, at], 70))
 }
 
 fn subscriber() -> Subscriber {
-    Subscriber::new(Time::from_us(1), vec![voter(1), voter(2)], 0)
+    Subscriber::new(
+        Time::from_us(1),
+        Name::from("east"),
+        vec![voter(1), voter(2)],
+        0,
+    )
 }
 
 fn ms(ms: u64) -> Time {
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -330,7 +330,7 @@
                     let earlier = self.answers.insert(id, (answer, self.now.since(started)));
                     assert!(earlier.is_none(), "request {id} was answered twice");
                 }
-                Action::Release(_) | Action::Extra(..) => {}
+                Action::Release(_) | Action::Extra(..) | Action::Piece(..) => {}
             }
         }
     }
