Two hosts that gather for the same branch stay within the replicas allowed

Traced by logging each order: a slow host confirmed late, its order was moved, and both hosts hedged freely; a slow host that gave orders moved them although the confirmation waited in its own sockets.

Change: a host is told once its order will go to no other host. Until then, and for moved orders, all replicas but the first are picked by rendezvous hashing of the request. Messages that have come are taken before timers; a host that is late itself does not hedge or move.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -19,6 +19,7 @@
 use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::branch::Piece;
 use wagtailbeam_decision::catalog::Target;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::fanout::Action;
 use wagtailbeam_decision::fanout::Event;
@@ -50,8 +51,17 @@
     /// Takes a message of another entry host.
     pub(crate) fn hear(&mut self, from: SocketAddr, message: branch::Message) {
         match message {
+            branch::Message::Greeting { answer: false } => {
+                self.tell(from, branch::Message::Greeting { answer: true });
+            }
+            branch::Message::Greeting { answer: true } => {}
             branch::Message::Order(order) => self.take_order(from, order),
             branch::Message::Taken(order) => self.fan(Event::Taken(order)),
+            branch::Message::Kept(order) => {
+                if let Some(id) = self.branches.get(&(Some(from), order)) {
+                    self.step(gateway::Event::Kept(*id));
+                }
+            }
             branch::Message::Piece(piece) => self.fan(Event::Piece(piece)),
             branch::Message::Cancel(order) => self.cancel_branch(Some(from), order),
         }
@@ -63,6 +73,7 @@
         for action in self.fanout.step(now, event) {
             match action {
                 Action::Order(order) => self.give_order(order),
+                Action::Keep(host, order) => self.tell(host, branch::Message::Kept(order)),
                 Action::Cancel(Some(host), order) => {
                     self.tell(host, branch::Message::Cancel(order));
                 }
@@ -78,6 +89,16 @@
         }
     }
 
+    /// Opens connections to hosts that get orders from now on.
+    pub(crate) fn greet_partners(&mut self) {
+        let partners = self.fanout.partners();
+        for host in partners.difference(&self.greeted) {
+            let greeting = branch::Message::Greeting { answer: false };
+            self.mesh.send(*host, Message::Branch(greeting));
+        }
+        self.greeted = partners;
+    }
+
     fn tell(&mut self, host: SocketAddr, message: branch::Message) {
         self.mesh.send(host, Message::Branch(message));
     }
@@ -92,7 +113,16 @@
         };
         let passed = pending.passed.clone();
         let Some(host) = order.host else {
-            return self.gather(None, order.id, passed, into_branch(order));
+            let branch = gateway::Branch {
+                order: order.id,
+                route: order.route,
+                key: key_of(&passed),
+                moved: order.moved,
+                kept: true,
+                settle: order.settle,
+                left: order.left,
+            };
+            return self.gather(None, passed, branch);
         };
         let envelope = pending.envelope.get_or_insert_with(|| envelope_of(&passed));
         let envelope = envelope.clone();
@@ -112,6 +142,7 @@
             top: *top as u32,
             coverage_min: *coverage_min,
             attempts_max: order.route.attempts_max,
+            moved: order.moved,
             objective: order.route.objective,
             settle: order.settle,
             left: order.left,
@@ -131,19 +162,17 @@
         let branch = gateway::Branch {
             order: order.id,
             route: Arc::new(order.route()),
+            key: key_of(&passed),
+            moved: order.moved,
+            kept: false,
             settle: order.settle,
             left: order.left,
         };
-        self.gather(Some(from), order.id, passed, branch);
+        self.gather(Some(from), passed, branch);
     }
 
-    fn gather(
-        &mut self,
-        from: Option<SocketAddr>,
-        order: OrderId,
-        passed: Arc<Passed>,
-        branch: gateway::Branch,
-    ) {
+    fn gather(&mut self, from: Option<SocketAddr>, passed: Arc<Passed>, branch: gateway::Branch) {
+        let order = branch.order;
         let id = self.ids.fetch_add(1, Ordering::Relaxed) + 1;
         let pending = Pending {
             passed,
@@ -196,13 +225,9 @@
     }
 }
 
-fn into_branch(order: fanout::Order) -> gateway::Branch {
-    gateway::Branch {
-        order: order.id,
-        route: order.route,
-        settle: order.settle,
-        left: order.left,
-    }
+/// The rank of a request by which all hosts pick the same replicas.
+fn key_of(passed: &Passed) -> u64 {
+    Digest::of(passed.id.as_bytes()).rank()
 }
 
 fn envelope_of(passed: &Passed) -> Arc<Envelope> {
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -1,5 +1,6 @@
 //! The loop of an entry host in a tier with discovered hosts.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -109,6 +110,7 @@
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) branches: HashMap<(Option<SocketAddr>, OrderId), u64>,
+    pub(crate) greeted: BTreeSet<SocketAddr>,
     pub(crate) ids: Arc<AtomicU64>,
     pub(crate) subscriber: Subscriber,
     pub(crate) mesh: Mesh,
@@ -181,6 +183,7 @@
         gateway,
         fanout: Fanout::new(fanout::Settings { host: own, seed }),
         branches: HashMap::new(),
+        greeted: BTreeSet::new(),
         ids,
         subscriber: Subscriber::new(
             Time::default(),
@@ -228,11 +231,14 @@
             let timer = self.wake_at().min(housekeep_at);
             tokio::select! {
                 biased;
-                () = tokio::time::sleep_until(timer.into()) => {}
                 Some(report) = sources.backends.recv() => self.backend(report),
                 Some(report) = sources.peers.recv() => self.peer(report),
                 Some(report) = sources.callers.recv() => self.caller(report),
                 Some(signal) = sources.signals.recv() => self.signal(signal),
+                () = tokio::time::sleep_until(timer.into()) => {}
+            }
+            if self.is_due() && self.has_branches() {
+                self.catch_up(&mut sources.peers).await;
             }
             self.tick();
             if housekeep_at <= Instant::now() {
@@ -246,6 +252,27 @@
         }
     }
 
+    /// Whether it gives or takes orders now.
+    fn has_branches(&self) -> bool {
+        self.fanout.load() > 0 || !self.branches.is_empty()
+    }
+
+    /// Whether a timer of requests is due.
+    fn is_due(&self) -> bool {
+        let now = self.now();
+        let timers = [self.gateway.next_timer(), self.fanout.next_timer()];
+        timers.into_iter().flatten().any(|at| at <= now)
+    }
+
+    /// Takes all messages that have come, so that nothing more is sent for an order
+    /// that was taken back. Yielding lets the connections read first.
+    async fn catch_up(&mut self, peers: &mut mpsc::Receiver<mesh::Report>) {
+        tokio::task::yield_now().await;
+        while let Ok(report) = peers.try_recv() {
+            self.peer(report);
+        }
+    }
+
     fn wake_at(&self) -> Instant {
         let next = self.gateway.next_timer().into_iter();
         let next = next.chain(self.fanout.next_timer());
@@ -418,6 +445,7 @@
         let plan = Arc::new(Plan::new(&catalog, &self.hosts));
         self.fanout.replan(catalog, plan.clone());
         self.step(Event::Plan(plan));
+        self.greet_partners();
     }
 
     fn caller(&mut self, report: ingress::Report) {
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -27,6 +27,9 @@
 /// Time after which a part that was left out is tried again, if it is needed.
 const TAKE_UP_AFTER: Span = Span::from_ms(60);
 
+/// Lateness of this host itself beyond which it does not hedge.
+const LATE_MAX: Span = Span::from_ms(10);
+
 /// Requests of one part at most, whether they arrived or not.
 const SENDS_MAX: u32 = 6;
 
@@ -38,7 +41,7 @@
         };
         let part = &flight.parts[at];
         let (service, tried) = (part.service.clone(), part.tried.clone());
-        let only = part.allowed(flight.route.attempts_max);
+        let only = self.allowed(flight, part);
         let mut pick = self.pick(now, &service, &tried, only.as_ref());
         if matches!(pick, Pick::Nobody) && !tried.is_empty() {
             pick = self.pick(now, &service, &BTreeSet::new(), only.as_ref());
@@ -314,20 +317,29 @@
     }
 
     /// Asks another replica for a late part, if one can answer sooner and the
-    /// limits allow it.
+    /// limits allow it. A host that comes to it late can't tell whether the replica
+    /// is slow or its answer waits here, and looks again first.
     pub(crate) fn hedge(&mut self, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
         let route = flight.route.clone();
         let part = &mut flight.parts[at];
+        let late = now.since(part.hedge_at) > LATE_MAX;
         part.hedge_at = now.after(LOOK_AGAIN);
+        if late {
+            return;
+        }
         let single = part.attempts.len() == 1;
-        let only = part.allowed(route.attempts_max);
         if !single || route.repeat == Repeat::Once {
             part.hedge_at = flight.deadline;
             return;
         }
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let part = &flight.parts[at];
+        let only = self.allowed(flight, part);
         let (service, tried) = (part.service.clone(), part.tried.clone());
         let Pick::Endpoint(endpoint) = self.pick(now, &service, &tried, only.as_ref()) else {
             return;
--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -64,6 +64,8 @@
     pub coverage_min: f64,
     /// Most replicas of each shard.
     pub attempts_max: u32,
+    /// Whether another host may send the same parts.
+    pub moved: bool,
     /// Latency within which an answer of the route has its full worth.
     pub objective: Span,
     /// Time until what is there should be told.
@@ -97,10 +99,17 @@
 /// A message about a branch.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
+    /// Opens a connection ahead of the first order; an answer opens the one back.
+    Greeting {
+        /// Whether it answers another one.
+        answer: bool,
+    },
     /// Asks for a branch.
     Order(Order),
     /// The order arrived; nothing was sent for it before this.
     Taken(OrderId),
+    /// The order goes to no other host.
+    Kept(OrderId),
     /// What was gathered.
     Piece(Piece),
     /// The order is no longer needed.
--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -3,8 +3,10 @@
 //!
 //! Load pattern: entry hosts that are killed, freeze or are cut off while others
 //! wait for them. A host confirms an order before it sends anything. An order that
-//! isn't confirmed soon goes to another host, which may do so without running a
-//! part on more replicas than allowed; one that is confirmed never does.
+//! isn't confirmed soon goes to another host; one that is confirmed never does, and
+//! the host is told so. So that two hosts that gather for a branch run no part on
+//! more replicas than allowed, all but the first replica of a part are the same at
+//! hosts that were not told (see `choice`).
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -36,7 +38,11 @@
 use crate::plan::Plan;
 
 /// Longest time to wait until a host confirms an order.
-const CONFIRM_MAX: Span = Span::from_ms(20);
+const CONFIRM_MAX: Span = Span::from_ms(25);
+
+/// Lateness of this host itself beyond which it first looks whether a confirmation
+/// waits here.
+const LATE_MAX: Span = Span::from_ms(5);
 
 /// Time for which a host that did not confirm gets no orders.
 const AVOID_FOR: Span = Span::from_ms(1_000);
@@ -100,6 +106,8 @@
     pub host: Option<SocketAddr>,
     /// The shards and how they are gathered.
     pub route: Arc<Route>,
+    /// Whether another host may send the same parts.
+    pub moved: bool,
     /// Time until what is there should be told.
     pub settle: Span,
     /// Time until the deadline.
@@ -113,6 +121,8 @@
     Order(Order),
     /// Take an order back; no host is this one.
     Cancel(Option<SocketAddr>, OrderId),
+    /// Tell a host that its order goes to no other one.
+    Keep(SocketAddr, OrderId),
     /// Answer a caller.
     Answer(RequestId, Answer, Report),
     /// An order went to another host: of which request, away from which host.
@@ -126,6 +136,8 @@
     order: OrderId,
     host: Option<SocketAddr>,
     asked: BTreeSet<SocketAddr>,
+    /// Whether a host that did not confirm may yet send parts.
+    doubtful: bool,
     confirm_by: Option<Time>,
     piece: Option<Piece>,
     lost: bool,
@@ -191,6 +203,14 @@
         self.fleet_read = read;
     }
 
+    /// The hosts of the same failure domain that this host gives orders to.
+    pub fn partners(&self) -> BTreeSet<SocketAddr> {
+        let own = &self.settings.host;
+        let members = self.plan.members();
+        let near = members.filter(|host| host.domain == own.domain && host.address != own.address);
+        near.map(|host| host.address).collect()
+    }
+
     /// The route of a request that several hosts gather for, if this is one.
     pub fn takes(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         let route = self.catalog.route(host, path)?;
@@ -214,9 +234,9 @@
         match event {
             Event::Request(id, request) => self.request(now, id, request, &mut out),
             Event::Abandoned(id) => self.close(id, &mut out),
-            Event::Taken(order) => self.taken(order),
+            Event::Taken(order) => self.taken(order, &mut out),
             Event::Piece(piece) => self.piece(now, piece, &mut out),
-            Event::Unsent(order) => self.unconfirmed(now, order, &mut out),
+            Event::Unsent(order) => self.unconfirmed(now, order, false, &mut out),
             Event::Lost(host) => self.lost(now, host, &mut out),
             Event::Tick => self.tick(now, &mut out),
         }
@@ -235,6 +255,7 @@
             order: OrderId::default(),
             host: None,
             asked: BTreeSet::new(),
+            doubtful: false,
             confirm_by: None,
             piece: None,
             lost: false,
@@ -272,7 +293,6 @@
             return;
         };
         let branch = &mut flight.branches[at];
-        let again = u32::from(!branch.asked.is_empty());
         let (settle, left) = (
             remaining(flight.settle_at, now),
             remaining(flight.deadline, now),
@@ -281,8 +301,8 @@
         branch.host = host;
         branch.asked.extend(host);
         branch.confirm_by = host.map(|_| now.after(CONFIRM_MAX));
+        let moved = branch.doubtful;
         let route = Route {
-            attempts_max: flight.route.attempts_max.saturating_sub(again).max(1),
             target: narrowed(&flight.route.target, &branch.shards),
             ..Route::clone(&flight.route)
         };
@@ -295,6 +315,7 @@
             request: id,
             host,
             route: Arc::new(route),
+            moved,
             settle: host.map_or(settle, |_| settle.less(TELL_MAX)),
             left,
         }));
@@ -330,12 +351,17 @@
             .filter(|host| *host != own)
     }
 
-    fn taken(&mut self, order: OrderId) {
+    fn taken(&mut self, order: OrderId, out: &mut Vec<Action>) {
         let Some((id, at)) = self.orders.get(&order) else {
             return;
         };
-        if let Some(flight) = self.flights.get_mut(id) {
-            flight.branches[*at].confirm_by = None;
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        let branch = &mut flight.branches[*at];
+        let confirmed = branch.confirm_by.take().is_some();
+        if let Some(host) = branch.host.filter(|_| confirmed && !branch.doubtful) {
+            out.push(Action::Keep(host, order));
         }
     }
 
@@ -365,17 +391,27 @@
         }
     }
 
-    /// Asks another host, since one did not confirm.
-    fn unconfirmed(&mut self, now: Time, order: OrderId, out: &mut Vec<Action>) {
+    /// Asks another host, since one did not confirm, unless the parts might then run
+    /// on more replicas than allowed. `doubtful` tells whether it may have the order.
+    fn unconfirmed(&mut self, now: Time, order: OrderId, doubtful: bool, out: &mut Vec<Action>) {
         let Some((id, at)) = self.orders.get(&order).copied() else {
             return;
         };
-        let branch = self.flights.get(&id).map(|flight| &flight.branches[at]);
-        let Some(host) = branch.and_then(|b| b.confirm_by.and(b.host)) else {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let attempts_max = flight.route.attempts_max;
+        let branch = &mut flight.branches[at];
+        let Some(host) = branch.confirm_by.and(branch.host) else {
             return;
         };
-        self.forget(order, id, at);
         self.peers.entry(host).or_default().avoid_until = now.after(AVOID_FOR);
+        if doubtful && attempts_max < 2 {
+            branch.confirm_by = None;
+            return;
+        }
+        branch.doubtful |= doubtful;
+        self.forget(order, id, at);
         out.push(Action::Cancel(Some(host), order));
         out.push(Action::Moved(id, host));
         self.order(now, id, at, out);
@@ -393,10 +429,8 @@
         }
         affected.sort_unstable();
         for (order, id, at) in affected {
-            let waiting = self.flights.get(&id);
-            let waiting = waiting.is_some_and(|f| f.branches[at].confirm_by.is_some());
-            if waiting {
-                self.unconfirmed(now, order, out);
+            self.unconfirmed(now, order, true, out);
+            if !self.orders.contains_key(&order) {
                 continue;
             }
             self.forget(order, id, at);
@@ -422,14 +456,20 @@
     }
 
     fn look(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.get(&id).filter(|f| f.look_at <= now) else {
+        let Some(flight) = self.flights.get_mut(&id).filter(|f| f.look_at <= now) else {
             return;
         };
-        let late = |branch: &&Branch| branch.confirm_by.is_some_and(|by| by <= now);
-        let late = flight.branches.iter().filter(late);
-        let late = late.map(|branch| branch.order).collect::<Vec<_>>();
-        for order in late {
-            self.unconfirmed(now, order, out);
+        let due = |branch: &&mut Branch| branch.confirm_by.is_some_and(|by| by <= now);
+        let mut orders = Vec::new();
+        for branch in flight.branches.iter_mut().filter(due) {
+            let late = branch.confirm_by.is_some_and(|by| now.since(by) > LATE_MAX);
+            match late {
+                true => branch.confirm_by = Some(now.after(LATE_MAX)),
+                false => orders.push(branch.order),
+            }
+        }
+        for order in orders {
+            self.unconfirmed(now, order, true, out);
         }
         self.review(now, id, out);
     }
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -101,6 +101,12 @@
     Branch {
         /// The order.
         order: OrderId,
+        /// Rank by which all hosts pick the same replicas for the request.
+        key: u64,
+        /// Whether another host may have sent the same parts.
+        moved: bool,
+        /// Whether no other host will send them.
+        kept: bool,
         /// Parts told so far.
         told: usize,
     },
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -86,6 +86,12 @@
     pub order: OrderId,
     /// Which shards, and how.
     pub route: Arc<Route>,
+    /// Rank by which all hosts pick the same replicas for the request.
+    pub key: u64,
+    /// Whether another host may have sent the same parts.
+    pub moved: bool,
+    /// Whether no other host will send them.
+    pub kept: bool,
     /// Time until what is there is told.
     pub settle: Span,
     /// Time until the deadline.
@@ -211,6 +217,8 @@
     Request(RequestId, Request),
     /// A branch of a request, for another host or this one.
     Branch(RequestId, Branch),
+    /// No other host will gather for a branch.
+    Kept(RequestId),
     /// The caller of a request went away.
     Abandoned(RequestId),
     /// A call ended.
@@ -351,6 +359,7 @@
         match event {
             Event::Request(id, request) => self.request(now, id, &request, &mut out),
             Event::Branch(id, branch) => self.branch(now, id, &branch, &mut out),
+            Event::Kept(id) => self.keep(id),
             Event::Abandoned(id) => self.abandon(now, id, &mut out),
             Event::Done(ticket, exchange) => self.done(now, ticket, exchange, &mut out),
             Event::Catalog(catalog) => self.catalog = catalog,
@@ -409,6 +418,9 @@
             settle_at: now.after(branch.settle),
             kind: Kind::Branch {
                 order: branch.order,
+                key: branch.key,
+                moved: branch.moved,
+                kept: branch.kept,
                 told: 0,
             },
             ..Flight::new(now, route, services, branch.left, Span::ZERO)
@@ -416,6 +428,13 @@
         self.start(now, id, flight, out);
     }
 
+    fn keep(&mut self, id: RequestId) {
+        let flight = self.flights.get_mut(&id);
+        if let Some(Kind::Branch { kept, .. }) = flight.map(|flight| &mut flight.kind) {
+            *kept = true;
+        }
+    }
+
     /// Sends the parts of a request.
     fn start(&mut self, now: Time, id: RequestId, flight: Flight, out: &mut Vec<Action>) {
         let limit = self.settings.extra;
--- a/decision/src/plan.rs
+++ b/decision/src/plan.rs
@@ -103,6 +103,12 @@
         &self.hosts
     }
 
+    /// The hosts that gather for some branch; one can come up more than once.
+    pub fn members(&self) -> impl Iterator<Item = &Host> {
+        let branches = self.branches.values().flatten();
+        branches.flat_map(|branch| &branch.members)
+    }
+
     /// The branches of a route; none if each host gathers all its shards itself.
     pub fn branches(&self, route: &Name) -> Option<&[Branch]> {
         let branches = self.branches.get(route)?;
--- a/decision/src/settle.rs
+++ b/decision/src/settle.rs
@@ -47,8 +47,8 @@
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
-        if let Kind::Branch { order, told } = flight.kind {
-            return self.review_branch(now, id, order, told, out);
+        if matches!(flight.kind, Kind::Branch { .. }) {
+            return self.review_branch(now, id, out);
         }
         if let (Target::Split(_), Some((ticket, ending))) = (&flight.route.target, last) {
             let relayed = match flight.parts[0].stage {
@@ -79,22 +79,18 @@
 
     /// Tells what a branch has once nothing more will come, and from the time to
     /// settle on whatever is new.
-    fn review_branch(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        order: OrderId,
-        told: usize,
-        out: &mut Vec<Action>,
-    ) {
+    fn review_branch(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
         let last = flight.is_settled() || now >= flight.deadline;
-        let news = now >= flight.settle_at && flight.done > told;
+        let Kind::Branch { order, told, .. } = &mut flight.kind else {
+            return;
+        };
+        let order = *order;
+        let news = now >= flight.settle_at && flight.done > *told;
         if last || news {
-            let done = flight.done;
-            flight.kind = Kind::Branch { order, told: done };
+            *told = flight.done;
             let piece = piece(flight, order, last);
             out.push(Action::Piece(id, piece));
         }
