Tests of gathers that several hosts share

A model of entry hosts in virtual time that are slow, frozen or killed, over the pure machines. A property: whatever fails, each request at a live host is answered once, no part runs on more replicas than allowed, and nothing is left over.

--- /dev/null
+++ b/decision/tests/tier/fanout.rs
@@ -0,0 +1,192 @@
+//! Gathers that several entry hosts share, each test with the load pattern that it
+//! replays.
+
+use std::collections::BTreeSet;
+
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::gateway::Answer;
+use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::plan::Host;
+use wagtailbeam_decision::plan::Plan;
+
+use crate::check;
+use crate::tree;
+use crate::tree::SHARDS;
+use crate::tree::Tree;
+
+const HOSTS: usize = 8;
+
+fn merged(answer: &Answer) -> Option<usize> {
+    match answer {
+        Answer::Merged {
+            stamps, missing, ..
+        } => {
+            assert_eq!(stamps.len() + missing, SHARDS);
+            Some(stamps.len())
+        }
+        Answer::Relay(_) | Answer::Refused(..) => None,
+    }
+}
+
+/// Parts that are in the answers within this time.
+fn served(tree: &Tree, within: Span) -> usize {
+    let timely = tree.answers.values().filter(|(_, took)| *took <= within);
+    timely.filter_map(|(answer, _)| merged(answer)).sum()
+}
+
+/// Pattern: nothing fails.
+#[test]
+fn on_a_calm_day_all_parts_are_in() {
+    let mut tree = Tree::new(HOSTS, 1);
+    for id in 0..40 {
+        tree.request(id as usize % HOSTS, id, Span::from_ms(20 * id));
+    }
+    tree.run(Span::from_secs(3));
+    assert_eq!(tree.answers.len(), 40);
+    let parts = served(&tree, Span::from_ms(120));
+    assert!(parts >= 40 * SHARDS * 97 / 100, "{parts}");
+}
+
+/// Pattern: a host is killed while others wait for it. What it had confirmed is
+/// missing; later requests go to other hosts.
+#[test]
+fn a_killed_host_costs_only_what_it_had_confirmed() {
+    let mut tree = Tree::new(HOSTS, 2);
+    tree.run(Span::from_ms(5));
+    for id in 0..20 {
+        tree.request(0, id, Span::from_ms(10 * id));
+    }
+    tree.run(Span::from_ms(60));
+    tree.kill(2);
+    tree.run(Span::from_secs(3));
+    assert_eq!(tree.answers.len(), 20);
+    let whole = tree
+        .answers
+        .values()
+        .filter_map(|(answer, _)| merged(answer));
+    let whole = whole.filter(|parts| *parts * 100 >= SHARDS * 95).count();
+    assert!(whole >= 13, "{whole}");
+}
+
+/// Pattern: a host freezes, and its connections stay open. Its orders go to others
+/// once it does not confirm.
+#[test]
+fn orders_of_a_frozen_host_go_to_another_one() {
+    let mut tree = Tree::new(HOSTS, 3);
+    tree.run(Span::from_ms(5));
+    tree.freeze(2, Span::from_secs(5));
+    for id in 0..20 {
+        tree.request(0, id, Span::from_ms(30 * id));
+    }
+    tree.run(Span::from_secs(3));
+    assert_eq!(tree.answers.len(), 20);
+    let parts = served(&tree, Span::from_ms(120));
+    assert!(parts >= 20 * SHARDS * 95 / 100, "{parts}");
+}
+
+/// Pattern: a host needs a hundred times as long for all it does, so that it
+/// confirms after its orders went to another host, and both send.
+#[test]
+fn a_slow_host_and_its_stand_in_stay_within_the_replicas_allowed() {
+    let mut tree = Tree::new(HOSTS, 4);
+    for at in [1, 2, 5] {
+        tree.slow(at, 100);
+    }
+    for id in 0..60 {
+        tree.request(id as usize % HOSTS, id, Span::from_ms(15 * id));
+    }
+    tree.run(Span::from_secs(8));
+    assert!(tree.replicas_max() <= 2, "{}", tree.replicas_max());
+}
+
+/// Whatever hosts are slow, frozen or killed: each request at a live host is
+/// answered once, no part runs on more replicas than allowed, and nothing is left.
+#[test]
+fn no_part_runs_on_more_replicas_than_allowed() {
+    fn property(seed: u32, slow: Vec<(u8, u8)>, steps: Vec<(u8, u8)>) -> bool {
+        let mut tree = Tree::new(HOSTS, u64::from(seed));
+        for (at, times) in slow {
+            tree.slow(usize::from(at) % HOSTS, u64::from(times % 100) + 1);
+        }
+        let mut dead = BTreeSet::new();
+        let mut asked = BTreeSet::new();
+        for (id, (kind, pick)) in steps.into_iter().enumerate() {
+            let at = usize::from(pick) % HOSTS;
+            match kind % 8 {
+                0 => tree.freeze(at, Span::from_ms(u64::from(pick) * 4)),
+                1 if dead.len() < 3 => {
+                    dead.insert(at);
+                    tree.kill(at);
+                }
+                _ => {
+                    asked.insert((at, id as u64));
+                    tree.request(at, id as u64, Span::ZERO);
+                }
+            }
+            tree.run(Span::from_ms(u64::from(kind % 40)));
+        }
+        tree.run(Span::from_secs(30));
+        let live = asked.iter().filter(|(at, _)| !dead.contains(at));
+        let answered = live
+            .into_iter()
+            .all(|(_, id)| tree.answers.contains_key(id));
+        answered && tree.replicas_max() <= 2 && (0..HOSTS).all(|at| tree.is_idle(at))
+    }
+    check(
+        property as fn(u32, Vec<(u8, u8)>, Vec<(u8, u8)>) -> bool,
+        60,
+        40,
+    );
+}
+
+fn hosts(count: usize) -> Vec<Host> {
+    (0..count).map(tree::host).collect()
+}
+
+/// The parts of a service's limits that hosts use never come to more than all of it.
+#[test]
+fn shares_of_a_limit_come_to_no_more_than_the_whole() {
+    for count in [1, 2, 7, 64] {
+        let hosts = hosts(count);
+        for shards in [8, 60] {
+            let (catalog, _) = tree::deployment(shards);
+            let plan = Plan::new(&catalog, &hosts);
+            let service = Name::from("shard-3");
+            let shares = hosts.iter().map(|host| plan.share(&service, host.address));
+            let sum = shares.sum::<f64>();
+            assert!(sum <= 1.0 + 1e-9, "{count} hosts, {shards} shards: {sum}");
+        }
+    }
+}
+
+#[test]
+fn only_wide_gathers_are_split_and_all_their_shards_are_covered() {
+    let route = Name::from("all");
+    let (narrow, _) = tree::deployment(30);
+    assert!(Plan::new(&narrow, &hosts(7)).branches(&route).is_none());
+    let (wide, _) = tree::deployment(90);
+    let plan = Plan::new(&wide, &hosts(64));
+    let branches = plan.branches(&route).expect("a split route");
+    let covered = branches.iter().flat_map(|branch| branch.shards.clone());
+    assert_eq!(covered.collect::<Vec<_>>(), (0..90).collect::<Vec<_>>());
+    for branch in branches {
+        let domains = branch.members.iter().map(|host| &host.domain);
+        assert_eq!(domains.collect::<BTreeSet<_>>().len(), 2);
+    }
+}
+
+/// A host that leaves is replaced where it was a member, and nowhere else.
+#[test]
+fn a_host_that_leaves_moves_few_branches() {
+    let (catalog, _) = tree::deployment(90);
+    let all = hosts(64);
+    let before = Plan::new(&catalog, &all);
+    let after = Plan::new(&catalog, &all[1..]);
+    let route = Name::from("all");
+    let pairs = before.branches(&route).into_iter().flatten();
+    let pairs = pairs.zip(after.branches(&route).into_iter().flatten());
+    for (before, after) in pairs {
+        let kept = before.members.iter().filter(|host| **host != all[0]);
+        assert!(kept.into_iter().all(|host| after.members.contains(host)));
+    }
+}
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -4,12 +4,14 @@
 mod catalog;
 mod council;
 mod endpoint;
+mod fanout;
 mod feed;
 mod gateway;
 mod merge;
 mod model;
 mod rotation;
 mod state;
+mod tree;
 mod voters;
 
 use quickcheck::Gen;
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -129,6 +129,30 @@
     }
 }
 
+/// A catalog with the route `all`, which gathers from all of these services, and the
+/// route `once` to the first of them.
+pub fn catalog(names: &[Name]) -> Catalog {
+    let service = Service {
+        health_path: "/healthz".into(),
+        connections_max: 26,
+        warmup: Span::from_secs(3),
+        warmup_per_s: 0.0,
+    };
+    let services = names.iter().map(|name| (name.clone(), service.clone()));
+    let once = Target::Split(vec![(names[0].clone(), 1.0)]);
+    let all = Target::Gather {
+        shards: names.to_vec(),
+        top: 5,
+        coverage_min: 0.75,
+    };
+    let routes = vec![
+        route("all", Repeat::Idempotent, all),
+        route("once", Repeat::Once, once),
+    ];
+    let catalog = Catalog::new(1, routes, services.collect(), Limits::default());
+    catalog.expect("a sound catalog")
+}
+
 impl World {
     /// A world with this many shards of two replicas each, named `shard-0` and so
     /// on, behind the route `all`, of which three quarters must answer. The route
@@ -136,24 +160,7 @@
     pub fn new(shards: usize) -> World {
         let names = (0..shards).map(|at| Name::from(format!("shard-{at}")));
         let names = names.collect::<Vec<_>>();
-        let service = Service {
-            health_path: "/healthz".into(),
-            connections_max: 26,
-            warmup: Span::from_secs(3),
-            warmup_per_s: 0.0,
-        };
-        let services = names.iter().map(|name| (name.clone(), service.clone()));
-        let once = Target::Split(vec![(names[0].clone(), 1.0)]);
-        let all = Target::Gather {
-            shards: names.clone(),
-            top: 5,
-            coverage_min: 0.75,
-        };
-        let routes = vec![
-            route("all", Repeat::Idempotent, all),
-            route("once", Repeat::Once, once),
-        ];
-        let catalog = Catalog::new(1, routes, services.collect(), Limits::default());
+        let catalog = catalog(&names);
         let replicas = names
             .iter()
             .flat_map(|name| [replica(name, 0, "east"), replica(name, 1, "west")]);
@@ -177,8 +184,7 @@
             last: 0,
         };
         let now = world.now;
-        let catalog = Arc::new(catalog.expect("a sound catalog"));
-        world.step(Event::Catalog(catalog));
+        world.step(Event::Catalog(Arc::new(catalog)));
         world.step(Event::Fleet(Arc::new(Fleet::new(replicas)), now));
         world
     }
@@ -352,7 +358,8 @@
     }
 }
 
-fn settings() -> Settings {
+/// Settings of a host.
+pub fn settings() -> Settings {
     Settings {
         address: SocketAddr::from(([10, 9, 0, 1], 70)),
         domain: Name::from("north"),
