--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -18,7 +18,7 @@
 use crate::name::Name;
 
 /// Cost of a replica in another failure domain, relative to one in the same.
-const FAR_COST: f64 = 1.5;
+const FAR_COST: f64 = 2.2;
 
 /// Part of a replica's connections that the entry hosts use together.
 const CONNECTIONS_USED: f64 = 0.85;
