A fault soak of the real programs, and places that are given once

Cause: the soak's seed 5 (1 s) ended with a voter that read nothing. Its log and the other one's show that two processes that asked for a place at the same time were both given place 3: the second proposer had never heard the first holder, and took that for silence. Voters that start again give away places of live voters in the same way; a test of that failed first.

Change: the silence of a voter that was never heard counts from when it is first waited for. The soak: processes on loopback, a proxy before each replica, stand-ins that misbehave, a list that fails, signals, lost disks and torn logs, in overlapping series drawn from a seed; callers and replicas are checked for whole answers, one run of what may run once, true refusals, replicas allowed, extra requests, drained replicas, and versions never older.

Links between our own processes are disturbed by stops and kills only: their addresses are both where they listen and what they tell.

--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -169,6 +169,18 @@
     pub(crate) failing: u32,
 }
 
+impl Peer {
+    /// A peer of which nothing is known but since when it is waited for.
+    pub(crate) fn unheard(now: Time) -> Peer {
+        Peer {
+            heard: now,
+            voting: false,
+            entries: Vec::new(),
+            failing: 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) enum Ticket {
     Order {
@@ -359,16 +371,7 @@
     pub(crate) fn hear(&mut self, now: Time, from: SocketAddr) {
         match self.peers.get_mut(&from) {
             Some(peer) => peer.heard = now,
-            None => {
-                let entries = Vec::new();
-                let peer = Peer {
-                    heard: now,
-                    voting: false,
-                    entries,
-                    failing: 0,
-                };
-                self.peers.insert(from, peer);
-            }
+            None => drop(self.peers.insert(from, Peer::unheard(now))),
         }
     }
 
--- a/decision/src/seating.rs
+++ b/decision/src/seating.rs
@@ -8,6 +8,7 @@
 use crate::control::Action;
 use crate::control::Control;
 use crate::control::Note;
+use crate::control::Peer;
 use crate::control::START;
 use crate::control::Ticket;
 use crate::feed::Message;
@@ -61,6 +62,7 @@
             return;
         }
         let known = self.lives();
+        self.expect(now, &known);
         let vacant = |life: &Incarnation| life.epoch == 0 && life.address.is_none();
         let silent = |life: &Incarnation| {
             let address = life.address.filter(|_| life.epoch > 0);
@@ -78,6 +80,18 @@
         self.propose(now, Ticket::Join(from), change, out);
     }
 
+    /// Begins to wait for voters that were never heard, so that their silence counts
+    /// from now.
+    fn expect(&mut self, now: Time, lives: &[Incarnation]) {
+        let own = self.settings.address;
+        let others = lives.iter().filter_map(|life| life.address);
+        for address in others.filter(|address| *address != own) {
+            self.peers
+                .entry(address)
+                .or_insert_with(|| Peer::unheard(now));
+        }
+    }
+
     /// Takes a place that was given to this process.
     pub(crate) fn seated(&mut self, now: Time, place: Place, out: &mut Vec<Action>) {
         let own = place.incarnation.address == Some(self.settings.address);
--- a/decision/tests/tier/voters.rs
+++ b/decision/tests/tier/voters.rs
@@ -61,6 +61,32 @@
     assert_eq!(read(&mut council, 1), Some(7));
 }
 
+/// Two processes that ask for a place at the same time get one each.
+#[test]
+fn each_place_is_given_once_as_the_group_grows() {
+    let council = founded();
+    assert_eq!(council.revision(0), Some(2));
+}
+
+/// Voters that start again have heard of nobody yet. They give no place away before
+/// its holder had time to be heard.
+#[test]
+fn a_voter_that_starts_last_keeps_its_place() {
+    let mut council = founded();
+    council.configure(0, 3);
+    council.pass(Span::from_ms(500));
+    let before = council.revision(0);
+    (0..5).for_each(|at| council.crash(at));
+    council.pass(Span::from_ms(500));
+    (0..3).for_each(|at| council.start(at));
+    council.add(9, false);
+    council.pass(Span::from_ms(1_200));
+    [3, 4].iter().for_each(|at| council.start(*at));
+    council.pass(SETTLE);
+    assert_eq!(council.revision(0), before);
+    assert_eq!(council.voting(), 5);
+}
+
 /// A voter that has a new disk has written less than its old life had. Others must
 /// not take it for an old disk after a loss of power.
 #[test]
--- /dev/null
+++ b/soak/src/list.rs
@@ -0,0 +1,75 @@
+//! A stand-in for the platform's list of replicas.
+
+use std::convert::Infallible;
+use std::io::Result;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wagtailbeam_adapter::http;
+use wagtailbeam_platform::stand;
+use wagtailbeam_platform::stand::Replica;
+
+/// Time that a slow list needs.
+const SLOW: Duration = Duration::from_millis(900);
+
+/// How the list is served.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// At once.
+    #[default]
+    Sound,
+    /// Late.
+    Slow,
+    /// With an error.
+    Failing,
+    /// As something that is no list.
+    Spoiled,
+}
+
+/// What is listed, and how.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The replicas.
+    pub replicas: Vec<Replica>,
+    /// How they are served.
+    pub mode: Mode,
+}
+
+/// Serves the list at an address.
+pub async fn start(at: SocketAddr, view: watch::Receiver<View>) -> Result<()> {
+    let listener = TcpListener::bind(at).await?;
+    let view = Arc::new(view);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let view = view.clone();
+            let service = service_fn(move |_| {
+                let view = view.borrow().clone();
+                async move { Ok::<_, Infallible>(answer(view).await) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    Ok(())
+}
+
+async fn answer(view: View) -> http::Reply {
+    match view.mode {
+        Mode::Failing => return http::text(StatusCode::SERVICE_UNAVAILABLE, "down"),
+        Mode::Spoiled => return http::text(StatusCode::OK, "<html>"),
+        Mode::Slow => tokio::time::sleep(SLOW).await,
+        Mode::Sound => {}
+    }
+    http::reply(
+        StatusCode::OK,
+        "application/json",
+        stand::list(&view.replicas),
+    )
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,55 @@
+//! The soak's command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::Command;
+use clap::value_parser;
+use wagtailbeam_soak::run;
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("soak")
+        .about("Runs wagtailbeam's programs under faults and checks their promises")
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("runs", "1", "Runs, with following seeds"))
+        .arg(number("seconds", "20", "Time with faults for each run"))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .value_name("FILE")
+                .default_value("target/release/wagtailbeamd")
+                .value_parser(value_parser!(PathBuf))
+                .help("The daemon"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let program = matches.get_one::<PathBuf>("program").cloned();
+    let program = program.unwrap_or_default();
+    let span = Duration::from_secs(number("seconds"));
+    let mut failed = false;
+    for seed in number("seed")..number("seed") + number("runs") {
+        match run::run(&program, seed, span) {
+            Ok(report) => {
+                println!("{report}");
+                failed |= !report.faults.is_empty();
+            }
+            Err(error) => {
+                eprintln!("seed {seed}: {error}");
+                failed = true;
+            }
+        }
+    }
+    ExitCode::from(u8::from(failed))
+}
--- /dev/null
+++ b/soak/src/operator.rs
@@ -0,0 +1,125 @@
+//! Operators: they put configurations in force at any voter and read them back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header;
+use hyper_util::rt::TokioIo;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use wagtailbeam_adapter::dialect::Dialect as _;
+use wagtailbeam_platform::Dialect;
+use wagtailbeam_platform::stand;
+
+use crate::deployment::Deployment;
+use crate::deployment::HOST;
+use crate::deployment::VOTERS;
+use crate::ledger::Shared;
+
+/// Longest time for one call.
+const CALL_MAX: Duration = Duration::from_millis(2_500);
+
+/// Time between two calls, drawn between these.
+const PAUSE_MS: std::ops::Range<u64> = 60..500;
+
+/// An operator. Only one run at a time has one, so that versions rise.
+pub struct Operator {
+    deployment: Deployment,
+    ledger: Shared,
+    random: ChaCha8Rng,
+    sent: u64,
+    accepted: u64,
+}
+
+impl Operator {
+    /// An operator that has done nothing yet.
+    pub fn new(seed: u64, deployment: &Deployment, ledger: Shared) -> Operator {
+        Operator {
+            deployment: deployment.clone(),
+            ledger,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            sent: 0,
+            accepted: 0,
+        }
+    }
+
+    /// Puts configurations in force and reads them until told to stop.
+    pub async fn run(mut self, stopped: watch::Receiver<bool>) -> Operator {
+        while !*stopped.borrow() {
+            let voter = self.random.random_range(0..VOTERS);
+            match self.random.random_bool(0.5) {
+                true => drop(self.configure(voter).await),
+                false => drop(self.read(voter).await),
+            }
+            let pause = self.random.random_range(PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        self
+    }
+
+    /// Puts the next version in force; whether it was accepted.
+    pub async fn configure(&mut self, voter: usize) -> bool {
+        self.sent += 1;
+        let document = stand::configuration(&self.deployment.configuration(self.sent));
+        let address = self.deployment.operators(voter);
+        let answer = call(address, Method::PUT, document.into()).await;
+        let accepted = answer.is_some_and(|(status, _)| status == 200);
+        if accepted {
+            self.accepted = self.accepted.max(self.sent);
+        }
+        accepted
+    }
+
+    /// Reads the version in force, which is never older than one accepted before.
+    pub async fn read(&mut self, voter: usize) -> Option<u64> {
+        let least = self.accepted;
+        let address = self.deployment.operators(voter);
+        let (status, body) = call(address, Method::GET, Bytes::new()).await?;
+        if status != 200 {
+            return None;
+        }
+        let found = match Dialect::default().catalog(&body) {
+            Ok(catalog) => catalog.version,
+            Err(fault) => {
+                let what = format!("voter-{voter}: the configuration can't be read: {fault}");
+                self.ledger.lock().fault(what);
+                return None;
+            }
+        };
+        if found < least || found > self.sent {
+            let what = format!("voter-{voter}: version {found}, and {least} was accepted");
+            self.ledger.lock().fault(what);
+        }
+        self.accepted = self.accepted.max(found);
+        Some(found)
+    }
+}
+
+async fn call(address: SocketAddr, method: Method, body: Bytes) -> Option<(u16, Bytes)> {
+    let answered = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(driver);
+        let request = Request::builder()
+            .method(method)
+            .uri(stand::CONFIGURATION)
+            .header(header::HOST, HOST)
+            .body(Full::new(body))
+            .ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        Some((head.status.as_u16(), body))
+    };
+    timeout(CALL_MAX, answered).await.ok()?
+}
