Split by decision: leaf, scatter, serve, news, port; the soak finds ignored drains

Change: what a host gathers for others is in leaf, the state of a request that several hosts gather for in scatter, an entry host's requests in serve and its news in news; both loops open ports through port. Replicas drain for longer than the bound; only what may delay news counts as a disturbance.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -9,34 +9,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::HeaderValue;
-use snafu::ResultExt;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use wagtailbeam_decision::branch;
 use wagtailbeam_decision::branch::Envelope;
 use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::fanout::Fanout;
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::feed::Subscriber;
-use wagtailbeam_decision::feed::Update;
 use wagtailbeam_decision::gateway;
-use wagtailbeam_decision::gateway::Action;
-use wagtailbeam_decision::gateway::Answer;
-use wagtailbeam_decision::gateway::Call;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
 use wagtailbeam_decision::plan;
-use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::rotation::Others;
 use wagtailbeam_decision::rotation::Rotation;
 
@@ -49,16 +37,12 @@
 use crate::ingress::View;
 use crate::mesh;
 use crate::mesh::Mesh;
-use crate::mesh::News;
 use crate::meter;
-use crate::meter::Registered;
-use crate::node::BindSnafu;
-use crate::node::MeterSnafu;
 use crate::node::Result;
 use crate::pool;
 use crate::pool::Pool;
 use crate::pool::Response;
-use crate::pool::Terms;
+use crate::port;
 use crate::readiness;
 use crate::signal::Signal;
 use crate::trail::Trail;
@@ -71,13 +55,10 @@
 
 /// Time from the sending of a request by a caller to its arrival here, and from an
 /// answer here to its arrival there.
-const CALLER_MARGIN: Span = Span::from_ms(11);
+pub(crate) const CALLER_MARGIN: Span = Span::from_ms(11);
 
 /// The same for the first request on a connection, with the time to open it.
-const CALLER_MARGIN_FIRST: Span = Span::from_ms(17);
-
-/// Time that this host needs beyond that to merge what several hosts gathered.
-const MERGE_MARGIN: Span = Span::from_ms(5);
+pub(crate) const CALLER_MARGIN_FIRST: Span = Span::from_ms(17);
 
 /// Time between two looks at the gauges and the settings file.
 const HOUSEKEEP_EVERY: Duration = Duration::from_secs(1);
@@ -138,19 +119,10 @@
     dialect: Arc<dyn Dialect>,
     signals: mpsc::Receiver<Signal>,
 ) -> Result<()> {
-    let bind = async |address| {
-        TcpListener::bind(address)
-            .await
-            .context(BindSnafu { address })
-    };
-    let callers = bind(settings.callers).await?;
-    let ready = bind(settings.ready).await?;
-    let peer = bind(settings.peer).await?;
-    let registered = Arc::new(Registered::new().context(MeterSnafu)?);
-    if let Some(address) = settings.metrics {
-        let listener = bind(address).await?;
-        tokio::spawn(meter::listen(listener, registered.clone()));
-    }
+    let callers = port::bind(settings.callers).await?;
+    let ready = port::bind(settings.ready).await?;
+    let peer = port::bind(settings.peer).await?;
+    let registered = port::metrics(settings.metrics).await?;
     let (view, seen) = watch::channel(View::default());
     let (caller_reports, caller_events) = mpsc::channel(CHANNEL_MAX);
     let (backend_reports, backend_events) = mpsc::channel(CHANNEL_MAX);
@@ -333,7 +305,7 @@
         }
     }
 
-    fn others(&self) -> Others {
+    pub(crate) fn others(&self) -> Others {
         Others {
             fresh: self.fresh,
             hosts: self.hosts.len(),
@@ -382,203 +354,6 @@
             Signal::Reload => self.reload(),
         }
     }
-
-    fn peer(&mut self, report: mesh::Report) {
-        let now = self.now();
-        match self.mesh.take(report) {
-            News::Message(from, message) => match *message {
-                Message::Feed(feed) => {
-                    let update = self.subscriber.take(now, from, *feed);
-                    self.update(update);
-                }
-                Message::Branch(message) => self.hear(from, message),
-                other => tracing::debug!(%from, ?other, "a message that no entry host takes"),
-            },
-            News::Lost(address) if Some(address) == self.subscriber.voter() => {
-                self.subscriber.turn(now);
-            }
-            News::Lost(address) => self.lose_host(address),
-            News::Unsent(message) => {
-                if let Message::Branch(branch::Message::Order(order)) = *message {
-                    self.fan(fanout::Event::Unsent(order.id));
-                }
-            }
-            News::Nothing => {}
-        }
-    }
-
-    fn update(&mut self, update: Update) {
-        if let Some((version, document)) = update.document {
-            match self.dialect.catalog(&document) {
-                Ok(catalog) => {
-                    tracing::info!(event = 710, version, "configuration in force");
-                    self.step(Event::Catalog(Arc::new(catalog)));
-                    self.replan();
-                }
-                Err(fault) => {
-                    tracing::error!(event = 711, version, %fault, "configuration not understood");
-                }
-            }
-        }
-        if let Some(closed) = update.closed {
-            tracing::info!(event = 713, ?closed, "failure domains out of service");
-            self.step(Event::Closed(closed));
-        }
-        if let Some((fleet, read)) = update.fleet {
-            let age_ms = self.now().since(read).as_ms();
-            let replicas = fleet.replicas.len();
-            tracing::info!(event = 712, replicas, age_ms, "list changed");
-            self.step(Event::Fleet(fleet, read));
-        }
-        if let Some(read) = update.read {
-            self.fleet_read = Some(read);
-            self.fanout.note_read(read);
-            self.step(Event::Read(read));
-        }
-        if let Some(hosts) = update.hosts {
-            tracing::info!(event = 717, hosts = hosts.len(), "entry hosts changed");
-            self.hosts = hosts;
-            self.replan();
-        }
-    }
-
-    /// Decides anew which hosts send to which services.
-    fn replan(&mut self) {
-        let catalog = self.gateway.catalog().clone();
-        let plan = Arc::new(Plan::new(&catalog, &self.hosts));
-        self.fanout.replan(catalog, plan.clone());
-        self.step(Event::Plan(plan));
-        self.greet_partners();
-    }
-
-    fn caller(&mut self, report: ingress::Report) {
-        match report {
-            ingress::Report::Request(id, passed, answer) => {
-                let pending = Pending {
-                    passed: passed.clone(),
-                    envelope: None,
-                    origin: Origin::Caller(answer),
-                    since: Instant::now(),
-                };
-                self.pending.insert(id, pending);
-                self.serve(id, &passed);
-            }
-            ingress::Report::Abandoned(id) => {
-                if let Some(pending) = self.pending.remove(&id) {
-                    let id = name_of(&pending.passed);
-                    self.trail.abandoned(id, pending.since.elapsed());
-                }
-                self.step(Event::Abandoned(id));
-                self.fan(fanout::Event::Abandoned(id));
-            }
-        }
-    }
-
-    fn serve(&mut self, id: u64, passed: &Passed) {
-        let path = passed.target.path();
-        if let Some(route) = self.fanout.takes(&passed.host, path) {
-            let margin = match passed.first {
-                true => CALLER_MARGIN_FIRST,
-                false => CALLER_MARGIN,
-            };
-            let request = fanout::Request {
-                route,
-                left: passed.left,
-                margin: margin + MERGE_MARGIN,
-            };
-            return self.fan(fanout::Event::Request(id, request));
-        }
-        let request = gateway::Request {
-            host: passed.host.clone(),
-            path: path.into(),
-            left: passed.left,
-            fresh: self.fresh,
-            first: passed.first,
-            elsewhere: self.rotation.is_elsewhere_better(self.others()),
-        };
-        self.step(Event::Request(id, request));
-    }
-
-    fn backend(&mut self, report: pool::Report<Ticket>) {
-        let Some((ticket, result)) = self.pool.take(report) else {
-            return;
-        };
-        let Some((passed, address)) = self.calls.remove(&ticket) else {
-            return;
-        };
-        let exchange = self.judge(&passed, address, ticket, result);
-        self.meter.ended(exchange.ending);
-        self.step(Event::Done(ticket, exchange));
-        self.relayed = None;
-    }
-
-    pub(crate) fn step(&mut self, event: Event) {
-        let now = self.now();
-        for action in self.gateway.step(now, event) {
-            match action {
-                Action::Send(call) => self.send(&call),
-                Action::Withdraw(ticket) => {
-                    self.calls.remove(&ticket);
-                    self.pool.abort(&ticket);
-                    self.meter.ended(Ending::Withdrawn);
-                }
-                Action::Answer(id, answer, report) => self.answer(id, answer, &report),
-                Action::Piece(id, piece) => self.piece(id, piece),
-                Action::Release(address) => self.pool.release(&address),
-                Action::Extra(id, service, replica, why) => {
-                    self.meter.extra(why);
-                    if let Some(pending) = self.pending.get(&id) {
-                        let id = name_of(&pending.passed);
-                        self.trail.extra(id, &service, &replica, why);
-                    }
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, call: &Call) {
-        let Some(pending) = self.pending.get(&call.request) else {
-            return tracing::error!(event = 791, request = call.request, "a call has no request");
-        };
-        let passed = pending.passed.clone();
-        let names = self.dialect.headers();
-        let mut request = Request::new(Full::new(passed.body.clone()));
-        *request.method_mut() = passed.method.clone();
-        *request.uri_mut() = passed.target.clone().into();
-        *request.headers_mut() = passed.headers.clone();
-        let headers = request.headers_mut();
-        headers.insert(names.deadline.clone(), call.left.as_ms().into());
-        match HeaderValue::from_str(&call.instance) {
-            Ok(instance) => drop(headers.insert(names.instance.clone(), instance)),
-            Err(error) => tracing::error!(event = 791, %error, "an instance is no header value"),
-        }
-        let terms = Terms {
-            address: call.address,
-            connections: call.connections,
-            careful: call.careful,
-        };
-        self.calls.insert(call.ticket, (passed, call.address));
-        self.pool.call(call.ticket, terms, request);
-    }
-
-    pub(crate) fn answer(&mut self, id: u64, answer: Answer, report: &gateway::Report) {
-        let Some(pending) = self.pending.remove(&id) else {
-            return;
-        };
-        let (reply, outcome) = self.reply(answer);
-        self.trail
-            .answered(name_of(&pending.passed), outcome, report);
-        self.meter.answered(outcome, report);
-        let now = self.now();
-        let failed = outcome.is_failure() && report.is_cut_off();
-        self.rotation.note(now, failed);
-        let Origin::Caller(answer) = pending.origin else {
-            return tracing::error!(event = 791, request = id, "a branch has an answer");
-        };
-        if answer.send(reply).is_err() {
-            tracing::debug!(request = id, "the caller left as it was answered");
-        }
-    }
 }
 
 pub(crate) fn name_of(passed: &Passed) -> &str {
--- /dev/null
+++ b/adapter/src/port.rs
@@ -0,0 +1,29 @@
+//! Ports that the loops of a discovered tier open as they start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+
+use crate::meter;
+use crate::meter::Registered;
+use crate::node::BindSnafu;
+use crate::node::MeterSnafu;
+use crate::node::Result;
+
+/// Listens at an address.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.context(BindSnafu { address })
+}
+
+/// A registry of metrics, served at an address if there is one.
+pub(crate) async fn metrics(address: Option<SocketAddr>) -> Result<Arc<Registered>> {
+    let registered = Arc::new(Registered::new().context(MeterSnafu)?);
+    if let Some(address) = address {
+        let listener = bind(address).await?;
+        tokio::spawn(meter::listen(listener, registered.clone()));
+    }
+    Ok(registered)
+}
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use snafu::ResultExt;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use wagtailbeam_decision::clock::Time;
@@ -29,13 +28,11 @@
 use crate::mesh::Mesh;
 use crate::mesh::News;
 use crate::meter;
-use crate::meter::Registered;
-use crate::node::BindSnafu;
 use crate::node::DiskSnafu;
-use crate::node::MeterSnafu;
 use crate::node::Result;
 use crate::operate;
 use crate::operate::Operate;
+use crate::port;
 use crate::signal::Signal;
 use crate::store;
 use crate::store::Store;
@@ -80,18 +77,9 @@
     dialect: Arc<dyn Dialect>,
     signals: mpsc::Receiver<Signal>,
 ) -> Result<()> {
-    let bind = async |address| {
-        TcpListener::bind(address)
-            .await
-            .context(BindSnafu { address })
-    };
-    let operators = bind(settings.operators).await?;
-    let peer = bind(settings.peer).await?;
-    let registered = Arc::new(Registered::new().context(MeterSnafu)?);
-    if let Some(address) = settings.metrics {
-        let listener = bind(address).await?;
-        tokio::spawn(meter::listen(listener, registered.clone()));
-    }
+    let operators = port::bind(settings.operators).await?;
+    let peer = port::bind(settings.peer).await?;
+    let registered = port::metrics(settings.metrics).await?;
     let (store, records) = open_store(&settings).await?;
     let (disk_reports, disk_events) = mpsc::channel(CHANNEL_MAX);
     let orders = disk::write_in_background(store, disk_reports, Trouble::Retry);
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -9,11 +9,8 @@
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::endpoint::Endpoint;
-use crate::fleet::State;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
-use crate::flight::Kind;
-use crate::flight::Part;
 use crate::gateway::Gateway;
 use crate::name::Name;
 
@@ -103,47 +100,6 @@
         }
     }
 
-    /// The replicas to which a part is bound, if it is. Where another host may send
-    /// the same part, all replicas but the first one are those that rendezvous
-    /// hashing of the request picks, so that both together stay within the limit.
-    pub(crate) fn allowed(&self, flight: &Flight, part: &Part) -> Option<BTreeSet<EndpointId>> {
-        let attempts_max = flight.route.attempts_max;
-        let bound = part.allowed(attempts_max);
-        let Kind::Branch {
-            key, moved, kept, ..
-        } = flight.kind
-        else {
-            return bound;
-        };
-        let alone = kept && !moved;
-        if alone || bound.is_some() || !moved && part.ran.is_empty() {
-            return bound;
-        }
-        let mut allowed = self.designated(&part.service, key, attempts_max - 1);
-        if !moved {
-            allowed.extend(&part.ran);
-        }
-        Some(allowed)
-    }
-
-    /// The first replicas of a service by rendezvous hashing.
-    fn designated(&self, service: &Name, key: u64, count: u32) -> BTreeSet<EndpointId> {
-        let pool = self.pools.get(service).into_iter();
-        let known = pool.flat_map(|pool| &pool.endpoints);
-        let known = known.filter_map(|id| Some((id, self.endpoints.get(id)?)));
-        let ready = |endpoint: &Endpoint| endpoint.listed && endpoint.replica.state == State::Ready;
-        let listed = known.filter(|(_, endpoint)| ready(endpoint));
-        let ranked = listed.map(|(id, endpoint)| {
-            let instance = &endpoint.replica.instance.id;
-            let rank = Digest::of_parts(&[&key.to_le_bytes(), instance.as_bytes()]).rank();
-            (rank, *id)
-        });
-        let mut ranked = ranked.collect::<Vec<_>>();
-        ranked.sort_unstable();
-        let first = ranked.into_iter().take(count as usize);
-        first.map(|(_, id)| id).collect()
-    }
-
     /// The part of a service's limits that this host may use.
     pub(crate) fn share(&self, service: &Name) -> f64 {
         self.plan.share(service, self.settings.address)
--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -15,7 +15,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -27,15 +26,15 @@
 use crate::catalog::Target;
 use crate::clock::Span;
 use crate::clock::Time;
-use crate::flight::Cause;
 use crate::gateway::Answer;
 use crate::gateway::Refusal;
 use crate::gateway::Report;
 use crate::gateway::RequestId;
-use crate::merge;
 use crate::name::Name;
 use crate::plan;
 use crate::plan::Plan;
+use crate::scatter::Branch;
+use crate::scatter::Flight;
 
 /// Longest time to wait until a host confirms an order.
 const CONFIRM_MAX: Span = Span::from_ms(25);
@@ -129,30 +128,6 @@
     Moved(RequestId, SocketAddr),
 }
 
-#[derive(Clone, Debug)]
-struct Branch {
-    shards: Vec<Name>,
-    members: Vec<plan::Host>,
-    order: OrderId,
-    host: Option<SocketAddr>,
-    asked: BTreeSet<SocketAddr>,
-    /// Whether a host that did not confirm may yet send parts.
-    doubtful: bool,
-    confirm_by: Option<Time>,
-    piece: Option<Piece>,
-    lost: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Flight {
-    route: Arc<Route>,
-    started: Time,
-    settle_at: Time,
-    deadline: Time,
-    branches: Vec<Branch>,
-    look_at: Time,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Peer {
     orders: usize,
@@ -548,89 +523,6 @@
     }
 }
 
-impl Branch {
-    /// Whether nothing more will come.
-    fn is_final(&self) -> bool {
-        self.lost || self.piece.as_ref().is_some_and(|piece| piece.last)
-    }
-
-    fn done(&self) -> usize {
-        self.piece.as_ref().map_or(0, |piece| piece.stamps.len())
-    }
-
-    /// Whether parts of it may have run: a host confirmed it, or this one has it.
-    fn may_have_run(&self) -> bool {
-        let idle = |piece: &Piece| piece.last && piece.stamps.is_empty() && !piece.ran;
-        self.confirm_by.is_none() && !self.piece.as_ref().is_some_and(idle)
-    }
-}
-
-impl Flight {
-    fn parts(&self) -> usize {
-        self.branches.iter().map(|branch| branch.shards.len()).sum()
-    }
-
-    fn done(&self) -> usize {
-        self.branches.iter().map(Branch::done).sum()
-    }
-
-    fn needed(&self) -> usize {
-        self.route.target.needed(self.parts())
-    }
-
-    /// Whether a success is no longer possible.
-    fn is_lost(&self) -> bool {
-        let possible = self.branches.iter().map(|branch| match branch.is_final() {
-            true => branch.done(),
-            false => branch.shards.len(),
-        });
-        possible.sum::<usize>() < self.needed()
-    }
-
-    fn cause(&self) -> Option<Cause> {
-        let missing = self.branches.iter().filter(|b| b.done() < b.shards.len());
-        let causes = missing.map(|branch| match &branch.piece {
-            _ if branch.lost => Cause::HostLost,
-            Some(piece) => piece.cause.unwrap_or(Cause::LeftOut),
-            None => Cause::LeftOut,
-        });
-        causes.max()
-    }
-
-    fn first_missing(&self) -> Option<Name> {
-        let mut branches = self.branches.iter();
-        let branch = branches.find(|branch| branch.done() < branch.shards.len())?;
-        let named = branch
-            .piece
-            .as_ref()
-            .and_then(|piece| piece.missing.clone());
-        named.or_else(|| branch.shards.first().cloned())
-    }
-
-    fn next_look(&self, now: Time) -> Time {
-        let confirms = self.branches.iter().filter_map(|b| b.confirm_by);
-        let settle = (now < self.settle_at).then_some(self.settle_at);
-        let next = confirms.chain(settle).chain([self.deadline]).min();
-        next.unwrap_or(self.deadline)
-            .max(now.after(Span::from_us(500)))
-    }
-
-    fn merged(&self) -> Answer {
-        let pieces = self.branches.iter().filter_map(|b| b.piece.as_ref());
-        let mut stamps = Vec::with_capacity(self.parts());
-        let mut bodies = Vec::with_capacity(self.branches.len());
-        for piece in pieces {
-            stamps.extend(piece.stamps.iter().cloned());
-            bodies.push(Bytes::copy_from_slice(&piece.body));
-        }
-        Answer::Merged {
-            missing: self.parts() - stamps.len(),
-            body: merge::greatest(&bodies, self.route.target.top()),
-            stamps,
-        }
-    }
-}
-
 fn remaining(until: Time, now: Time) -> Span {
     Span::from_us(until.as_us().saturating_sub(now.as_us()))
 }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -32,7 +32,6 @@
 use crate::flight::Cause;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
-use crate::flight::Kind;
 use crate::flight::Stage;
 use crate::latency::Latency;
 use crate::name::Name;
@@ -410,33 +409,14 @@
         self.start(now, id, flight, out);
     }
 
-    /// Gathers for another host's request, or for a branch of one of this host.
-    fn branch(&mut self, now: Time, id: RequestId, branch: &Branch, out: &mut Vec<Action>) {
-        let route = branch.route.clone();
-        let services = self.services(&route);
-        let flight = Flight {
-            settle_at: now.after(branch.settle),
-            kind: Kind::Branch {
-                order: branch.order,
-                key: branch.key,
-                moved: branch.moved,
-                kept: branch.kept,
-                told: 0,
-            },
-            ..Flight::new(now, route, services, branch.left, Span::ZERO)
-        };
-        self.start(now, id, flight, out);
-    }
-
-    fn keep(&mut self, id: RequestId) {
-        let flight = self.flights.get_mut(&id);
-        if let Some(Kind::Branch { kept, .. }) = flight.map(|flight| &mut flight.kind) {
-            *kept = true;
-        }
-    }
-
     /// Sends the parts of a request.
-    fn start(&mut self, now: Time, id: RequestId, flight: Flight, out: &mut Vec<Action>) {
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        flight: Flight,
+        out: &mut Vec<Action>,
+    ) {
         let limit = self.settings.extra;
         for part in &flight.parts {
             let share = self.share(&part.service);
--- /dev/null
+++ b/decision/src/leaf.rs
@@ -0,0 +1,139 @@
+//! The part of a host that gathers a branch for another one, or for itself.
+//!
+//! Load pattern: a host that is so slow that its order went to another host before it
+//! confirmed. Both may send; so that they stay within the replicas allowed, all but
+//! the first replica of a part are those that rendezvous hashing picks, until the
+//! host is told that the order stays with it.
+
+use std::collections::BTreeSet;
+
+use crate::branch::OrderId;
+use crate::branch::Piece;
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::endpoint::Endpoint;
+use crate::fleet::State;
+use crate::flight::EndpointId;
+use crate::flight::Flight;
+use crate::flight::Kind;
+use crate::flight::Part;
+use crate::gateway::Action;
+use crate::gateway::Branch;
+use crate::gateway::Gateway;
+use crate::gateway::RequestId;
+use crate::name::Name;
+use crate::settle::gathered;
+
+impl Gateway {
+    /// Gathers for another host's request, or for a branch of one of this host.
+    pub(crate) fn branch(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        branch: &Branch,
+        out: &mut Vec<Action>,
+    ) {
+        let route = branch.route.clone();
+        let services = self.services(&route);
+        let flight = Flight {
+            settle_at: now.after(branch.settle),
+            kind: Kind::Branch {
+                order: branch.order,
+                key: branch.key,
+                moved: branch.moved,
+                kept: branch.kept,
+                told: 0,
+            },
+            ..Flight::new(now, route, services, branch.left, Span::ZERO)
+        };
+        self.start(now, id, flight, out);
+    }
+
+    /// Notes that no other host will gather for a branch.
+    pub(crate) fn keep(&mut self, id: RequestId) {
+        let flight = self.flights.get_mut(&id);
+        if let Some(Kind::Branch { kept, .. }) = flight.map(|flight| &mut flight.kind) {
+            *kept = true;
+        }
+    }
+
+    /// Tells what a branch has once nothing more will come, and from the time to
+    /// settle on whatever is new.
+    pub(crate) fn review_branch(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let last = flight.is_settled() || now >= flight.deadline;
+        let Kind::Branch { order, told, .. } = &mut flight.kind else {
+            return;
+        };
+        let order = *order;
+        let news = now >= flight.settle_at && flight.done > *told;
+        if last || news {
+            *told = flight.done;
+            let piece = piece(flight, order, last);
+            out.push(Action::Piece(id, piece));
+        }
+        if last {
+            return self.close_flight(now, id, out);
+        }
+        self.plan_look(now, id);
+    }
+
+    /// The replicas to which a part is bound, if it is. Where another host may send
+    /// the same part, all replicas but the first one are those that rendezvous
+    /// hashing of the request picks, so that both together stay within the limit.
+    pub(crate) fn allowed(&self, flight: &Flight, part: &Part) -> Option<BTreeSet<EndpointId>> {
+        let attempts_max = flight.route.attempts_max;
+        let bound = part.allowed(attempts_max);
+        let Kind::Branch {
+            key, moved, kept, ..
+        } = flight.kind
+        else {
+            return bound;
+        };
+        let alone = kept && !moved;
+        if alone || bound.is_some() || !moved && part.ran.is_empty() {
+            return bound;
+        }
+        let mut allowed = self.designated(&part.service, key, attempts_max - 1);
+        if !moved {
+            allowed.extend(&part.ran);
+        }
+        Some(allowed)
+    }
+
+    /// The first replicas of a service by rendezvous hashing.
+    fn designated(&self, service: &Name, key: u64, count: u32) -> BTreeSet<EndpointId> {
+        let pool = self.pools.get(service).into_iter();
+        let known = pool.flat_map(|pool| &pool.endpoints);
+        let known = known.filter_map(|id| Some((id, self.endpoints.get(id)?)));
+        let ready = |endpoint: &Endpoint| endpoint.listed && endpoint.replica.state == State::Ready;
+        let listed = known.filter(|(_, endpoint)| ready(endpoint));
+        let ranked = listed.map(|(id, endpoint)| {
+            let instance = &endpoint.replica.instance.id;
+            let rank = Digest::of_parts(&[&key.to_le_bytes(), instance.as_bytes()]).rank();
+            (rank, *id)
+        });
+        let mut ranked = ranked.collect::<Vec<_>>();
+        ranked.sort_unstable();
+        let first = ranked.into_iter().take(count as usize);
+        first.map(|(_, id)| id).collect()
+    }
+}
+
+/// What a branch has gathered.
+fn piece(flight: &Flight, order: OrderId, last: bool) -> Piece {
+    let (stamps, body) = gathered(flight);
+    Piece {
+        order,
+        last,
+        stamps,
+        body,
+        ran: flight.may_have_run(),
+        extra: flight.extra,
+        cause: flight.cause_now(),
+        missing: flight.first_missing().cloned(),
+    }
+}
--- a/decision/src/settle.rs
+++ b/decision/src/settle.rs
@@ -5,8 +5,6 @@
 
 use rand_chacha::rand_core::Rng;
 
-use crate::branch::OrderId;
-use crate::branch::Piece;
 use crate::catalog::Repeat;
 use crate::catalog::Target;
 use crate::clock::Span;
@@ -77,30 +75,7 @@
         self.plan_look(now, id);
     }
 
-    /// Tells what a branch has once nothing more will come, and from the time to
-    /// settle on whatever is new.
-    fn review_branch(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.get_mut(&id) else {
-            return;
-        };
-        let last = flight.is_settled() || now >= flight.deadline;
-        let Kind::Branch { order, told, .. } = &mut flight.kind else {
-            return;
-        };
-        let order = *order;
-        let news = now >= flight.settle_at && flight.done > *told;
-        if last || news {
-            *told = flight.done;
-            let piece = piece(flight, order, last);
-            out.push(Action::Piece(id, piece));
-        }
-        if last {
-            return self.close_flight(now, id, out);
-        }
-        self.plan_look(now, id);
-    }
-
-    fn plan_look(&mut self, now: Time, id: RequestId) {
+    pub(crate) fn plan_look(&mut self, now: Time, id: RequestId) {
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
@@ -155,7 +130,7 @@
 
     /// Forgets an answered request. Calls that lost against a hedge may go on for a
     /// while; those for parts that are missing are withdrawn.
-    fn close_flight(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    pub(crate) fn close_flight(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
@@ -202,21 +177,6 @@
         .max(now.after(Span::from_us(500)))
 }
 
-/// What a branch has gathered.
-fn piece(flight: &Flight, order: OrderId, last: bool) -> Piece {
-    let (stamps, body) = gathered(flight);
-    Piece {
-        order,
-        last,
-        stamps,
-        body,
-        ran: flight.may_have_run(),
-        extra: flight.extra,
-        cause: flight.cause_now(),
-        missing: flight.first_missing().cloned(),
-    }
-}
-
 fn merged(flight: &Flight) -> Answer {
     let (stamps, body) = gathered(flight);
     Answer::Merged {
@@ -227,7 +187,7 @@
 }
 
 /// Stamps of the parts that are in, and their greatest records.
-fn gathered(flight: &Flight) -> (Vec<Arc<str>>, Vec<u8>) {
+pub(crate) fn gathered(flight: &Flight) -> (Vec<Arc<str>>, Vec<u8>) {
     let mut stamps = Vec::with_capacity(flight.parts.len());
     let mut bodies = Vec::with_capacity(flight.parts.len());
     for part in &flight.parts {
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -8,6 +8,7 @@
 
 use crate::deployment::ENTRIES;
 use crate::deployment::VOTERS;
+use crate::ledger::DRAIN_MAX;
 use crate::list;
 use crate::proxy;
 use crate::replica;
@@ -76,21 +77,27 @@
         }
     }
 
-    /// Whether news of the list may be late while it lasts.
+    /// Whether news of the list may be late while it lasts, whatever else does.
     pub fn delays_news(&self) -> bool {
         match self {
+            Fault::KillVoters | Fault::FreezeEntry(_) | Fault::List(_) => true,
             Fault::KillVoter(_)
             | Fault::TearVoter(_)
             | Fault::WipeVoter(_)
             | Fault::FreezeVoter(_)
-            | Fault::KillVoters
             | Fault::KillEntry(_)
-            | Fault::FreezeEntry(_)
             | Fault::StopEntry(_)
-            | Fault::List(_) => true,
-            Fault::ReloadEntry(_) | Fault::Replica(..) | Fault::Link(..) | Fault::Drain(_) => false,
+            | Fault::ReloadEntry(_)
+            | Fault::Replica(..)
+            | Fault::Link(..)
+            | Fault::Drain(_) => false,
         }
     }
+
+    /// Whether a voter is missing while it lasts.
+    pub fn takes_voter(&self) -> bool {
+        matches!(self.target(), Target::Voter(_) | Target::Voters)
+    }
 }
 
 /// What a fault befalls; only one does at a time.
@@ -134,9 +141,14 @@
     }
 }
 
-/// Draws how long a fault lasts.
-pub fn draw_length(random: &mut ChaCha8Rng) -> Duration {
-    Duration::from_millis(random.random_range(200..3_000))
+/// Draws how long a fault lasts. A replica drains for longer than hosts may go on
+/// sending to it.
+pub fn draw_length(random: &mut ChaCha8Rng, fault: &Fault) -> Duration {
+    let length = Duration::from_millis(random.random_range(200..3_000));
+    match fault {
+        Fault::Drain(_) => length + DRAIN_MAX,
+        _ => length,
+    }
 }
 
 /// Draws the pause until the next fault; faults overlap.
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -16,7 +16,7 @@
 use crate::deployment::TOP;
 
 /// Longest time from a replica's departure from the list to its last new request.
-const DRAIN_MAX: Duration = Duration::from_secs(4);
+pub const DRAIN_MAX: Duration = Duration::from_secs(4);
 
 /// A request that reached a replica.
 #[derive(Clone, Debug)]
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -79,6 +79,11 @@
         self.child.is_some()
     }
 
+    /// Whether it runs and was not told to stop.
+    pub fn is_staying(&self) -> bool {
+        self.is_running() && !self.leaving
+    }
+
     /// Sends a signal to the daemon.
     pub fn signal(&mut self, signal: Signal) -> Result<()> {
         let Some(child) = &self.child else {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -45,7 +45,10 @@
 
 /// Time after a fault of a voter, a host or the list for which news may still be
 /// late.
-const NEWS_AFTER: Duration = Duration::from_secs(4);
+const NEWS_AFTER: Duration = Duration::from_secs(2);
+
+/// Voters that may be missing while the others decide.
+const LOSSES: usize = VOTERS / 2;
 
 /// Time between the losses of two disks.
 const WIPE_EVERY: Duration = Duration::from_secs(8);
@@ -234,7 +237,7 @@
         while Instant::now() < end {
             if Instant::now() >= next {
                 let fault = fault::draw(random, self.backends.len());
-                let length = fault::draw_length(random);
+                let length = fault::draw_length(random, &fault);
                 next = Instant::now() + fault::draw_pause(random);
                 self.begin(fault, length)?;
             }
@@ -271,7 +274,9 @@
         let lasts = length.as_millis();
         self.injected
             .push(format!("{at} ms, for {lasts} ms: {fault}"));
-        if fault.delays_news() {
+        let missing = self.due.iter().filter(|(_, fault)| fault.takes_voter());
+        let few = fault.takes_voter() && missing.count() >= LOSSES;
+        if fault.delays_news() || few {
             self.disturbed.push((now, now + length + NEWS_AFTER));
         }
         self.due.push((now + length, fault));
@@ -387,7 +392,12 @@
             for process in all {
                 process.start()?;
             }
-            if operator.configure(1).await && operator.read(2).await.is_some() {
+            let whole = self
+                .voters
+                .iter()
+                .chain(&self.entries)
+                .all(Process::is_staying);
+            if whole && operator.configure(1).await {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
