A request whose orders are out is not said not to have run

Cause: found while reading: a request that can't succeed any more was refused as not run while hosts that had not confirmed could have sent parts already.

Change: it counts as not run only if all hosts that were asked told so.

Measured: the test failed first (not run), and passes (failed, may have run).

--- a/decision/src/scatter.rs
+++ b/decision/src/scatter.rs
@@ -69,10 +69,11 @@
         self.piece.as_ref().map_or(0, |piece| piece.stamps.len())
     }
 
-    /// Whether parts of it may have run: a host confirmed it, or this one has it.
+    /// Whether parts of it may have run: not all hosts that were asked told that none
+    /// did.
     pub(crate) fn may_have_run(&self) -> bool {
         let idle = |piece: &Piece| piece.last && piece.stamps.is_empty() && !piece.ran;
-        self.confirm_by.is_none() && !self.piece.as_ref().is_some_and(idle)
+        self.doubtful || !self.piece.as_ref().is_some_and(idle)
     }
 }
 
--- a/decision/tests/tier/fanout.rs
+++ b/decision/tests/tier/fanout.rs
@@ -2,9 +2,15 @@
 //! replays.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
+use wagtailbeam_decision::branch::Piece;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::fanout;
+use wagtailbeam_decision::fanout::Fanout;
 use wagtailbeam_decision::gateway::Answer;
+use wagtailbeam_decision::gateway::Refusal;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::plan::Host;
 use wagtailbeam_decision::plan::Plan;
@@ -139,6 +145,41 @@
     );
 }
 
+/// Hosts that did not confirm yet may have sent parts already, so that a request
+/// that can't succeed any more is not said not to have run.
+#[test]
+fn a_request_whose_orders_are_out_may_have_run() {
+    let now = Time::from_us(1);
+    let (catalog, _) = tree::deployment(SHARDS);
+    let others = Plan::new(&catalog, &hosts(HOSTS)[1..]);
+    let mut fanout = Fanout::new(fanout::Settings {
+        host: tree::host(0),
+        seed: 1,
+    });
+    fanout.replan(Arc::new(catalog), Arc::new(others));
+    let request = fanout::Request {
+        route: fanout.takes("desk.example", "/all/x").expect("a route"),
+        left: None,
+        margin: Span::from_ms(11),
+    };
+    let actions = fanout.step(now, fanout::Event::Request(7, request));
+    let orders = actions.iter().filter_map(|action| match action {
+        fanout::Action::Order(order) => Some(order.id),
+        _ => None,
+    });
+    let pieces = orders.take(2).map(|order| Piece {
+        order,
+        last: true,
+        ..Piece::default()
+    });
+    let answers = pieces.flat_map(|piece| fanout.step(now, fanout::Event::Piece(piece)));
+    let refusal = answers.into_iter().find_map(|action| match action {
+        fanout::Action::Answer(7, Answer::Refused(refusal, _), _) => Some(refusal),
+        _ => None,
+    });
+    assert_eq!(refusal, Some(Refusal::Failed));
+}
+
 fn hosts(count: usize) -> Vec<Host> {
     (0..count).map(tree::host).collect()
 }
