Read again: the soak's world apart from its run, one loss of power in the tests

Change: soak/src/world.rs holds processes, stand-ins and faults; run.rs the course of a run. The tests share lose_power.

Twice in the product still: the voters' actions in control and proposal, the accept loops, the ends of two reviews (fanout, settle).

--- a/decision/tests/tier/voters.rs
+++ b/decision/tests/tier/voters.rs
@@ -24,6 +24,15 @@
     council
 }
 
+/// Takes the power of all machines and the disks of two, and has all start again.
+fn lose_power(council: &mut Council, wiped: [usize; 2]) {
+    wiped.iter().for_each(|at| council.wipe(*at));
+    (0..5).for_each(|at| council.crash(at));
+    council.pass(Span::from_secs(1));
+    (0..5).for_each(|at| council.start(at));
+    council.pass(SETTLE);
+}
+
 /// The version that a machine reads, if it answers.
 fn read(council: &mut Council, at: usize) -> Option<u64> {
     let id = council.order(at, Order::Read);
@@ -51,12 +60,7 @@
         council.deliver_all();
         council.sync_all();
     }
-    council.wipe(0);
-    council.wipe(1);
-    (2..5).for_each(|at| council.crash(at));
-    council.pass(Span::from_secs(1));
-    (0..5).for_each(|at| council.start(at));
-    council.pass(SETTLE);
+    lose_power(&mut council, [0, 1]);
     assert_eq!(council.voting(), 5);
     assert_eq!(read(&mut council, 1), Some(7));
 }
@@ -101,12 +105,7 @@
     council.start(1);
     council.pass(SETTLE);
     assert_eq!(council.voting(), 5);
-    council.wipe(0);
-    council.wipe(2);
-    [1, 3, 4].iter().for_each(|at| council.crash(*at));
-    council.pass(Span::from_secs(1));
-    (0..5).for_each(|at| council.start(at));
-    council.pass(SETTLE);
+    lose_power(&mut council, [0, 2]);
     assert_eq!(council.voting(), 5);
     assert_eq!(read(&mut council, 0), Some(39));
 }
@@ -255,12 +254,7 @@
     council.start(4);
     council.pass(SETTLE);
     assert_eq!(council.revision(0), before, "it asked for its place again");
-    council.wipe(0);
-    council.wipe(2);
-    [1, 3, 4].iter().for_each(|at| council.crash(*at));
-    council.pass(Span::from_secs(1));
-    (0..5).for_each(|at| council.start(at));
-    council.pass(SETTLE);
+    lose_power(&mut council, [0, 2]);
     assert_eq!(council.voting(), 5);
     assert_eq!(read(&mut council, 0), Some(30));
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod proxy;
 pub mod replica;
 pub mod run;
+mod world;
