Log a digest of the content with each run of a request

Cause: a caller's repeat has a new identifier, so no line connected two runs of the same request, on one host or on several. Change: lines 700, 701 and 703 carry `fingerprint`, the first bytes of a digest of caller, method, host, target and body. Repeats of a request share it on all hosts.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -32,7 +32,8 @@
 use crate::entry::Driver;
 use crate::entry::Origin;
 use crate::entry::Pending;
-use crate::entry::request_id;
+use crate::entry::log_id;
+use crate::ingress;
 use crate::ingress::Request;
 
 /// Why an order of another host can't be decoded.
@@ -87,7 +88,7 @@
                 Action::Moved(id, host) => {
                     self.meter.order_moved();
                     if let Some(pending) = self.pending.get(&id) {
-                        self.logger.order_moved(request_id(&pending.request), host);
+                        self.logger.order_moved(log_id(&pending.request), host);
                     }
                 }
             }
@@ -239,7 +240,7 @@
         };
         if reply.cause.is_some() {
             self.logger
-                .branch_incomplete(request_id(&pending.request), from, &reply);
+                .branch_incomplete(log_id(&pending.request), from, &reply);
         }
         if reply.last {
             self.pending.remove(&id);
@@ -281,13 +282,17 @@
         let name = HeaderName::from_bytes(name)?;
         headers.append(name, HeaderValue::from_bytes(value)?);
     }
+    let method = Method::from_bytes(&envelope.method)?;
+    let target = PathAndQuery::try_from(&*envelope.target)?;
+    let body = Bytes::copy_from_slice(&envelope.body);
     Ok(Request {
+        fingerprint: ingress::fingerprint(&method, &envelope.host, &target, &headers, &body),
         id: HeaderValue::from_bytes(&envelope.id)?,
-        method: Method::from_bytes(&envelope.method)?,
+        method,
         host: envelope.host.clone(),
-        target: PathAndQuery::try_from(&*envelope.target)?,
+        target,
         headers,
-        body: Bytes::copy_from_slice(&envelope.body),
+        body,
         time_left: None,
         first_on_connection: false,
     })
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -41,6 +41,7 @@
 use crate::ingress::Request;
 use crate::ingress::State;
 use crate::listener;
+use crate::logging::LogId;
 use crate::logging::Logger;
 use crate::mesh;
 use crate::mesh::Mesh;
@@ -397,7 +398,10 @@
     }
 }
 
-/// The caller's identifier of a request, for logs.
-pub(crate) fn request_id(request: &Request) -> &str {
-    request.id.to_str().unwrap_or("unprintable")
+/// The identifiers of a request, for logs.
+pub(crate) fn log_id(request: &Request) -> LogId<'_> {
+    LogId {
+        request: request.id.to_str().unwrap_or("unprintable"),
+        fingerprint: request.fingerprint,
+    }
 }
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -32,6 +32,7 @@
 use tokio::sync::watch;
 use wagtailbeam_decision::catalog::Limits;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Refusal;
 
 use crate::dialect::Dialect;
@@ -87,6 +88,24 @@
     pub time_left: Option<Span>,
     /// Whether no earlier request came over the connection.
     pub first_on_connection: bool,
+    /// Digest by which repeats of the request are recognized, see [`fingerprint`].
+    pub fingerprint: Digest,
+}
+
+/// Digest of caller, method, host, target and body. It is the same for each repeat of a
+/// request, whatever its identifier, on all hosts.
+pub fn fingerprint(
+    method: &Method,
+    host: &str,
+    target: &hyper::http::uri::PathAndQuery,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Digest {
+    let caller = headers.get(header::AUTHORIZATION);
+    let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
+    let method = method.as_str().as_bytes();
+    let (host, target) = (host.as_bytes(), target.as_str().as_bytes());
+    Digest::of_parts(&[caller, method, host, target, body])
 }
 
 /// The answer to a caller's request.
@@ -263,14 +282,16 @@
         let left = http::header_text(&head.headers, names.deadline.as_str());
         let left = left.and_then(|text| text.trim().parse::<f64>().ok());
         let left = left.filter(|ms| ms.is_finite() && *ms > 0.0);
+        let body = read_body(body, limits.body_max).await?;
         Ok(Request {
+            fingerprint: fingerprint(&head.method, host, &target, &head.headers, &body),
             id,
             host: host.into(),
             method: head.method,
             target,
             first_on_connection: first,
             time_left: left.map(|ms| Span::from_us((ms * 1e3) as u64)),
-            body: read_body(body, limits.body_max).await?,
+            body,
             headers: strip_hop_by_hop(head.headers),
         })
     }
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -12,6 +12,7 @@
 use tracing_subscriber::EnvFilter;
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::controller::Note;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Extra;
 use wagtailbeam_decision::gateway::Report;
 
@@ -80,6 +81,15 @@
     }
 }
 
+/// What identifies a request in the log.
+#[derive(Clone, Copy, Debug)]
+pub struct LogId<'a> {
+    /// Identifier set by the caller, another one for each repeat.
+    pub request: &'a str,
+    /// Digest of the content, the same for each repeat; logged as its first bytes.
+    pub fingerprint: Digest,
+}
+
 /// Logs lines about requests, with a limit per second for each kind.
 pub struct Logger {
     window_start: Instant,
@@ -119,14 +129,15 @@
     }
 
     /// Logs the answer to a caller.
-    pub fn request_answered(&mut self, request: &str, outcome: Outcome, report: &Report) {
+    pub fn request_answered(&mut self, id: LogId<'_>, outcome: Outcome, report: &Report) {
         let served = matches!(outcome, Outcome::Relayed | Outcome::Complete);
         if !self.admit(served) {
             return;
         }
         tracing::info!(
             event = 700,
-            request,
+            request = id.request,
+            fingerprint = ?id.fingerprint,
             %outcome,
             route = report.route.as_deref(),
             version = report.version,
@@ -142,36 +153,44 @@
     }
 
     /// Logs a hedge or a retry.
-    pub fn extra_sent(&mut self, request: &str, service: &str, replica: &str, why: Extra) {
+    pub fn extra_sent(&mut self, id: LogId<'_>, service: &str, replica: &str, why: Extra) {
         if self.admit(false) {
-            tracing::info!(event = 701, request, service, replica, %why, "request sent again");
+            tracing::info!(
+                event = 701,
+                request = id.request,
+                fingerprint = ?id.fingerprint,
+                service,
+                replica,
+                %why,
+                "request sent again"
+            );
         }
     }
 
     /// Logs a caller that disconnected before it was answered.
-    pub fn caller_left(&mut self, request: &str, waited: Duration) {
+    pub fn caller_left(&mut self, id: LogId<'_>, waited: Duration) {
         if self.admit(false) {
             let waited_ms = waited.as_millis() as u64;
-            tracing::info!(event = 702, request, waited_ms, "caller left");
+            tracing::info!(event = 702, request = id.request, waited_ms, "caller left");
         }
     }
 
     /// Logs an order that moved away from `host`, which did not confirm it.
-    pub fn order_moved(&mut self, request: &str, host: SocketAddr) {
+    pub fn order_moved(&mut self, id: LogId<'_>, host: SocketAddr) {
         if self.admit(false) {
-            tracing::info!(event = 704, request, %host, "order moved to another host");
+            tracing::info!(event = 704, request = id.request, %host, "order moved to another host");
         }
     }
 
     /// Logs a reply of a branch that lacks parts; `from` is the host that ordered the
     /// branch, `None` for this one.
-    pub fn branch_incomplete(&mut self, request: &str, from: Option<SocketAddr>, reply: &Reply) {
+    pub fn branch_incomplete(&mut self, id: LogId<'_>, from: Option<SocketAddr>, reply: &Reply) {
         if !self.admit(false) {
             return;
         }
         tracing::info!(
             event = 705,
-            request,
+            request = id.request,
             from = from.map(|from| from.to_string()),
             done = reply.stamps.len(),
             last = reply.last,
@@ -183,11 +202,12 @@
     }
 
     /// Logs a call that got no usable response from a replica.
-    pub fn replica_failed(&mut self, request: &str, address: &str, cause: &str) {
+    pub fn replica_failed(&mut self, id: LogId<'_>, address: &str, cause: &str) {
         if self.admit(false) {
             tracing::info!(
                 event = 703,
-                request,
+                request = id.request,
+                fingerprint = ?id.fingerprint,
                 address,
                 cause,
                 "replica did not answer"
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -13,7 +13,7 @@
 use wagtailbeam_decision::gateway::Refusal;
 
 use crate::entry::Driver;
-use crate::entry::request_id;
+use crate::entry::log_id;
 use crate::http;
 use crate::ingress::Reply;
 use crate::ingress::Request;
@@ -40,7 +40,7 @@
             Ok(response) => response,
             Err(failure) => {
                 let cause = failure.to_string();
-                let id = request_id(request);
+                let id = log_id(request);
                 self.logger.replica_failed(id, &address.to_string(), &cause);
                 return match failure {
                     Failure::Unreachable(_) => without_body(Ending::Unreachable),
@@ -53,7 +53,7 @@
         let echo = response.headers.get(&names.request);
         if echo.is_some_and(|echo| *echo != request.id) {
             let cause = "answer to another request";
-            let id = request_id(request);
+            let id = log_id(request);
             self.logger.replica_failed(id, &address.to_string(), cause);
             return without_body(Ending::Broken);
         }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::entry::Driver;
 use crate::entry::Origin;
 use crate::entry::Pending;
-use crate::entry::request_id;
+use crate::entry::log_id;
 use crate::ingress;
 use crate::ingress::Request;
 use crate::pool;
@@ -47,7 +47,7 @@
             }
             ingress::Event::Abandoned(id) => {
                 if let Some(pending) = self.pending.remove(&id) {
-                    let id = request_id(&pending.request);
+                    let id = log_id(&pending.request);
                     self.logger.caller_left(id, pending.received_at.elapsed());
                 }
                 self.step_gateway(Event::Abandoned(id));
@@ -114,7 +114,7 @@
                 Action::Extra(id, service, replica, why) => {
                     self.meter.extra_sent(why);
                     if let Some(pending) = self.pending.get(&id) {
-                        let id = request_id(&pending.request);
+                        let id = log_id(&pending.request);
                         self.logger.extra_sent(id, &service, &replica, why);
                     }
                 }
@@ -162,7 +162,7 @@
         };
         let (reply, outcome) = self.build_reply(answer);
         self.logger
-            .request_answered(request_id(&pending.request), outcome, report);
+            .request_answered(log_id(&pending.request), outcome, report);
         self.meter.request_answered(outcome, report);
         let now = self.now();
         let failed = outcome.is_failure() && report.is_cut_off();
