Refuse a request under which three servers ended, at all hosts of a discovered tier

Callers saw: a request that ends each server that runs it was sent to servers with every repeat, at every host; requests of others that ran beside it failed with it. Cause: the gateway of a discovered tier took each repeat for a new request. Suspects and quarantines were built for groups with a settings file only and not joined to it. A promise was kept by one of two ways to serve a request. Change: a call whose connection breaks before any answer ends as `server ended` if the server then refuses connections (`adapter::probe`), else as broken. The gateway records, by content and service, servers that ended one after the other (`quarantine::Ledger`). Suspected parts of a request run one at a time until a server answers one; three servers in a row quarantine them, and the request is refused at once with 503, "quarantined" and Retry-After. Hosts exchange their ledgers through heartbeats, feeds and the voters' status, without a majority. The new fields are the last ones of their messages: older builds ignore them, and a message without them is read as an empty ledger. Event 707 and the counter wagtailbeam_standings tell of each change. Requests that only ran where servers ended, or whose answers were lost, are served: six rounds of six servers that end under the same content.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -124,6 +124,7 @@
             let branch = gateway::Branch {
                 order: order.id,
                 route: order.route,
+                fingerprint: request.fingerprint,
                 key: placement_key(&request),
                 moved: order.moved,
                 committed: true,
@@ -172,6 +173,7 @@
         let branch = gateway::Branch {
             order: order.id,
             route: Arc::new(order.route()),
+            fingerprint: request.fingerprint,
             key: placement_key(&request),
             moved: order.moved,
             committed: false,
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -291,7 +291,9 @@
     fn tick(&mut self) {
         let now = self.now();
         let failing = self.rotation.is_failing();
-        if let Some((voter, heartbeat)) = self.subscriber.tick(now, failing) {
+        if let Some((voter, mut heartbeat)) = self.subscriber.tick(now, failing) {
+            let known = self.subscriber.voter_ledger();
+            heartbeat.ledger = self.gateway.ledger().summary(now, known).into();
             self.mesh.send(voter, Message::Heartbeat(heartbeat));
         }
         if self.gateway.next_timer().is_some_and(|at| at <= now) {
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -43,6 +43,9 @@
 
     /// Applies what a voter's feed changed.
     fn apply_update(&mut self, update: Update) {
+        if !update.records.is_empty() {
+            self.step_gateway(Event::Records(update.records));
+        }
         if let Some((version, document)) = update.document {
             match self.dialect.catalog(&document) {
                 Ok(catalog) => {
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -420,6 +420,11 @@
             "failed",
             "the request may have run, and no answer can be had",
         ),
+        Refusal::Quarantined => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "quarantined",
+            "the request did not run: servers ended under earlier ones like it",
+        ),
         Refusal::Timeout => (
             StatusCode::GATEWAY_TIMEOUT,
             "deadline",
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod operator;
 pub mod peer;
 pub mod pool;
+pub mod probe;
 mod readiness;
 pub mod report;
 mod response;
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -15,6 +15,7 @@
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Extra;
 use wagtailbeam_decision::gateway::Report;
+use wagtailbeam_decision::suspect::Standing;
 
 /// Most lines buffered for a slow reader of standard output; further lines are dropped.
 const BUFFERED_LINES_MAX: usize = 8_192;
@@ -72,6 +73,9 @@
     /// Refused: the deadline passed.
     #[display("timeout")]
     Timeout,
+    /// Refused: servers ended under earlier requests of the same content.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 impl Outcome {
@@ -201,6 +205,14 @@
         );
     }
 
+    /// Logs that a request's part for a service is suspected of ending servers, cleared of it
+    /// or quarantined.
+    pub fn standing_changed(&mut self, fingerprint: Digest, service: &str, standing: Standing) {
+        if self.admit(false) {
+            tracing::warn!(event = 707, ?fingerprint, service, %standing, "standing of a request changed");
+        }
+    }
+
     /// Logs a call that got no usable response from a replica.
     pub fn replica_failed(&mut self, id: LogId<'_>, address: &str, cause: &str) {
         if self.admit(false) {
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -24,6 +24,7 @@
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::gateway::Extra;
 use wagtailbeam_decision::gateway::Report;
+use wagtailbeam_decision::suspect::Standing;
 
 use crate::http;
 use crate::logging::Outcome;
@@ -111,6 +112,7 @@
     calls: Counter<u64>,
     extra: Counter<u64>,
     moved: Counter<u64>,
+    standings: Counter<u64>,
     parts_missing: Counter<u64>,
     version: Gauge<u64>,
     list_age: Gauge<f64>,
@@ -131,6 +133,7 @@
             calls: meter.u64_counter("wagtailbeam_calls").build(),
             extra: meter.u64_counter("wagtailbeam_calls_extra").build(),
             moved: meter.u64_counter("wagtailbeam_orders_moved").build(),
+            standings: meter.u64_counter("wagtailbeam_standings").build(),
             parts_missing: meter.u64_counter("wagtailbeam_parts_missing").build(),
             version: meter.u64_gauge("wagtailbeam_configuration_version").build(),
             list_age: meter
@@ -167,6 +170,12 @@
         self.extra.add(1, &[KeyValue::new("why", why.to_string())]);
     }
 
+    /// Counts a request's part that became suspect, cleared or quarantined.
+    pub fn standing_changed(&self, standing: Standing) {
+        self.standings
+            .add(1, &[KeyValue::new("standing", standing.to_string())]);
+    }
+
     /// Counts an order that moved to another entry host.
     pub fn order_moved(&self) {
         self.moved.add(1, &[]);
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout;
 
 use crate::http;
+use crate::probe;
 use crate::socket;
 
 /// Time limit for opening a connection.
@@ -72,6 +73,10 @@
     /// The connection failed after sending began, or the response was malformed.
     #[display("broken: {_0}")]
     Broken(String),
+    /// The connection failed after sending began, before any response, and the server then
+    /// refused a new connection: its process ended.
+    #[display("server ended: {_0}")]
+    Ended(String),
     /// The response body exceeds the pool's limit.
     #[display("answer too long")]
     TooLong,
@@ -306,7 +311,7 @@
             let failure = if reused { Failure::Stale } else { unsent };
             return (Err(failure), None);
         }
-        Err(error) => return (Err(Failure::Broken(error.to_string())), None),
+        Err(error) => return (Err(unanswered(address, &error).await), None),
     };
     let (head, incoming) = response.into_parts();
     let body = match Limited::new(incoming, answer_max).collect().await {
@@ -333,6 +338,15 @@
     )
 }
 
+/// Why a call that was sent has no response: its server ended, or it goes on running.
+async fn unanswered(address: SocketAddr, error: &hyper::Error) -> Failure {
+    let cause = error.to_string();
+    match !error.is_parse() && probe::has_ended(address).await {
+        true => Failure::Ended(cause),
+        false => Failure::Broken(cause),
+    }
+}
+
 /// The `timeout` that a server announces in its `Keep-Alive` header.
 fn announced_keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = http::header_text(headers, "keep-alive")?;
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -46,6 +46,7 @@
                     Failure::Unreachable(_) => without_body(Ending::Unreachable),
                     Failure::Stale => without_body(Ending::Stale),
                     Failure::Broken(_) | Failure::TooLong => without_body(Ending::Broken),
+                    Failure::Ended(_) => without_body(Ending::Ended),
                 };
             }
         };
@@ -115,6 +116,7 @@
                     Refusal::NotRun => Outcome::NotRun,
                     Refusal::Failed => Outcome::Failed,
                     Refusal::Timeout => Outcome::Timeout,
+                    Refusal::Quarantined => Outcome::Quarantined,
                 };
                 (Reply::Refused(refusal, wait), outcome)
             }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -57,10 +57,13 @@
     }
 
     /// Passes a request to the fanout if its route is divided among hosts, else to the
-    /// gateway.
+    /// gateway, which also refuses the quarantined ones.
     fn serve(&mut self, id: u64, request: &Request) {
         let path = request.target.path();
-        if let Some(route) = self.fanout.split_route(&request.host, path) {
+        let route = self.fanout.split_route(&request.host, path);
+        let (now, fingerprint) = (self.now(), request.fingerprint);
+        let admitted = route.filter(|route| !self.gateway.is_quarantined(now, route, fingerprint));
+        if let Some(route) = admitted {
             let margin = match request.first_on_connection {
                 true => CALLER_MARGIN_FIRST,
                 false => CALLER_MARGIN,
@@ -75,6 +78,7 @@
         let gateway_request = gateway::Request {
             host: request.host.clone(),
             path: path.into(),
+            fingerprint,
             left: request.time_left,
             catalog_confirmed: self.feed_fresh,
             first_on_connection: request.first_on_connection,
@@ -111,6 +115,14 @@
                 Action::Answer(id, answer, report) => self.answer_caller(id, answer, &report),
                 Action::Reply(id, reply) => self.send_branch_reply(id, reply),
                 Action::CloseIdle(address) => self.pool.close_idle(&address),
+                Action::Standing(fingerprint, service, standing) => {
+                    self.logger
+                        .standing_changed(fingerprint, &service, standing);
+                    self.meter.standing_changed(standing);
+                    if self.gateway.ledger().digest() != self.subscriber.voter_ledger() {
+                        self.subscriber.hurry();
+                    }
+                }
                 Action::Extra(id, service, replica, why) => {
                     self.meter.extra_sent(why);
                     if let Some(pending) = self.pending.get(&id) {
--- a/decision/src/answering.rs
+++ b/decision/src/answering.rs
@@ -69,7 +69,7 @@
             return self.finish(now, id, answer, actions);
         }
         if flight.cannot_succeed() {
-            let answer = self.refusal(id);
+            let answer = self.refusal(now, id);
             return self.finish(now, id, answer, actions);
         }
         if now >= flight.deadline {
@@ -92,13 +92,16 @@
     }
 
     /// Refusal of a request that can no longer succeed.
-    pub(crate) fn refusal(&mut self, id: RequestId) -> Answer {
+    pub(crate) fn refusal(&mut self, now: Time, id: RequestId) -> Answer {
         let Some(flight) = self.flights.get(&id) else {
             return Answer::Refused(Refusal::Failed, None);
         };
         if flight.may_have_run() {
             return Answer::Refused(Refusal::Failed, None);
         }
+        if let Some(refusal) = self.quarantine_refusal(now, flight) {
+            return refusal;
+        }
         let wait = match flight.cause() {
             Some(Cause::Shed) => RETRY_AFTER_SHED,
             _ => RETRY_AFTER_NO_REPLICA,
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -22,7 +22,9 @@
 use crate::gateway::Outstanding;
 use crate::gateway::RECHECK_AFTER;
 use crate::gateway::RequestId;
+use crate::isolation::Clearance;
 use crate::name::Name;
+use crate::suspect::Standing;
 
 /// Delay before a part that was left out is resumed, if the request needs it.
 const RESUME_AFTER: Span = Span::from_ms(60);
@@ -46,6 +48,11 @@
             return;
         };
         let part = &flight.parts[index];
+        match self.clearance(now, flight, part) {
+            Clearance::Granted => {}
+            Clearance::Pending => return self.set_stage(id, index, Stage::Waiting),
+            Clearance::Denied => return self.leave_out(id, index, Cause::Quarantined, None),
+        }
         let (service, tried) = (part.service.clone(), part.tried.clone());
         let allowed = self.allowed_replicas(flight, part);
         let mut pick = self.pick(now, &service, &tried, allowed.as_ref());
@@ -212,6 +219,11 @@
             return;
         };
         let part = &mut flight.parts[call.part];
+        let sent = part
+            .attempts
+            .iter()
+            .find(|attempt| attempt.ticket == ticket);
+        let sent = sent.map_or(now, |attempt| attempt.sent);
         part.attempts.retain(|attempt| attempt.ticket != ticket);
         match ending {
             Ending::Shed | Ending::Denied => part.mark_not_run(call.endpoint),
@@ -220,22 +232,29 @@
                 part.maybe_delivered -= 1;
                 part.undelivered += 1;
             }
-            Ending::Answered | Ending::Failed | Ending::Broken | Ending::Withdrawn => {}
+            Ending::Answered
+            | Ending::Failed
+            | Ending::Broken
+            | Ending::Ended
+            | Ending::Withdrawn => {}
         }
         if ending == Ending::Stale {
             part.tried.remove(&call.endpoint);
         }
-        if part.is_open() {
-            match (ending, completion.stamp) {
-                (Ending::Answered, Some(stamp)) => {
-                    part.stage = Stage::Done(stamp, completion.body);
-                    flight.done += 1;
-                }
-                _ if part.attempts.is_empty() => {
-                    self.retry(now, call.request, call.part, ending, actions);
-                }
-                _ => {}
-            }
+        let unfinished = part.is_open() && part.attempts.is_empty();
+        let answer = completion.stamp.filter(|_| ending == Ending::Answered);
+        let answered = answer.is_some();
+        if let Some(stamp) = answer.filter(|_| part.is_open()) {
+            part.stage = Stage::Done(stamp, completion.body);
+            flight.done += 1;
+        }
+        match ending {
+            Ending::Answered | Ending::Failed => self.record_survival(now, &call, actions),
+            Ending::Ended => self.record_crash(now, &call, sent, actions),
+            _ => {}
+        }
+        if unfinished && !answered {
+            self.retry(now, call.request, call.part, ending, actions);
         }
         self.try_answer(now, call.request, Some((ticket, ending)), actions);
     }
@@ -277,6 +296,9 @@
             return;
         };
         let part = &flight.parts[index];
+        if self.clearance(now, flight, part) == Clearance::Denied {
+            return self.leave_out(id, index, Cause::Quarantined, None);
+        }
         let (service, maybe_delivered) = (part.service.clone(), part.maybe_delivered);
         let idempotent = flight.route.repeat == Repeat::Idempotent;
         let may_run_again = idempotent || part.maybe_ran.is_empty();
@@ -291,7 +313,9 @@
                 Ending::Shed | Ending::Denied => Cause::Shed,
                 Ending::Failed => Cause::Failed,
                 Ending::Unreachable | Ending::Stale => Cause::HeldBack,
-                Ending::Answered | Ending::Broken | Ending::Withdrawn => Cause::Broken,
+                Ending::Answered | Ending::Broken | Ending::Ended | Ending::Withdrawn => {
+                    Cause::Broken
+                }
             };
             return self.leave_out(id, index, cause, resume_at);
         }
@@ -379,6 +403,9 @@
             return;
         };
         let part = &flight.parts[index];
+        if self.standing(now, flight, part) == Some(Standing::Suspect) {
+            return;
+        }
         let allowed = self.allowed_replicas(flight, part);
         let (service, tried) = (part.service.clone(), part.tried.clone());
         let Pick::Endpoint(endpoint) = self.pick(now, &service, &tried, allowed.as_ref()) else {
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::feed::digest_hosts;
 use crate::fleet::Fleet;
 use crate::plan::Host;
+use crate::quarantine::Ledger;
 use crate::register::Change;
 use crate::register::Decision;
 use crate::register::Key;
@@ -174,6 +175,8 @@
     pub(crate) entries: Vec<Host>,
     /// How many of these fail most requests.
     pub(crate) failing: u32,
+    /// Digest of its records of requests under which servers ended.
+    pub(crate) ledger: u64,
 }
 
 impl Peer {
@@ -184,6 +187,7 @@
             voting: false,
             entries: Vec::new(),
             failing: 0,
+            ledger: 0,
         }
     }
 }
@@ -257,6 +261,10 @@
     pub(crate) quorum: bool,
     /// Voters' addresses as another process last reported them.
     pub(crate) reported_voters: Vec<SocketAddr>,
+    /// Parts of requests under which servers ended, as the entry hosts reported them.
+    pub(crate) ledger: Ledger,
+    /// When others are to be told of changes of the ledger; absent without any.
+    pub(crate) ledger_due: Option<Time>,
 }
 
 impl Controller {
@@ -303,6 +311,8 @@
             logged_mode: None,
             quorum: false,
             reported_voters: Vec::new(),
+            ledger: Ledger::default(),
+            ledger_due: None,
         };
         (controller, out)
     }
@@ -342,7 +352,8 @@
     /// Latest time of the next tick.
     pub fn next_timer(&self, now: Time) -> Time {
         let busy = !self.pending.is_empty() || self.mode() != Some(Mode::Voting);
-        now.after(if busy { TICK_EVERY } else { TICK_IDLE })
+        let tick = now.after(if busy { TICK_EVERY } else { TICK_IDLE });
+        self.ledger_due.map_or(tick, |due| due.min(tick))
     }
 
     /// Handles an event and returns its actions, to be carried out in order.
@@ -359,6 +370,7 @@
             Event::SeedsChanged(seeds) => self.settings.seeds = seeds,
             Event::Tick => self.tick(now, &mut out),
         }
+        self.spread_ledger(now, &mut out);
         self.update_quorum(now, &mut out);
         out
     }
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -74,6 +74,10 @@
     /// The connection broke after the request may have been sent.
     #[display("broken")]
     Broken,
+    /// The connection broke after the request may have been sent, because the server's
+    /// process ended.
+    #[display("server ended")]
+    Ended,
     /// No connection could be opened; nothing was sent.
     #[display("unreachable")]
     Unreachable,
@@ -260,7 +264,7 @@
         let took = now.since(self.sent.swap_remove(at).at);
         match ending {
             Ending::Answered => self.record_success(now, took, expected),
-            Ending::Failed | Ending::Broken => self.record_failure(now),
+            Ending::Failed | Ending::Broken | Ending::Ended => self.record_failure(now),
             Ending::Shed => self.add_sample(now, None, 1.0),
             Ending::Denied => self.retry_at = now.after(DENIED_BACKOFF),
             Ending::Unreachable => {
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -2,7 +2,8 @@
 //! subscription to the voters.
 //!
 //! An entry host sends heartbeats that say what it has; a voter answers with a feed of what
-//! it lacks, and pushes further feeds when something changes. The entry host's loop drives the [`Subscriber`] and applies its [`Update`]s.
+//! it lacks, and pushes further feeds when something changes. The entry host's loop drives
+//! the [`Subscriber`] and applies its [`Update`]s.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::appended::Appended;
 use crate::branch;
 use crate::clock::Span;
 use crate::clock::Time;
@@ -18,6 +20,8 @@
 use crate::fleet::Fleet;
 use crate::name::Name;
 use crate::plan::Host;
+use crate::quarantine::Record;
+use crate::quarantine::Summary;
 use crate::tier::State;
 use crate::voter;
 use crate::voter::Seat;
@@ -28,6 +32,9 @@
 /// Time between two heartbeats of an entry host that is not fresh.
 const HEARTBEAT_EVERY_STALE: Span = Span::from_ms(80);
 
+/// Time between two heartbeats of an entry host with something urgent to tell.
+const HEARTBEAT_EVERY_URGENT: Span = Span::from_ms(20);
+
 /// Silence of a voter after which an entry host that is not fresh switches to the next one.
 const VOTER_TIMEOUT_STALE: Span = Span::from_ms(250);
 
@@ -86,6 +93,8 @@
     pub hosts_digest: Digest,
     /// Whether the host fails most requests.
     pub failing: bool,
+    /// The host's records of requests under which servers ended.
+    pub ledger: Appended<Summary>,
 }
 
 /// What an entry host lacks, sent by a voter in answer to a heartbeat and whenever the state
@@ -118,6 +127,9 @@
     pub failing: u32,
     /// The voters' addresses.
     pub voters: Vec<SocketAddr>,
+    /// The voter's records of requests under which servers ended, set also without contact
+    /// with a majority.
+    pub ledger: Appended<Summary>,
 }
 
 /// Status of a voter, sent to the other voters at intervals.
@@ -135,6 +147,8 @@
     pub entries: Vec<Host>,
     /// How many of these fail most requests.
     pub failing: u32,
+    /// The sender's records of requests under which servers ended.
+    pub ledger: Appended<Summary>,
 }
 
 /// Computes the digest of a list of entry hosts.
@@ -164,6 +178,10 @@
     /// When the list of replicas was read, on this host's clock.
     fleet_read_at: Option<Time>,
     failing: u32,
+    /// Digest of the current voter's records of requests under which servers ended.
+    voter_ledger: u64,
+    /// Whether the next heartbeat is due soon.
+    urgent: bool,
 }
 
 /// What a feed changes for an entry host; the default changes nothing.
@@ -179,6 +197,8 @@
     pub fleet_read_at: Option<Time>,
     /// The live entry hosts, if they changed.
     pub hosts: Option<Vec<Host>>,
+    /// The voter's records of requests under which servers ended, if they differ.
+    pub records: Vec<Record>,
 }
 
 impl Subscriber {
@@ -200,9 +220,21 @@
             revision: 0,
             fleet_read_at: None,
             failing: 0,
+            voter_ledger: 0,
+            urgent: false,
         }
     }
 
+    /// Digest of the current voter's records of requests under which servers ended.
+    pub fn voter_ledger(&self) -> u64 {
+        self.voter_ledger
+    }
+
+    /// Makes the next heartbeat due soon.
+    pub fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
     /// Number of entry hosts that fail most requests, by the last fresh feed.
     pub fn failing_count(&self) -> u32 {
         self.failing
@@ -245,6 +277,7 @@
     /// the seeds are added to them.
     pub fn switch_voter(&mut self, now: Time) {
         self.last_contact = now;
+        self.voter_ledger = 0;
         if self.is_fresh(now) {
             self.last_heartbeat = None;
         }
@@ -260,8 +293,9 @@
         }
     }
 
-    /// Returns the heartbeat that is due and its receiver. Switches to the next voter first
-    /// if the current one has been silent for too long.
+    /// Returns the heartbeat that is due and its receiver; the caller adds the ledger's
+    /// summary. Switches to the next voter first if the current one has been silent for too
+    /// long.
     pub fn tick(&mut self, now: Time, failing: bool) -> Option<(SocketAddr, Heartbeat)> {
         let silence = if self.is_fresh(now) {
             VOTER_TIMEOUT
@@ -279,6 +313,7 @@
             return None;
         }
         self.last_heartbeat = Some(now);
+        self.urgent = false;
         let heartbeat = Heartbeat {
             failing,
             ..self.held.clone()
@@ -288,7 +323,9 @@
 
     /// Time between two heartbeats.
     fn heartbeat_interval(&self, now: Time) -> Span {
-        if self.is_fresh(now) {
+        if self.urgent {
+            HEARTBEAT_EVERY_URGENT
+        } else if self.is_fresh(now) {
             HEARTBEAT_EVERY
         } else {
             HEARTBEAT_EVERY_STALE
@@ -311,17 +348,27 @@
             let position = self.voters.iter().position(|v| Some(*v) == current);
             self.voter_index = position.unwrap_or(self.voter_index);
         }
+        let records = feed.ledger.0.records;
+        if Some(from) == self.voter() {
+            self.voter_ledger = feed.ledger.0.digest;
+        }
         if !feed.fresh {
             if Some(from) == self.voter() {
                 self.switch_voter(now);
             }
-            return Update::default();
+            return Update {
+                records,
+                ..Update::default()
+            };
         }
         if Some(from) == self.voter() {
             self.last_contact = now;
         }
         self.failing = feed.failing;
-        let mut update = Update::default();
+        let mut update = Update {
+            records,
+            ..Update::default()
+        };
         if feed.revision >= self.revision {
             self.confirmed_at = Some(now);
             if feed.revision > self.revision {
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -13,6 +13,7 @@
 use crate::catalog::Route;
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::digest::Digest;
 use crate::endpoint::Ticket;
 use crate::name::Name;
 
@@ -73,6 +74,10 @@
     /// The request was answered or refused while the part was open.
     #[display("left out")]
     LeftOut,
+    /// Servers ended under the part, which is not sent to further ones. Never sent to other
+    /// hosts: an older one could not decode it.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 /// The part of a request that goes to one service.
@@ -126,6 +131,8 @@
     pub kind: Kind,
     /// Route by which the request is served.
     pub route: Arc<Route>,
+    /// Digest of the content, the same for each repeat of the request.
+    pub fingerprint: Digest,
     /// When the request arrived.
     pub started: Time,
     /// Latest time for an answer.
@@ -204,6 +211,7 @@
         let objective = route.objective.saturating_sub(margin);
         Flight {
             kind: Kind::Request,
+            fingerprint: Digest::default(),
             started: now,
             deadline: now.after(left),
             settle_at: now.after(objective.min(left)),
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -5,8 +5,8 @@
 //! part for each shard. Each part is sent to a replica, and is hedged or retried within
 //! limits, until the request is answered. The steps are spread over several modules:
 //! `choice` picks replicas, `attempt` sends and retries, `answering` answers callers,
-//! `gathering` serves branches for other entry hosts, and `listing` applies changes of
-//! the replica list.
+//! `gathering` serves branches for other entry hosts, `isolation` keeps requests away from
+//! servers that end under them, and `listing` applies changes of the replica list.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -30,6 +30,7 @@
 use crate::catalog::Target;
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::digest::Digest;
 use crate::endpoint::Ending;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Expected;
@@ -43,6 +44,9 @@
 use crate::latency::Latency;
 use crate::name::Name;
 use crate::plan::Plan;
+use crate::quarantine::Ledger;
+use crate::quarantine::Record;
+use crate::suspect::Standing;
 
 /// Latency quantile after which a part is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
@@ -95,6 +99,8 @@
     pub order: OrderId,
     /// Route narrowed to the shards of this branch.
     pub route: Arc<Route>,
+    /// Digest of the request's content, the same for each repeat.
+    pub fingerprint: Digest,
     /// Rendezvous hashing key of the request, the same on all hosts, so that they pick
     /// the same replicas.
     pub key: u64,
@@ -117,6 +123,8 @@
     pub host: Arc<str>,
     /// Path without the query.
     pub path: Arc<str>,
+    /// Digest of the content, the same for each repeat of the request.
+    pub fingerprint: Digest,
     /// Time for which the caller still waits; absent if the caller sent no deadline.
     pub left: Option<Span>,
     /// Whether the voters confirmed recently that the catalog is the newest.
@@ -169,6 +177,8 @@
     Failed,
     /// The deadline passed.
     Timeout,
+    /// The request did not run, because servers ended under earlier ones of the same content.
+    Quarantined,
 }
 
 /// Answer to a caller.
@@ -239,6 +249,8 @@
     Completed(Ticket, Completion),
     /// A new catalog came into force.
     Catalog(Arc<Catalog>),
+    /// Other hosts recorded servers that ended under requests.
+    Records(Vec<Record>),
     /// The replica list changed; read at this time.
     Fleet(Arc<Fleet>, Time),
     /// The replica list was read again at this time and is unchanged.
@@ -264,6 +276,8 @@
     Reply(RequestId, Reply),
     /// Close idle connections to this address.
     CloseIdle(SocketAddr),
+    /// The standing of a request's part for this service changed; other hosts should know.
+    Standing(Digest, Name, Standing),
     /// A hedge or retry was sent for a part of this request, to this service and replica,
     /// for this reason.
     Extra(RequestId, Name, Name, Extra),
@@ -319,6 +333,8 @@
     /// Requests and branches in progress.
     pub(crate) flights: HashMap<RequestId, Flight>,
     pub(crate) calls: HashMap<Ticket, Outstanding>,
+    /// Parts of requests under which servers ended.
+    pub(crate) ledger: Ledger,
     /// Open calls for answered parts of closed requests, with the time at which each is
     /// withdrawn.
     pub(crate) orphans: VecDeque<(Time, Ticket)>,
@@ -347,6 +363,7 @@
             credits: HashMap::new(),
             flights: HashMap::new(),
             calls: HashMap::new(),
+            ledger: Ledger::default(),
             orphans: VecDeque::new(),
             timers: BinaryHeap::new(),
             last_endpoint: 0,
@@ -359,6 +376,26 @@
         &self.catalog
     }
 
+    /// Parts of requests under which servers ended, as this host knows them.
+    pub fn ledger(&mut self) -> &mut Ledger {
+        &mut self.ledger
+    }
+
+    /// Whether a request on this route is refused at once because it is quarantined.
+    pub fn is_quarantined(&self, now: Time, route: &Arc<Route>, fingerprint: Digest) -> bool {
+        let Target::Gather { shards, .. } = &route.target else {
+            return false;
+        };
+        if self.ledger.is_empty() {
+            return false;
+        }
+        let flight = Flight {
+            fingerprint,
+            ..Flight::new(now, route.clone(), shards.clone(), Span::ZERO, Span::ZERO)
+        };
+        self.quarantine_left(now, &flight).is_some()
+    }
+
     /// Number of requests and branches in progress.
     pub fn active_requests(&self) -> usize {
         self.flights.len()
@@ -392,6 +429,7 @@
             Event::Completed(ticket, completion) => {
                 self.complete(now, ticket, completion, &mut actions)
             }
+            Event::Records(records) => self.merge_records(now, records, &mut actions),
             Event::Catalog(catalog) => self.catalog = catalog,
             Event::Fleet(fleet, read) => self.update_fleet(now, &fleet, read, &mut actions),
             Event::FleetUnchanged(read) => self.fleet_read = self.fleet_read.max(read),
@@ -432,6 +470,7 @@
         };
         let flight = Flight {
             others_healthier: request.others_healthier,
+            fingerprint: request.fingerprint,
             ..Flight::new(now, route, services, left, margin)
         };
         if flight.others_healthier && self.reachable(now, &flight) < flight.needed() {
@@ -439,6 +478,10 @@
             let refusal = Answer::Refused(Refusal::NotRun, Some(RETRY_AFTER_CUT_OFF));
             return self.finish(now, id, refusal, actions);
         }
+        if let Some(refusal) = self.quarantine_refusal(now, &flight) {
+            self.flights.insert(id, flight);
+            return self.finish(now, id, refusal, actions);
+        }
         self.start_parts(now, id, flight, actions);
     }
 
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -20,6 +20,7 @@
 use crate::digest::Digest;
 use crate::endpoint::Endpoint;
 use crate::fleet::State;
+use crate::flight::Cause;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
 use crate::flight::Kind;
@@ -43,6 +44,7 @@
         let services = self.choose_services(&route);
         let flight = Flight {
             settle_at: now.after(branch.settle),
+            fingerprint: branch.fingerprint,
             kind: Kind::Branch {
                 order: branch.order,
                 key: branch.key,
@@ -140,6 +142,14 @@
     }
 }
 
+/// A cause that older hosts can decode in place of one that they can't.
+fn known_to_older_hosts(cause: Cause) -> Cause {
+    match cause {
+        Cause::Quarantined => Cause::NoReplica,
+        cause => cause,
+    }
+}
+
 /// The reply with everything that a branch has gathered so far.
 fn reply(flight: &Flight, order: OrderId, last: bool) -> Reply {
     let (stamps, body) = gathered(flight);
@@ -150,7 +160,7 @@
         body,
         ran: flight.may_have_run(),
         extra: flight.extra,
-        cause: flight.current_cause(),
+        cause: flight.current_cause().map(known_to_older_hosts),
         missing: flight.first_missing().cloned(),
     }
 }
--- a/decision/src/publisher.rs
+++ b/decision/src/publisher.rs
@@ -1,11 +1,13 @@
 //! Messages of a voter to the entry hosts and the other voters.
 //!
 //! Part of the controller: answers heartbeats of entry hosts with feeds, pushes changes to
-//! them, and exchanges status messages with the other voters.
+//! them, and exchanges status messages with the other voters. Records of requests under which
+//! servers ended spread the same way; no majority is needed for them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use crate::appended::Appended;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::controller::Action;
@@ -19,8 +21,12 @@
 use crate::feed::Status;
 use crate::feed::digest_hosts;
 use crate::plan::Host;
+use crate::quarantine::Record;
 use crate::voter::Mode;
 
+/// Time for which changes of the ledger are collected before others are told.
+const LEDGER_SPREAD_DELAY: Span = Span::from_ms(20);
+
 /// Silence after which an entry host counts as dead.
 const ENTRY_TIMEOUT: Span = Span::from_ms(2_500);
 
@@ -33,10 +39,12 @@
         heartbeat: Heartbeat,
         out: &mut Vec<Action>,
     ) {
+        let records = heartbeat.ledger.records.clone();
         let known = self
             .entries
             .insert(from, (heartbeat.clone(), now))
             .is_some();
+        self.merge_records(now, records);
         if !known {
             self.update_hosts(now, out);
         }
@@ -51,11 +59,39 @@
         })
     }
 
+    /// Adopts records of requests under which servers ended. If that changes the ledger, all
+    /// others are told soon; changes in between go along.
+    fn merge_records(&mut self, now: Time, records: Vec<Record>) {
+        if records.is_empty() {
+            return;
+        }
+        let before = self.ledger.digest();
+        self.ledger.merge(now, records);
+        if self.ledger.digest() != before {
+            self.ledger_due
+                .get_or_insert(now.after(LEDGER_SPREAD_DELAY));
+        }
+    }
+
+    /// Tells the entry hosts and the other voters of a changed ledger, if that is due.
+    pub(crate) fn spread_ledger(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.ledger_due.is_some_and(|due| due <= now) {
+            self.ledger_due = None;
+            self.push_feeds(now, out);
+            self.send_status(now, out);
+        }
+    }
+
     /// Builds the feed of what an entry host lacks by its heartbeat. Without contact
-    /// with a majority, or without a chosen state, the feed is empty and not fresh.
-    pub(crate) fn build_feed(&self, now: Time, heartbeat: &Heartbeat) -> Message {
+    /// with a majority, or without a chosen state, the feed is not fresh and holds the ledger
+    /// only.
+    pub(crate) fn build_feed(&mut self, now: Time, heartbeat: &Heartbeat) -> Message {
+        let ledger = Appended(self.ledger.summary(now, heartbeat.ledger.digest));
         let Some(state) = self.chosen.as_ref().filter(|_| self.quorum) else {
-            return Message::Feed(Box::default());
+            return Message::Feed(Box::new(Feed {
+                ledger,
+                ..Feed::default()
+            }));
         };
         let listing = self.listing.as_ref();
         let digest = listing.map(|listing| listing.digest).unwrap_or_default();
@@ -73,6 +109,7 @@
             hosts: (self.hosts_digest != heartbeat.hosts_digest).then(|| self.hosts.clone()),
             failing: self.failing_count(now),
             voters: self.voters(),
+            ledger,
         }))
     }
 
@@ -109,7 +146,9 @@
     pub(crate) fn mark_fed(&mut self, entry: SocketAddr) {
         let version = self.chosen.as_ref().map_or(0, |state| state.version);
         let fleet = self.listing.as_ref().map(|listing| listing.digest);
+        let ledger = self.ledger.digest();
         if let Some((heartbeat, _)) = self.entries.get_mut(&entry) {
+            heartbeat.ledger.0.digest = ledger;
             heartbeat.version = version;
             heartbeat.fleet_digest = fleet.unwrap_or_default();
             heartbeat.hosts_digest = self.hosts_digest;
@@ -148,7 +187,9 @@
             peer.entries = status.entries;
             peer.voting = status.voting;
             peer.failing = status.failing;
+            peer.ledger = status.ledger.digest;
         }
+        self.merge_records(now, status.ledger.0.records);
         let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
         if status.revision > revision {
             out.push(Action::Send(from, Message::WantState(revision)));
@@ -169,6 +210,11 @@
 
     /// Sends this voter's status to all other voters.
     pub(crate) fn send_status(&mut self, now: Time, out: &mut Vec<Action>) {
+        let ledger = self.ledger.digest();
+        let live = |peer: &&Peer| now.since(peer.last_heard) < PEER_TIMEOUT;
+        let peers = self.peers.values().filter(live);
+        let differing = peers.map(|peer| peer.ledger).find(|known| *known != ledger);
+        let ledger = Appended(self.ledger.summary(now, differing.unwrap_or(ledger)));
         let listing = self.listing.as_ref();
         let status = Status {
             voting: self.mode() == Some(Mode::Voting),
@@ -177,6 +223,7 @@
             fleet_digest: listing.map(|listing| listing.digest).unwrap_or_default(),
             entries: self.own_hosts().collect(),
             failing: self.own_failing_count(),
+            ledger,
         };
         self.broadcast(&Message::Status(status), out);
     }
--- a/decision/src/suspect.rs
+++ b/decision/src/suspect.rs
@@ -17,7 +17,7 @@
 use crate::name::Name;
 
 /// Time for which a suspicion or clearing is kept.
-const STANDING_TTL: Span = Span::from_secs(600);
+pub const STANDING_TTL: Span = Span::from_secs(600);
 
 /// Time for which a quarantine is kept.
 pub const QUARANTINE_TTL: Span = Span::from_secs(3_600);
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -1,5 +1,5 @@
 //! A simulation of entry hosts that gather branches for each other, in virtual time.
-//! Hosts can be slow, frozen or killed.
+//! Hosts can be slow, frozen or killed, and requests can end the servers that run them.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -19,6 +19,7 @@
 use wagtailbeam_decision::catalog::Catalog;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::fanout::Fanout;
@@ -29,9 +30,11 @@
 use wagtailbeam_decision::gateway::Call;
 use wagtailbeam_decision::gateway::Completion;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::gateway::Refusal;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::plan::Plan;
+use wagtailbeam_decision::quarantine::Record;
 
 use crate::model;
 
@@ -44,6 +47,9 @@
 /// Shortest time for a message between two processes, one way, in microseconds.
 const TRANSIT_US: u64 = 1_000;
 
+/// Time until all hosts have another host's records of servers that ended.
+const SPREAD_TIME: Span = Span::from_ms(50);
+
 enum Message {
     /// An order for a branch of this request of a caller.
     Order(Box<fanout::Order>, u64),
@@ -64,6 +70,8 @@
     Arrive(Call, u64),
     /// The host learns how a call ended.
     Done(u64, Ending),
+    /// Records of another host arrive.
+    Records(Vec<Record>),
 }
 
 struct Host {
@@ -88,6 +96,12 @@
     pub answers: BTreeMap<u64, (Answer, Span)>,
     /// Replicas on which each part ran, by request and shard.
     pub runs: BTreeMap<(u64, SocketAddr), BTreeSet<SocketAddr>>,
+    /// Requests that end each server that begins to run them.
+    pub fatal: HashSet<u64>,
+    /// Servers that ended under a request: when, and under which one.
+    pub ended: Vec<(Time, u64)>,
+    /// Servers that are down, with the time at which they are back.
+    down: HashMap<SocketAddr, Time>,
     hosts: Vec<Host>,
     started: HashMap<u64, Time>,
     withdrawn: HashSet<(usize, u64)>,
@@ -165,6 +179,9 @@
             now,
             answers: BTreeMap::new(),
             runs: BTreeMap::new(),
+            fatal: HashSet::new(),
+            ended: Vec::new(),
+            down: HashMap::new(),
             hosts: (0..hosts).map(new_host).collect(),
             started: HashMap::new(),
             withdrawn: HashSet::new(),
@@ -298,11 +315,18 @@
         match step {
             Step::Request(id) => {
                 self.started.insert(id, self.now);
+                let (now, fingerprint) = (self.now, self.fingerprint(id));
                 let route = self.hosts[host]
                     .fanout
                     .split_route("desk.example", "/all/x");
+                let route = route.expect("a route with branches");
+                let gateway = &self.hosts[host].gateway;
+                if gateway.is_quarantined(now, &route, fingerprint) {
+                    let refused = Answer::Refused(Refusal::Quarantined, None);
+                    return drop(self.answers.insert(id, (refused, Span::ZERO)));
+                }
                 let request = fanout::Request {
-                    route: route.expect("a route with branches"),
+                    route,
                     left: None,
                     margin: Span::from_ms(11),
                 };
@@ -310,6 +334,9 @@
             }
             Step::Message(from, message) => self.receive(host, from, message),
             Step::Arrive(call, id) => self.arrive(host, &call, id),
+            Step::Records(records) => {
+                self.step_gateway(host, gateway::Event::Records(records));
+            }
             Step::Done(ticket, ending) => {
                 let completion = Completion {
                     ending,
@@ -364,6 +391,7 @@
             order: order.id,
             route: order.route,
             key: id,
+            fingerprint: self.fingerprint(id),
             moved: order.moved,
             committed,
             settle: order.settle,
@@ -386,9 +414,24 @@
             std::net::IpAddr::V4(ip) => ip.octets(),
             std::net::IpAddr::V6(_) => return,
         };
+        let answer_at = self.now.after(Span::from_us(TRANSIT_US));
+        if self.is_down(call.address) {
+            return self.schedule(
+                answer_at,
+                host,
+                Step::Done(call.ticket, Ending::Unreachable),
+            );
+        }
         let service = SocketAddr::from(([0, 0, 0, shard], 80));
         let ran = self.runs.entry((id, service)).or_default();
         ran.insert(call.address);
+        if self.fatal.contains(&id) {
+            self.ended.push((self.now, id));
+            self.down
+                .insert(call.address, self.now.after(model::DOWN_TIME));
+            let learned_at = self.now.after(model::PROBED_AFTER);
+            return self.schedule(learned_at, host, Step::Done(call.ticket, Ending::Ended));
+        }
         let slow = self.random.next_u32().is_multiple_of(10) || index == 2;
         let work = 3_000 + u64::from(self.random.next_u32() % 20_000) * (1 + 4 * u64::from(slow));
         let done = Step::Done(call.ticket, Ending::Answered);
@@ -418,11 +461,36 @@
                     }
                 }
                 gateway::Action::Answer(..) => panic!("a branch was answered as a request"),
+                gateway::Action::Standing(..) => self.spread_records(host),
                 gateway::Action::CloseIdle(_) | gateway::Action::Extra(..) => {}
             }
         }
     }
 
+    fn is_down(&self, address: SocketAddr) -> bool {
+        self.down
+            .get(&address)
+            .is_some_and(|until| *until > self.now)
+    }
+
+    /// Digest of a request's content, the same for all fatal requests and for all others.
+    fn fingerprint(&self, id: u64) -> Digest {
+        match self.fatal.contains(&id) {
+            true => Digest::of(b"fatal"),
+            false => Digest::of(b"harmless"),
+        }
+    }
+
+    /// Sends the records of a host to all others.
+    fn spread_records(&mut self, from: usize) {
+        let ledger = self.hosts[from].gateway.ledger();
+        let records = ledger.summary(self.now, 0).records;
+        let at = self.now.after(SPREAD_TIME);
+        for to in (0..self.hosts.len()).filter(|to| *to != from) {
+            self.schedule(at, to, Step::Records(records.clone()));
+        }
+    }
+
     fn step_fanout(&mut self, host: usize, event: fanout::Event) {
         let at = |address: SocketAddr| match address.ip() {
             std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]),
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Refusal;
@@ -105,6 +106,7 @@
     let request = wagtailbeam_decision::gateway::Request {
         host: "desk.example".into(),
         path: "/all/x".into(),
+        fingerprint: Digest::default(),
         left: None,
         catalog_confirmed: true,
         first_on_connection: false,
@@ -187,6 +189,7 @@
     let request = |catalog_confirmed| wagtailbeam_decision::gateway::Request {
         host: "desk.example".into(),
         path: "/none/".into(),
+        fingerprint: Digest::default(),
         left: None,
         catalog_confirmed,
         first_on_connection: false,
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -13,6 +13,8 @@
 use wagtailbeam_decision::controller::Event;
 use wagtailbeam_decision::controller::Outcome;
 use wagtailbeam_decision::controller::Settings;
+use wagtailbeam_decision::feed::Feed;
+use wagtailbeam_decision::feed::Heartbeat;
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::voter::Mode;
@@ -36,6 +38,8 @@
     pub answers: BTreeMap<u64, Outcome>,
     machines: BTreeMap<SocketAddr, Machine>,
     messages: Vec<(SocketAddr, SocketAddr, Message)>,
+    /// The last feed to each entry host.
+    pub feeds: BTreeMap<SocketAddr, Feed>,
     isolated: BTreeSet<SocketAddr>,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
@@ -56,6 +60,7 @@
             answers: BTreeMap::new(),
             machines: BTreeMap::new(),
             messages: Vec::new(),
+            feeds: BTreeMap::new(),
             isolated: BTreeSet::new(),
             seeds: (0..3).map(address).collect(),
             boots: 0,
@@ -142,6 +147,12 @@
         }
     }
 
+    /// Delivers the heartbeat of an entry host to a machine.
+    pub fn heartbeat(&mut self, at: usize, host: SocketAddr, heartbeat: Heartbeat) {
+        let message = Message::Heartbeat(heartbeat);
+        self.step(address(at), Event::Message(host, message));
+    }
+
     /// Gives a command to a machine; returns its number in `answers`.
     pub fn command(&mut self, at: usize, command: Command) -> u64 {
         self.last_command += 1;
@@ -218,8 +229,12 @@
     /// Delivers all messages in flight; those of isolated machines are lost.
     pub fn deliver_all(&mut self) {
         for (from, to, message) in std::mem::take(&mut self.messages) {
-            if !self.isolated.contains(&from) && !self.isolated.contains(&to) {
-                self.step(to, Event::Message(from, message));
+            if self.isolated.contains(&from) || self.isolated.contains(&to) {
+                continue;
+            }
+            match message {
+                Message::Feed(feed) => drop(self.feeds.insert(to, *feed)),
+                message => self.step(to, Event::Message(from, message)),
             }
         }
     }
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -11,6 +11,7 @@
 mod group;
 mod merge;
 mod model;
+mod records;
 mod rotation;
 mod state;
 mod voters;
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -21,6 +21,7 @@
 use wagtailbeam_decision::catalog::Target;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::fleet::Instance;
@@ -43,6 +44,9 @@
 /// Time after which an unanswered connection attempt is given up.
 const DIAL_TIMEOUT: Span = Span::from_ms(400);
 
+/// Time until the gateway learns that a call broke and its replica refuses connections.
+pub const PROBED_AFTER: Span = Span::from_ms(3);
+
 /// Time for which a replica that ended refuses connections.
 pub const DOWN_TIME: Span = Span::from_secs(3);
 
@@ -222,6 +226,7 @@
         let request = Request {
             host: "desk.example".into(),
             path: format!("/{route}/x").into(),
+            fingerprint: self.fingerprint(id, route),
             left: None,
             catalog_confirmed: true,
             first_on_connection: false,
@@ -230,6 +235,16 @@
         self.schedule(wait, Step::Request(id, request));
     }
 
+    /// Digest of a request's content: that of all fatal requests on a route is the same, and
+    /// so is that of all others.
+    fn fingerprint(&self, id: u64, route: &str) -> Digest {
+        let content = match self.fatal.contains(&id) {
+            true => "fatal",
+            false => "harmless",
+        };
+        Digest::of_parts(&[content.as_bytes(), route.as_bytes()])
+    }
+
     /// Schedules `count` requests at intervals of `gap`.
     pub fn load(&mut self, first: u64, count: u64, route: &str, gap: Span) {
         for index in 0..count {
@@ -334,6 +349,14 @@
         }
     }
 
+    /// Ends the processes of both servers of a shard.
+    pub fn end_servers(&mut self, shard: usize) {
+        for index in 0..2 {
+            let address = replica(&format!("shard-{shard}"), index, "").address;
+            self.end_server(address);
+        }
+    }
+
     /// Ends the process of a server: breaks the connections of all its calls, and refuses
     /// new ones for [`DOWN_TIME`].
     pub fn end_server(&mut self, address: SocketAddr) {
@@ -345,7 +368,7 @@
         let waiting = std::mem::take(&mut server.waiting);
         let waiting = waiting.into_iter().map(|call| call.ticket);
         for ticket in running.into_iter().chain(waiting) {
-            self.schedule(TRANSIT, Step::Done(ticket, Ending::Broken));
+            self.schedule(PROBED_AFTER, Step::Done(ticket, Ending::Ended));
         }
     }
 
@@ -384,7 +407,10 @@
                     let earlier = self.answers.insert(id, (answer, self.now.since(started)));
                     assert!(earlier.is_none(), "request {id} was answered twice");
                 }
-                Action::CloseIdle(_) | Action::Extra(..) | Action::Reply(..) => {}
+                Action::CloseIdle(_)
+                | Action::Extra(..)
+                | Action::Reply(..)
+                | Action::Standing(..) => {}
             }
         }
     }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -41,8 +41,8 @@
 /// Range of the random pause before each request of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..160;
 
-/// Title, in the body of a refusal, which says that the request did not run.
-const NOT_RUN_TITLE: &str = "\"not-run\"";
+/// Titles, in the body of a refusal, which say that the request did not run.
+const NOT_RUN_TITLES: [&str; 2] = ["\"not-run\"", "\"quarantined\""];
 
 type Connection = SendRequest<Empty<Bytes>>;
 
@@ -68,7 +68,8 @@
 impl Answer {
     /// Whether the answer says that the request did not run.
     fn is_refusal(&self) -> bool {
-        String::from_utf8_lossy(&self.body).contains(NOT_RUN_TITLE)
+        let body = String::from_utf8_lossy(&self.body);
+        NOT_RUN_TITLES.iter().any(|title| body.contains(title))
     }
 }
 
