Keep an earlier run on a replica in mind when a later call to it is refused

Callers saw: 503 "not run" for a request that had run. Cause: a part keeps the set of replicas on which it may have run. Change: the part counts the calls to each replica that may have run; a call that did not run takes back itself only. Result: gateway::a_request_that_ran_is_not_reported_as_not_run_after_refused_connections failed before (NotRun after two runs) and passes; 69 of 69 tests of the tier.

--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -168,7 +168,7 @@
         let part = &mut flight.parts[index];
         part.stage = Stage::Sent;
         part.tried.insert(endpoint);
-        part.maybe_ran.insert(endpoint);
+        *part.maybe_ran.entry(endpoint).or_default() += 1;
         part.maybe_delivered += 1;
         part.hedge_at = now.after(expected.high);
         part.attempts.push(Attempt {
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -1,6 +1,7 @@
 //! State of a request or branch in flight on one entry host, with one part for each
 //! shard.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -91,8 +92,9 @@
     pub attempts: Vec<Attempt>,
     /// Replicas that were called so far; a call that ended as stale does not count.
     pub tried: BTreeSet<EndpointId>,
-    /// Replicas on which the part ran, may have run, or may still run.
-    pub maybe_ran: BTreeSet<EndpointId>,
+    /// Replicas on which the part ran, may have run, or may still run, with the number of
+    /// calls to each that did.
+    pub maybe_ran: BTreeMap<EndpointId, u32>,
     /// Number of calls that may have reached a replica.
     pub maybe_delivered: u32,
     /// Number of calls that certainly reached no replica.
@@ -162,7 +164,7 @@
             stage: Stage::Waiting,
             attempts: Vec::new(),
             tried: BTreeSet::new(),
-            maybe_ran: BTreeSet::new(),
+            maybe_ran: BTreeMap::new(),
             maybe_delivered: 0,
             undelivered: 0,
             hedge_at: Time::default(),
@@ -173,16 +175,15 @@
     /// replicas; `None` before.
     pub fn allowed_replicas(&self, attempts_max: u32) -> Option<BTreeSet<EndpointId>> {
         let bound = self.maybe_ran.len() >= attempts_max as usize;
-        bound.then(|| self.maybe_ran.clone())
+        bound.then(|| self.maybe_ran.keys().copied().collect())
     }
 
-    /// Records that the part did not run on a replica, unless another call to the replica
-    /// is open.
+    /// Records that the last call to a replica did not run there; earlier ones may have.
     pub fn mark_not_run(&mut self, endpoint: EndpointId) {
-        let resent = |attempt: &Attempt| attempt.endpoint == endpoint;
-        if !self.attempts.iter().any(resent) {
-            self.maybe_ran.remove(&endpoint);
+        if let Some(calls) = self.maybe_ran.get_mut(&endpoint) {
+            *calls -= 1;
         }
+        self.maybe_ran.retain(|_, calls| *calls > 0);
     }
 
     /// Changes the time at which a part that was left out is resumed.
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -118,7 +118,7 @@
         }
         let mut allowed = self.rendezvous_replicas(&part.service, key, attempts_max - 1);
         if !moved {
-            allowed.extend(&part.maybe_ran);
+            allowed.extend(part.maybe_ran.keys());
         }
         Some(allowed)
     }
--- a/decision/tests/tier/fatal.rs
+++ b/decision/tests/tier/fatal.rs
@@ -71,6 +71,7 @@
     let late = late_repeats(&cluster.ended);
     assert!(late <= LATE_REPEATS_MAX, "{late} repeats reached servers");
     assert!(cluster.ended.len() >= 3);
+    assert!(cluster.replicas_max() <= 2, "{}", cluster.replicas_max());
     let refused = cluster.answers.values();
     let refused = refused.filter(|(answer, _)| matches!(answer, Answer::Refused(..)));
     assert_eq!(refused.count(), 40);
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -162,6 +162,26 @@
     assert_eq!(*answer, Answer::Refused(Refusal::Failed, None));
 }
 
+/// Guards against a refused connection that makes the gateway forget an earlier run on the
+/// same replica.
+#[test]
+fn a_request_that_ran_is_not_reported_as_not_run_after_refused_connections() {
+    let mut simulation = Simulation::new(1);
+    for index in 0..2 {
+        simulation.set_fault(0, index, Fault::LosesAnswers);
+    }
+    simulation.request(1, "all", Span::ZERO);
+    simulation.run(Span::from_us(34_500));
+    for index in 0..2 {
+        simulation.set_fault(0, index, Fault::Refusing);
+    }
+    simulation.run(Span::from_secs(1));
+    assert_eq!(simulation.runs[&1], 2);
+    let (answer, _) = &simulation.answers[&1];
+    let not_run = matches!(answer, Answer::Refused(Refusal::NotRun, _));
+    assert!(!not_run, "{answer:?}");
+}
+
 #[test]
 fn calls_of_a_disconnected_caller_are_withdrawn() {
     let mut simulation = warmed_up(20);
