Don't quarantine a request for lost answers in a group with a settings file

Callers saw: 422 "stops-servers" for an hour, for a query whose connections were closed without an answer twice, although the servers went on running. Change: the owner tells `ended` from `broken` by the same probe as the gateway of discovered tiers. Only a server that ended makes a suspect or a quarantine. A broken call of a server that goes on is a bad answer: the query is retried within its budget.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -87,7 +87,8 @@
             Ok(response) => exchange_of(&expected, response),
             Err(Failure::Unreachable(_)) => Exchange::NotSent,
             Err(Failure::Stale) => Exchange::StaleConnection,
-            Err(Failure::Broken(_) | Failure::Ended(_)) => Exchange::Broken,
+            Err(Failure::Broken(_)) => Exchange::Broken,
+            Err(Failure::Ended(_)) => Exchange::Ended,
             Err(Failure::TooLong) => Exchange::BadAnswer,
         };
         Some((ticket, exchange))
--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -103,6 +103,44 @@
     assert_eq!(harness.send(1, &get("/desk-gate/harmless")).status, 200);
 }
 
+/// The same for a job, of which each repeat has a key of its own.
+#[test]
+fn a_job_that_crashes_servers_fails_only_its_first_run_and_one_canary() {
+    let cluster = cluster();
+    let harness = start_with_file(&cluster);
+    let key = fleet::caller_key(CALLER);
+    for turn in 0..40 {
+        let job = caller::post(&key, "/desk-gate/poison", &format!("visit-{turn}"), "{}");
+        let answer = harness.send(turn % harness.hosts.len(), &job);
+        assert_ne!(answer.status, 200, "{:?}", answer.json());
+    }
+    assert!(cluster.crashes() <= 2, "{} crashes", cluster.crashes());
+    harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
+    let job = caller::post(&key, "/desk-gate/entries", "visit-harmless", "{}");
+    assert_eq!(harness.send(1, &job).status, 200);
+}
+
+/// Guards against taking a lost answer for a server that ended: the servers go on running,
+/// and the query must be served once answers arrive again.
+#[test]
+fn a_query_whose_answers_were_lost_is_served_afterwards() {
+    let cluster = cluster();
+    let harness = start_with_file(&cluster);
+    let lose = |lost: bool| {
+        let servers = cluster.servers.iter();
+        servers.for_each(|server| server.configure(|behavior| behavior.lose_answers = lost));
+    };
+    lose(true);
+    for turn in 0..10 {
+        let answer = harness.send(turn % harness.hosts.len(), &get("/desk-gate/harmless"));
+        assert_ne!(answer.status, 200, "{:?}", answer.json());
+    }
+    lose(false);
+    harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
+    let answer = harness.send(0, &get("/desk-gate/harmless"));
+    assert_eq!(answer.status, 200, "{:?}", answer.json());
+}
+
 /// Guards against daemons that act on an old file: a failure domain is taken out of
 /// service while one daemon is frozen and another is down. Neither may send work to the
 /// domain afterwards.
--- a/decision/src/exchange.rs
+++ b/decision/src/exchange.rs
@@ -42,8 +42,10 @@
     NotSent,
     /// The server had closed the idle connection; no byte was sent.
     StaleConnection,
-    /// The connection broke after the request was sent.
+    /// The connection broke after the request was sent; the server goes on running.
     Broken,
+    /// The connection broke after the request was sent, because the server's process ended.
+    Ended,
     /// The answer was incomplete, malformed, too long, or belonged to another request.
     BadAnswer,
 }
@@ -78,7 +80,7 @@
                 boot: boot.clone(),
                 draining: *draining,
             },
-            Exchange::NotSent | Exchange::Broken => Observation::Reset,
+            Exchange::NotSent | Exchange::Broken | Exchange::Ended => Observation::Reset,
             Exchange::BadAnswer | Exchange::StaleConnection => Observation::Cancelled,
         }
     }
@@ -94,8 +96,8 @@
             }
             Exchange::Answered { answer, .. } => Outcome::Answered(answer),
             Exchange::NotSent | Exchange::StaleConnection => Outcome::not_run(Cause::Unreachable),
-            Exchange::Broken => Outcome::maybe_ran(Cause::ServerFailed),
-            Exchange::BadAnswer => Outcome::maybe_ran(Cause::BadAnswer),
+            Exchange::Ended => Outcome::maybe_ran(Cause::ServerFailed),
+            Exchange::Broken | Exchange::BadAnswer => Outcome::maybe_ran(Cause::BadAnswer),
         }
     }
 }
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -530,7 +530,7 @@
             took.into_iter()
                 .for_each(|took| policy.latency.record(took));
         }
-        if exchange == Exchange::Broken {
+        if exchange == Exchange::Ended {
             actions.push(Action::Suspect(subrequest.request.fingerprint()));
         }
         let (replica, observation) = (subrequest.replica, exchange.observation());
@@ -567,7 +567,7 @@
     ) -> Vec<Action> {
         let conclusive = matches!(
             exchange,
-            Exchange::Answered { shed: false, .. } | Exchange::Broken
+            Exchange::Answered { shed: false, .. } | Exchange::Broken | Exchange::Ended
         );
         let other = subrequest
             .duplicate
--- a/decision/tests/properties/owner.rs
+++ b/decision/tests/properties/owner.rs
@@ -138,6 +138,7 @@
         self.calls.remove(&ticket);
         let boot = self.boots.entry(replica).or_default();
         let exchange = match kind % 8 {
+            0 if pick.is_multiple_of(2) => Exchange::Ended,
             0 => Exchange::Broken,
             1 => Exchange::NotSent,
             2 => Exchange::BadAnswer,
--- a/decision/tests/scenarios.rs
+++ b/decision/tests/scenarios.rs
@@ -149,6 +149,7 @@
         let boot = arg(case, "boot").unwrap_or_else(|| "b1".to_owned());
         let exchange = match arg(case, "as").as_deref() {
             Some("broken") => Exchange::Broken,
+            Some("ended") => Exchange::Ended,
             Some("not-sent") => Exchange::NotSent,
             Some("bad-answer") => Exchange::BadAnswer,
             how => Exchange::Answered {
