soak: number of entry hosts, an older build beside this one, restarts in series

Cause: the check of fatal requests ran with four hosts of one build, and none was restarted between two repeats. With an older build the fatal requests are sent but not checked, since that build doesn't know them. A process test restarts each daemon of a group with a settings file in turn and finds the quarantine kept.

--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -120,6 +120,27 @@
     assert_eq!(harness.send(1, &job).status, 200);
 }
 
+/// Guards against daemons that forget a quarantine when they are restarted in turn.
+#[test]
+fn a_quarantine_outlasts_a_restart_of_each_daemon_in_turn() {
+    let cluster = cluster();
+    let mut harness = start_with_file(&cluster);
+    for turn in 0..10 {
+        harness.send(turn % harness.hosts.len(), &get("/desk-gate/poison"));
+    }
+    let crashes = cluster.crashes();
+    for daemon in 0..harness.hosts.len() {
+        harness.kill(daemon).unwrap();
+        harness.restart(daemon).unwrap();
+        harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
+    }
+    for daemon in 0..harness.hosts.len() {
+        let answer = harness.send(daemon, &get("/desk-gate/poison"));
+        assert_eq!(answer.json()["title"], "stops-servers");
+    }
+    assert_eq!(cluster.crashes(), crashes);
+}
+
 /// Guards against taking a lost answer for a server that ended: the servers go on running,
 /// and the query must be served once answers arrive again.
 #[test]
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -29,7 +29,6 @@
 use crate::checker::Outcome;
 use crate::checker::Shared;
 use crate::deployment::Deployment;
-use crate::deployment::ENTRY_HOSTS;
 use crate::deployment::HOSTNAME;
 
 /// Longest wait for an answer; also sent as the request's deadline.
@@ -84,7 +83,7 @@
             gather_services: gather_services.collect(),
             checker,
             rng: ChaCha8Rng::seed_from_u64(seed ^ number << 32),
-            entry: number as usize % ENTRY_HOSTS,
+            entry: number as usize % deployment.entry_hosts,
             connection: None,
         }
     }
@@ -106,7 +105,7 @@
     /// sent and the caller moves on to the next entry host.
     async fn send(&mut self, id: &str, is_gather: bool) {
         let Some(mut connection) = self.take_connection().await else {
-            self.entry = (self.entry + 1) % ENTRY_HOSTS;
+            self.entry = (self.entry + 1) % self.deployment.entry_hosts;
             return;
         };
         self.checker.lock().record_sent(id);
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeSet;
 use std::io::Result;
-use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,7 +16,6 @@
 use crate::checker::Shared;
 use crate::deployment;
 use crate::deployment::Deployment;
-use crate::deployment::ENTRY_HOSTS;
 use crate::deployment::REPLICAS_PER_SERVICE;
 use crate::deployment::VOTERS;
 use crate::fault::Fault;
@@ -27,6 +25,7 @@
 use crate::process::Signal;
 use crate::proxy;
 use crate::replica;
+use crate::run::Options;
 
 /// Longest time for which updates of the list may still be late after the end of a fault
 /// that delays them, alone or together with other faults of voters.
@@ -35,6 +34,9 @@
 /// Maximum number of unavailable voters with which the others still form a majority.
 const VOTER_LOSSES_MAX: usize = VOTERS / 2;
 
+/// Time between the restarts of two entry hosts.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+
 /// Shortest time between the deletions of two voters' data folders.
 const WIPE_INTERVAL_MIN: Duration = Duration::from_secs(8);
 
@@ -73,9 +75,10 @@
 
 impl Cluster {
     /// Starts the fakes, then all daemon processes. The voters form a new group.
-    pub(crate) async fn start(program: &Path, rng: &mut ChaCha8Rng) -> Result<Cluster> {
+    /// If the options name an older program, every second process runs it.
+    pub(crate) async fn start(options: &Options, rng: &mut ChaCha8Rng) -> Result<Cluster> {
         let folder = tempfile::tempdir()?;
-        let deployment = Deployment::random(rng);
+        let deployment = Deployment::random(rng, options.entry_hosts);
         let checker = Shared::default();
         let mut backends = Vec::new();
         for service in deployment.services() {
@@ -107,12 +110,14 @@
                     .deployment
                     .voter_settings(index, &cluster.data_folder(index), true);
             let name = format!("voter-{index}");
+            let program = options.program_of(index);
             let voter = Process::new(program, cluster.folder.path(), &name, &settings)?;
             cluster.voters.push(voter);
         }
-        for index in 0..ENTRY_HOSTS {
+        for index in 0..cluster.deployment.entry_hosts {
             let settings = cluster.deployment.entry_settings(index);
             let name = format!("entry-{index}");
+            let program = options.program_of(index);
             let entry = Process::new(program, cluster.folder.path(), &name, &settings)?;
             cluster.entry_hosts.push(entry);
         }
@@ -123,6 +128,17 @@
         Ok(cluster)
     }
 
+    /// Kills and restarts all entry hosts, one after the other, then all voters at once.
+    pub(crate) async fn restart_all(&mut self) -> Result<()> {
+        for entry in &mut self.entry_hosts {
+            entry.kill()?;
+            entry.start()?;
+            tokio::time::sleep(RESTART_PAUSE).await;
+        }
+        self.voters.iter_mut().try_for_each(Process::kill)?;
+        self.voters.iter_mut().try_for_each(Process::start)
+    }
+
     /// The data folder of a voter.
     pub(crate) fn data_folder(&self, voter: usize) -> PathBuf {
         self.folder.path().join(format!("data-{voter}"))
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -15,9 +15,15 @@
 /// Number of voters.
 pub const VOTERS: usize = 5;
 
-/// Number of entry hosts.
+/// Number of entry hosts of a run, unless its options say otherwise.
 pub const ENTRY_HOSTS: usize = 4;
 
+/// Most entry hosts of a run; each has an address of its own in the run's network.
+pub const ENTRY_HOSTS_MAX: usize = 200;
+
+/// Last byte of the first entry host's address.
+const FIRST_ENTRY: u8 = 41;
+
 /// Number of replicas of each service.
 pub const REPLICAS_PER_SERVICE: usize = 3;
 
@@ -71,6 +77,8 @@
 pub struct Deployment {
     /// Second and third byte of all addresses; the first is 127.
     network: [u8; 2],
+    /// Number of entry hosts.
+    pub entry_hosts: usize,
     /// Services that gathers ask, one for each shard.
     pub shards: Vec<Name>,
     /// The service whose requests must run at most once.
@@ -87,7 +95,7 @@
 
 impl Deployment {
     /// Creates the deployment of a run with a random number of shards.
-    pub fn random(rng: &mut ChaCha8Rng) -> Deployment {
+    pub fn random(rng: &mut ChaCha8Rng, entry_hosts: usize) -> Deployment {
         let pid = std::process::id();
         let run = RUN_COUNTER.fetch_add(1, Ordering::Relaxed);
         let network = [16 + (pid % 200) as u8, (pid / 200 % 64) as u8 * 4 + run % 4];
@@ -95,6 +103,7 @@
         let shards = (0..count).map(|index| Name::from(format!("shard-{index}")));
         Deployment {
             network,
+            entry_hosts: entry_hosts.min(ENTRY_HOSTS_MAX),
             shards: shards.collect(),
             at_most_once: Name::from("once"),
             list_address: address(network, 30, 8_500),
@@ -118,7 +127,7 @@
 
     /// The address of an entry host for callers.
     pub fn caller_address(&self, entry: usize) -> SocketAddr {
-        address(self.network, 11 + entry as u8, CALLER_PORT)
+        address(self.network, FIRST_ENTRY + entry as u8, CALLER_PORT)
     }
 
     /// The configuration with this version; versions differ in nothing else.
@@ -164,7 +173,7 @@
 
     /// The settings file of an entry host.
     pub fn entry_settings(&self, index: usize) -> String {
-        let ip = address(self.network, 11 + index as u8, 0).ip();
+        let ip = address(self.network, FIRST_ENTRY + index as u8, 0).ip();
         let (domain, seeds, list) = (domain(index), self.voter_seeds(), self.list_address);
         format!(
             "[host]\nname = entry-{index}\ndomain = {domain}\nrole = entry\n\
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -8,7 +8,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::checker::DRAIN_LAG_MAX;
-use crate::deployment::ENTRY_HOSTS;
 use crate::deployment::VOTERS;
 use crate::list;
 use crate::proxy;
@@ -122,10 +121,10 @@
     List,
 }
 
-/// Picks a random fault; `replicas` is the number of replicas of all services.
-pub fn random(rng: &mut ChaCha8Rng, replicas: usize) -> Fault {
+/// Picks a random fault, given the numbers of entry hosts and of all services' replicas.
+pub fn random(rng: &mut ChaCha8Rng, entry_hosts: usize, replicas: usize) -> Fault {
     let voter = rng.random_range(0..VOTERS);
-    let entry = rng.random_range(0..ENTRY_HOSTS);
+    let entry = rng.random_range(0..entry_hosts);
     let replica = rng.random_range(0..replicas);
     match rng.random_range(0..20) {
         0 => Fault::KillVoter(voter),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Command;
 use clap::value_parser;
 use wagtailbeam_soak::run;
+use wagtailbeam_soak::run::Options;
 
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
@@ -26,6 +27,14 @@
             "Number of runs, with consecutive seeds",
         ))
         .arg(number("seconds", "20", "Seconds of faults in each run"))
+        .arg(number("entries", "4", "Number of entry hosts"))
+        .arg(
+            Arg::new("older")
+                .long("older")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Executable of an older build, which every second process runs"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
@@ -40,11 +49,15 @@
     let matches = command().get_matches();
     let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let program = matches.get_one::<PathBuf>("program").cloned();
-    let program = program.unwrap_or_default();
-    let duration = Duration::from_secs(number("seconds"));
+    let options = Options {
+        program: program.unwrap_or_default(),
+        older: matches.get_one::<PathBuf>("older").cloned(),
+        entry_hosts: number("entries") as usize,
+        duration: Duration::from_secs(number("seconds")),
+    };
     let mut failed = false;
     for seed in number("seed")..number("seed") + number("runs") {
-        match run::run(&program, seed, duration) {
+        match run::run(&options, seed) {
             Ok(report) => {
                 println!("{report}");
                 failed |= !report.violations.is_empty();
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -43,10 +43,10 @@
 /// Most repeats of a fatal request that may still reach replicas from then on.
 const LATE_REPEATS_MAX: usize = 3;
 
-/// Number of repeats of a fatal request that are sent to each entry host from then on.
-const LATE_REPEATS: usize = 3;
+/// Most entry hosts to which repeats are sent from then on.
+const LATE_HOSTS_MAX: usize = 12;
 
-/// Time between two of these; replicas that ended are back in the meantime.
+/// Time between two of these; replicas that ended are back after a few.
 const LATE_PAUSE: Duration = Duration::from_millis(400);
 
 /// Range of the pauses between fatal requests while faults are injected, in milliseconds.
@@ -55,6 +55,40 @@
 /// Time between two checks for expired faults and exited processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The daemon's executable.
+    pub program: PathBuf,
+    /// The executable of an older build that runs beside it, if any.
+    pub older: Option<PathBuf>,
+    /// Number of entry hosts.
+    pub entry_hosts: usize,
+    /// Time during which faults are injected.
+    pub duration: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            program: PathBuf::from("target/release/wagtailbeamd"),
+            older: None,
+            entry_hosts: ENTRY_HOSTS,
+            duration: Duration::from_secs(20),
+        }
+    }
+}
+
+impl Options {
+    /// Executable of the voter or entry host with this index.
+    pub(crate) fn program_of(&self, index: usize) -> &Path {
+        match &self.older {
+            Some(older) if !index.is_multiple_of(2) => older,
+            _ => &self.program,
+        }
+    }
+}
+
 /// The result of a run.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -91,20 +125,18 @@
     }
 }
 
-/// Runs one seed with the daemon's executable `program`, injecting faults for `duration`.
-/// An error means that the run itself failed; violations are in the report.
-pub fn run(program: &Path, seed: u64, duration: Duration) -> Result<Report> {
-    let program = std::fs::canonicalize(program)?;
+/// Runs one seed. An error means that the run itself failed; violations are in the report.
+pub fn run(options: &Options, seed: u64) -> Result<Report> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run_seed(program, seed, duration))
+    runtime.block_on(run_seed(options, seed))
 }
 
 /// Runs one seed from start to report.
-async fn run_seed(program: PathBuf, seed: u64, duration: Duration) -> Result<Report> {
+async fn run_seed(options: &Options, seed: u64) -> Result<Report> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut cluster = Cluster::start(&program, &mut rng).await?;
+    let mut cluster = Cluster::start(options, &mut rng).await?;
     let mut operator = Operator::new(seed, &cluster.deployment, cluster.checker.clone());
     cluster.bootstrap(&mut operator).await;
     let (stop, stopped) = watch::channel(false);
@@ -120,7 +152,7 @@
         cluster.checker.clone(),
         stopped.clone(),
     ));
-    cluster.inject_faults(&mut rng, duration).await?;
+    cluster.inject_faults(&mut rng, options.duration).await?;
     stop.send_replace(true);
     for caller in callers {
         caller.await.map_err(std::io::Error::other)?;
@@ -128,7 +160,9 @@
     fatal.await.map_err(std::io::Error::other)?;
     let mut operator = operator.await.map_err(std::io::Error::other)?;
     cluster.recover(&mut operator).await?;
-    cluster.check_fatal_requests().await?;
+    if options.older.is_none() {
+        cluster.check_fatal_requests().await?;
+    }
     Ok(cluster.report(seed))
 }
 
@@ -144,7 +178,7 @@
         let pause = rng.random_range(FATAL_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         count += 1;
-        let address = deployment.caller_address(rng.random_range(0..ENTRY_HOSTS));
+        let address = deployment.caller_address(rng.random_range(0..deployment.entry_hosts));
         let path = FATAL_PATHS[rng.random_range(0..FATAL_PATHS.len())];
         caller::send_fatal(address, path, &format!("fatal-{count}"), &checker).await;
     }
@@ -174,7 +208,7 @@
     /// Waits until each entry host answers a gather with no missing shards. Reports a violation
     /// if one doesn't by `deadline`.
     async fn wait_for_service(&mut self, when: &str, deadline: Instant) {
-        for index in 0..ENTRY_HOSTS {
+        for index in 0..self.deployment.entry_hosts {
             let address = self.deployment.caller_address(index);
             let mut tries = 0;
             loop {
@@ -200,7 +234,7 @@
         let mut next = Instant::now();
         while Instant::now() < end {
             if Instant::now() >= next {
-                let fault = fault::random(rng, self.backends.len());
+                let fault = fault::random(rng, self.entry_hosts.len(), self.backends.len());
                 let duration = fault::random_duration(rng, &fault);
                 next = Instant::now() + fault::random_pause(rng);
                 self.inject(fault, duration)?;
@@ -241,34 +275,53 @@
         self.poll()
     }
 
-    /// Checks, with all processes running, that a request which ended three replicas hardly
-    /// reaches further ones, and that requests which only ran on them are served.
+    /// Checks, with no faults in effect, that requests which ended three replicas hardly reach
+    /// further ones, before and after a restart of all processes in series, and that requests
+    /// which only ran on those replicas are served.
     async fn check_fatal_requests(&mut self) -> Result<()> {
         for path in FATAL_PATHS {
-            self.check_fatal_request(path).await;
+            self.end_replicas(path).await;
+        }
+        tokio::time::sleep(FATAL_CONTACT).await;
+        let before = FATAL_PATHS.map(|path| self.checker.lock().ended_under(path).len());
+        self.repeat_fatal_requests("late").await;
+        let deadline = Instant::now() + RECOVERY_MAX;
+        self.restart_all().await?;
+        self.wait_for_service("restart", deadline).await;
+        self.repeat_fatal_requests("restarted").await;
+        for (path, before) in FATAL_PATHS.into_iter().zip(before) {
+            self.check_late_repeats(path, before);
         }
         self.wait_for_service("fatal requests", Instant::now() + RECOVERY_MAX)
             .await;
         self.poll()
     }
 
-    /// Sends a fatal request until it has ended [`FATAL_ENDS`] replicas, waits, and counts the
-    /// repeats that still end replicas.
-    async fn check_fatal_request(&self, path: &str) {
-        let mut sent = 0;
-        while self.checker.lock().ended_under(path).len() < FATAL_ENDS && sent < 20 * FATAL_ENDS {
-            self.send_fatal(path, &format!("first{path}-{sent}"), sent)
-                .await;
-            sent += 1;
+    /// Sends a fatal request until it has ended [`FATAL_ENDS`] replicas.
+    async fn end_replicas(&self, path: &str) {
+        for turn in 0..20 * FATAL_ENDS {
+            if self.checker.lock().ended_under(path).len() >= FATAL_ENDS {
+                return;
+            }
+            let id = format!("first{path}-{turn}");
+            self.send_fatal(path, &id, turn).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        tokio::time::sleep(FATAL_CONTACT).await;
-        let before = self.checker.lock().ended_under(path).len();
-        for repeat in 0..LATE_REPEATS * ENTRY_HOSTS {
-            self.send_fatal(path, &format!("late{path}-{repeat}"), repeat)
-                .await;
+    }
+
+    /// Sends each fatal request to each entry host, or to [`LATE_HOSTS_MAX`] of them.
+    async fn repeat_fatal_requests(&self, when: &str) {
+        for host in 0..self.deployment.entry_hosts.min(LATE_HOSTS_MAX) {
+            for path in FATAL_PATHS {
+                self.send_fatal(path, &format!("{when}{path}-{host}"), host)
+                    .await;
+            }
             tokio::time::sleep(LATE_PAUSE).await;
         }
+    }
+
+    /// Checks how many repeats of a fatal request ended replicas after the first `before`.
+    fn check_late_repeats(&self, path: &str, before: usize) {
         let mut checker = self.checker.lock();
         let late = checker.ended_under(path)[before..].iter();
         let late = late.cloned().collect::<BTreeSet<_>>().len();
@@ -282,7 +335,8 @@
 
     /// Sends a fatal request to one of the entry hosts in turn.
     async fn send_fatal(&self, path: &str, id: &str, turn: usize) {
-        let address = self.deployment.caller_address(turn % ENTRY_HOSTS);
+        let host = turn % self.deployment.entry_hosts;
+        let address = self.deployment.caller_address(host);
         caller::send_fatal(address, path, id, &self.checker).await;
     }
 
