decision: answers in a module of their own, accounting of a call's end in its part

Change: Answer, Refusal, Report and Extra move to `answer`; a part ends its own call and records what that tells about runs. No behaviour changes.

--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -30,10 +30,10 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::catalog::Limits;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
-use wagtailbeam_decision::gateway::Refusal;
 
 use crate::dialect::Dialect;
 use crate::http;
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -10,11 +10,11 @@
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
+use wagtailbeam_decision::answer::Extra;
+use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::digest::Digest;
-use wagtailbeam_decision::gateway::Extra;
-use wagtailbeam_decision::gateway::Report;
 use wagtailbeam_decision::suspect::Standing;
 
 /// Most lines buffered for a slow reader of standard output; further lines are dropped.
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -21,9 +21,9 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
+use wagtailbeam_decision::answer::Extra;
+use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::endpoint::Ending;
-use wagtailbeam_decision::gateway::Extra;
-use wagtailbeam_decision::gateway::Report;
 use wagtailbeam_decision::suspect::Standing;
 
 use crate::http;
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
+use wagtailbeam_decision::answer::Answer;
+use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
-use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Completion;
-use wagtailbeam_decision::gateway::Refusal;
 
 use crate::entry::Driver;
 use crate::entry::log_id;
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -7,13 +7,14 @@
 
 use http_body_util::Full;
 use hyper::header::HeaderValue;
+use wagtailbeam_decision::answer::Answer;
+use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Action;
-use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Call;
 use wagtailbeam_decision::gateway::Event;
 
@@ -168,7 +169,7 @@
     }
 
     /// Answers a caller, and records the answer in the log, the metrics and the rotation.
-    pub(crate) fn answer_caller(&mut self, id: u64, answer: Answer, report: &gateway::Report) {
+    pub(crate) fn answer_caller(&mut self, id: u64, answer: Answer, report: &Report) {
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
--- a/decision/src/answering.rs
+++ b/decision/src/answering.rs
@@ -5,6 +5,9 @@
 
 use rand_chacha::rand_core::Rng;
 
+use crate::answer::Answer;
+use crate::answer::Refusal;
+use crate::answer::Report;
 use crate::catalog::Repeat;
 use crate::catalog::Target;
 use crate::clock::Span;
@@ -16,11 +19,8 @@
 use crate::flight::Kind;
 use crate::flight::Stage;
 use crate::gateway::Action;
-use crate::gateway::Answer;
 use crate::gateway::Gateway;
 use crate::gateway::RECHECK_AFTER;
-use crate::gateway::Refusal;
-use crate::gateway::Report;
 use crate::gateway::RequestId;
 use crate::merge;
 
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::answer::Extra;
 use crate::catalog::Repeat;
 use crate::catalog::Target;
 use crate::choice::Pick;
@@ -17,7 +18,6 @@
 use crate::gateway::Action;
 use crate::gateway::Call;
 use crate::gateway::Completion;
-use crate::gateway::Extra;
 use crate::gateway::Gateway;
 use crate::gateway::Outstanding;
 use crate::gateway::RECHECK_AFTER;
@@ -219,28 +219,8 @@
             return;
         };
         let part = &mut flight.parts[call.part];
-        let sent = part
-            .attempts
-            .iter()
-            .find(|attempt| attempt.ticket == ticket);
-        let sent = sent.map_or(now, |attempt| attempt.sent);
-        part.attempts.retain(|attempt| attempt.ticket != ticket);
-        match ending {
-            Ending::Shed | Ending::Denied => part.mark_not_run(call.endpoint),
-            Ending::Unreachable | Ending::Stale => {
-                part.mark_not_run(call.endpoint);
-                part.maybe_delivered -= 1;
-                part.undelivered += 1;
-            }
-            Ending::Answered
-            | Ending::Failed
-            | Ending::Broken
-            | Ending::Ended
-            | Ending::Withdrawn => {}
-        }
-        if ending == Ending::Stale {
-            part.tried.remove(&call.endpoint);
-        }
+        let sent = part.end_attempt(ticket).unwrap_or(now);
+        part.record_ending(call.endpoint, ending);
         let unfinished = part.is_open() && part.attempts.is_empty();
         let answer = completion.stamp.filter(|_| ending == Ending::Answered);
         let answered = answer.is_some();
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -15,6 +15,7 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::digest::Digest;
+use crate::endpoint::Ending;
 use crate::endpoint::Ticket;
 use crate::name::Name;
 
@@ -178,8 +179,34 @@
         bound.then(|| self.maybe_ran.keys().copied().collect())
     }
 
+    /// Removes an open call; returns when it was sent, if it was open.
+    pub fn end_attempt(&mut self, ticket: Ticket) -> Option<Time> {
+        let at = self.attempts.iter().position(|a| a.ticket == ticket)?;
+        Some(self.attempts.remove(at).sent)
+    }
+
+    /// Records what the end of a call to a replica tells about runs there.
+    pub fn record_ending(&mut self, endpoint: EndpointId, ending: Ending) {
+        match ending {
+            Ending::Shed | Ending::Denied => self.mark_not_run(endpoint),
+            Ending::Unreachable | Ending::Stale => {
+                self.mark_not_run(endpoint);
+                self.maybe_delivered -= 1;
+                self.undelivered += 1;
+            }
+            Ending::Answered
+            | Ending::Failed
+            | Ending::Broken
+            | Ending::Ended
+            | Ending::Withdrawn => {}
+        }
+        if ending == Ending::Stale {
+            self.tried.remove(&endpoint);
+        }
+    }
+
     /// Records that the last call to a replica did not run there; earlier ones may have.
-    pub fn mark_not_run(&mut self, endpoint: EndpointId) {
+    fn mark_not_run(&mut self, endpoint: EndpointId) {
         if let Some(calls) = self.maybe_ran.get_mut(&endpoint) {
             *calls -= 1;
         }
--- a/decision/src/isolation.rs
+++ b/decision/src/isolation.rs
@@ -4,16 +4,16 @@
 //! The suspected parts of a request run one at a time until a server answers one of them, and
 //! quarantined ones are not sent. See `quarantine` for the records that all hosts share.
 
+use crate::answer::Answer;
+use crate::answer::Refusal;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::flight::Flight;
 use crate::flight::Part;
 use crate::flight::Stage;
 use crate::gateway::Action;
-use crate::gateway::Answer;
 use crate::gateway::Gateway;
 use crate::gateway::Outstanding;
-use crate::gateway::Refusal;
 use crate::gateway::RequestId;
 use crate::quarantine::Record;
 use crate::quarantine::Run;
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod answer;
 mod answering;
 pub mod appended;
 mod attempt;
--- a/decision/src/quarantine.rs
+++ b/decision/src/quarantine.rs
@@ -7,8 +7,8 @@
 //!
 //! A request that merely ran where servers ended for another reason must be served. So a
 //! suspected part runs on one server at a time; an answer clears it, and only servers that
-//! end one after the other count. [`CRASHES_MAX`] of them quarantine the part. See
-//! `isolation` for the entry host's side.
+//! end one after the other count. Three of them quarantine the part. See `isolation` for the
+//! entry host's side.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/decision/src/scatter.rs
+++ b/decision/src/scatter.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 
+use crate::answer::Answer;
 use crate::branch::OrderId;
 use crate::branch::Reply;
 use crate::catalog::Route;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::flight::Cause;
-use crate::gateway::Answer;
 use crate::merge;
 use crate::name::Name;
 use crate::plan;
--- a/decision/tests/tier/fanout.rs
+++ b/decision/tests/tier/fanout.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use wagtailbeam_decision::answer::Answer;
+use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::fanout::Fanout;
-use wagtailbeam_decision::gateway::Answer;
-use wagtailbeam_decision::gateway::Refusal;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::plan::Host;
 use wagtailbeam_decision::plan::Plan;
--- a/decision/tests/tier/fatal.rs
+++ b/decision/tests/tier/fatal.rs
@@ -3,10 +3,10 @@
 
 use std::collections::BTreeSet;
 
+use wagtailbeam_decision::answer::Answer;
+use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::gateway::Answer;
-use wagtailbeam_decision::gateway::Refusal;
 
 use crate::cluster::Cluster;
 use crate::model::Fault;
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use wagtailbeam_decision::answer::Answer;
+use wagtailbeam_decision::answer::Refusal;
+use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
-use wagtailbeam_decision::gateway::Answer;
 use wagtailbeam_decision::gateway::Event;
-use wagtailbeam_decision::gateway::Refusal;
-use wagtailbeam_decision::gateway::Report;
 use wagtailbeam_decision::name::Name;
 
 use crate::check;
