Count servers that ended by service, and for the whole request only between answers

A server that ended before the first answer of a branch counted for all suspected parts of the request, so servers of several services added up, although others answered the request in between. Change: a record for each service and one for the whole request (`*`). A server that ends counts for both; an answer from any service clears the one for the whole request. Three in a row for one service quarantine that part, three in a row without any answer the whole request, for services that it never asked, too. Parts without a record of their own go by the whole one. The soak now also reports a harmless request that is refused as quarantined.

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -13,9 +13,12 @@
 const SEEDS: [u64; 2] = [2, 3];
 
 /// Seeds that have failed before, with the time during which faults are injected.
-const REGRESSIONS: [(u64, Duration); 1] = [
+const REGRESSIONS: [(u64, Duration); 2] = [
     // Two processes that requested a voter's seat at the same time got the same one.
     (5, Duration::from_secs(1)),
+    // Servers of several services that ended under a harmless request, with answers of others
+    // in between, added up to the quarantine of one of its parts.
+    (501, Duration::from_secs(10)),
 ];
 
 /// Runs the daemons under injected faults and fails if a guarantee of the soak is broken
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -211,7 +211,8 @@
     Reply(RequestId, Reply),
     /// Close idle connections to this address.
     CloseIdle(SocketAddr),
-    /// The standing of a request's part for this service changed; other hosts should know.
+    /// The standing of a request's part for this service changed, or that of the whole
+    /// request (`*`); other hosts should know.
     Standing(Digest, Name, Standing),
     /// A hedge or retry was sent for a part of this request, to this service and replica,
     /// for this reason.
--- a/decision/src/isolation.rs
+++ b/decision/src/isolation.rs
@@ -90,11 +90,11 @@
         if !part.is_open() {
             return;
         }
-        let (fingerprint, unanswered) = (flight.fingerprint, flight.done == 0);
+        let fingerprint = flight.fingerprint;
         let run = Run { sent, broke: now };
         let changed = self
             .ledger
-            .record_crash(now, fingerprint, &part.service, run, unanswered);
+            .record_crash(now, fingerprint, &part.service, run);
         let standings = changed.into_iter();
         actions.extend(
             standings.map(|(name, standing)| Action::Standing(fingerprint, name, standing)),
@@ -116,10 +116,11 @@
             return;
         }
         let (fingerprint, service) = (flight.fingerprint, &flight.parts[call.part].service);
-        if self.ledger.record_answer(now, &fingerprint, service) {
-            let standing = Standing::Cleared;
-            actions.push(Action::Standing(fingerprint, service.clone(), standing));
-        }
+        let cleared = self
+            .ledger
+            .record_answer(now, &fingerprint, service)
+            .into_iter();
+        actions.extend(cleared.map(|name| Action::Standing(fingerprint, name, Standing::Cleared)));
         self.send_waiting(now, call.request, actions);
     }
 
--- a/decision/src/quarantine.rs
+++ b/decision/src/quarantine.rs
@@ -5,13 +5,13 @@
 //! the request. Hosts exchange their records through the voters, so that each host acts on
 //! what the others saw.
 //!
-//! A request that merely ran where servers ended for another reason must be served. So a
-//! suspected part runs on one server at a time; an answer clears it, and only servers that
-//! end one after the other count. Three of them quarantine the part. See `isolation` for the
-//! entry host's side.
+//! A request that merely ran where servers ended for another reason must be served. So its
+//! suspected parts run one at a time, an answer clears them, and only servers that end one
+//! after the other count. Three of them for one service quarantine the part for that service.
+//! Three for any services, with no answer from any in between, quarantine the whole request.
+//! See `isolation` for the entry host's side.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +27,9 @@
 /// Servers that end one after the other under a part before it is quarantined.
 const CRASHES_MAX: u32 = 3;
 
+/// Stands for all services in the records of whole requests; no service has this name.
+const WHOLE: &str = "*";
+
 /// Records kept at most. Cleared ones are evicted first and quarantined ones last; among
 /// equals the first to expire.
 const RECORDS_MAX: usize = 1_024;
@@ -55,12 +58,22 @@
         }
     }
 
-    /// The mark after one more server ended, as the `crashes`th in a row.
-    fn crashed(self, crashes: u32) -> Mark {
+    /// The mark after one more server ended.
+    fn crashed(self) -> Mark {
+        let new_epoch = self.cleared || self.epoch == 0;
         Mark {
-            epoch: self.epoch + u32::from(self.cleared || self.epoch == 0),
+            epoch: self.epoch + u32::from(new_epoch),
             cleared: false,
-            crashes,
+            crashes: self.crashes + 1,
+        }
+    }
+
+    /// The mark after an answer.
+    fn answered(self) -> Mark {
+        Mark {
+            cleared: true,
+            crashes: 0,
+            ..self
         }
     }
 
@@ -78,7 +91,7 @@
 pub struct Record {
     /// Fingerprint of the request.
     pub fingerprint: Digest,
-    /// Service that the part goes to.
+    /// Service that the part goes to; `*` for the whole request.
     pub service: Name,
     /// What is known of the part.
     pub mark: Mark,
@@ -121,40 +134,36 @@
 }
 
 impl Ledger {
-    /// Standing of a part; absent if nothing is known of it. A part that is not recorded is
-    /// suspected if the request is quarantined for other services and none has answered it.
+    /// Standing of a part; absent if nothing is known of it. That of the whole request counts
+    /// for each part that has none of its own, and for all parts once it is quarantined.
     pub fn standing(&self, now: Time, fingerprint: &Digest, service: &Name) -> Option<Standing> {
-        if self.entries.is_empty() {
-            return None;
-        }
-        let entry = self.entries.get(&(*fingerprint, service.clone()));
-        if let Some(entry) = entry.filter(|entry| entry.expires_at > now) {
-            return Some(entry.mark.standing());
-        }
-        let live = self
-            .of_request(fingerprint)
-            .filter(|(_, entry)| entry.expires_at > now);
-        let standings = live.map(|(_, entry)| entry.mark.standing());
-        let standings = standings.collect::<BTreeSet<_>>();
-        let fatal = standings.contains(&Standing::Quarantined);
-        (fatal && !standings.contains(&Standing::Cleared)).then_some(Standing::Suspect)
-    }
-
-    /// The recorded parts of a request.
-    fn of_request(&self, fingerprint: &Digest) -> impl Iterator<Item = (&Name, &Entry)> {
-        let first = (*fingerprint, Name::default());
-        let entries = self.entries.range(first..);
-        let entries = entries.take_while(move |((known, _), _)| known == fingerprint);
-        entries.map(|((_, service), entry)| (service, entry))
+        self.decisive(now, fingerprint, service)
+            .map(|entry| entry.mark.standing())
     }
 
     /// Time until a part's quarantine ends; absent if it is not quarantined.
     pub fn quarantine_left(&self, now: Time, fingerprint: &Digest, service: &Name) -> Option<Span> {
-        let quarantined = self.standing(now, fingerprint, service) == Some(Standing::Quarantined);
-        let entry = self.entries.get(&(*fingerprint, service.clone()))?;
+        let entry = self.decisive(now, fingerprint, service)?;
+        let quarantined = entry.mark.standing() == Standing::Quarantined;
         quarantined.then(|| entry.expires_at.since(now))
     }
 
+    /// The entry that decides a part's standing: its own or that of the whole request.
+    fn decisive(&self, now: Time, fingerprint: &Digest, service: &Name) -> Option<&Entry> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let live = |name: Name| {
+            let entry = self.entries.get(&(*fingerprint, name));
+            entry.filter(|entry| entry.expires_at > now)
+        };
+        let whole = live(Name::from(WHOLE));
+        if let Some(entry) = whole.filter(|e| e.mark.standing() == Standing::Quarantined) {
+            return Some(entry);
+        }
+        live(service.clone()).or(whole)
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -165,82 +174,67 @@
         self.entries.is_empty()
     }
 
-    /// Records that a server ended while it ran a part. It counts if the call was sent after
-    /// the last counted server had ended. If no server answered any part of the request, it
-    /// counts for all its suspected parts. Returns the parts whose standing changed.
+    /// Records that a server ended while it ran a part. It counts for the part and for the
+    /// whole request, for each if the call was sent after the last counted server had ended.
+    /// Returns the changed standings, `*` for the whole request.
     pub fn record_crash(
         &mut self,
         now: Time,
         fingerprint: Digest,
         service: &Name,
         run: Run,
-        unanswered: bool,
     ) -> Vec<(Name, Standing)> {
         self.purge(now);
-        let suspects = self.suspects(&fingerprint, service, unanswered);
-        let last = suspects.iter().map(|(_, entry)| entry.crashed_at).max();
-        let crashes = suspects.iter().map(|(_, entry)| entry.mark.crashes).max();
-        let counts = last.is_none_or(|last| run.sent >= last);
-        let crashes = crashes.unwrap_or_default() + u32::from(counts);
-        let crashed_at = last.unwrap_or_default().max(run.broke);
-        let mut services = suspects
+        let changed = [service.clone(), Name::from(WHOLE)]
             .into_iter()
-            .map(|(name, _)| name)
-            .collect::<Vec<_>>();
-        if !services.contains(service) {
-            services.push(service.clone());
-        }
-        let mut changed = Vec::new();
-        for name in services {
-            let key = (fingerprint, name.clone());
-            let known = self.entries.get(&key).map(|entry| entry.mark);
-            let mark = known.unwrap_or_default().crashed(crashes);
-            if known == Some(mark) {
-                continue;
-            }
-            let expires_at = now.after(mark.ttl());
-            let entry = Entry {
-                mark,
-                crashed_at,
-                expires_at,
-            };
-            self.entries.insert(key, entry);
-            if known.map(Mark::standing) != Some(mark.standing()) {
-                changed.push((name, mark.standing()));
-            }
-        }
+            .filter_map(|name| {
+                let standing = self.count_crash(now, (fingerprint, name.clone()), run)?;
+                Some((name, standing))
+            });
+        let changed = changed.collect();
         self.update_digest();
         changed
     }
 
-    /// The suspected part of a request for `service`, or, with `all`, its suspected parts for
-    /// all services.
-    fn suspects(&self, fingerprint: &Digest, service: &Name, all: bool) -> Vec<(Name, Entry)> {
-        let suspects = self
-            .of_request(fingerprint)
-            .filter(|(name, entry)| !entry.mark.cleared && (all || *name == service));
-        suspects
-            .map(|(name, entry)| (name.clone(), *entry))
-            .collect()
+    /// Counts a server that ended, and returns the standing if it changed.
+    fn count_crash(&mut self, now: Time, key: (Digest, Name), run: Run) -> Option<Standing> {
+        let known = self.entries.get(&key).copied();
+        let suspected = known.filter(|entry| !entry.mark.cleared);
+        if suspected.is_some_and(|entry| run.sent < entry.crashed_at) {
+            return None;
+        }
+        let before = known.map(|entry| entry.mark);
+        let mark = before.unwrap_or_default().crashed();
+        let entry = Entry {
+            mark,
+            crashed_at: run.broke,
+            expires_at: now.after(mark.ttl()),
+        };
+        self.entries.insert(key, entry);
+        let standing = mark.standing();
+        (before.map(Mark::standing) != Some(standing)).then_some(standing)
     }
 
-    /// Records that a server answered a part. Returns whether that cleared it.
-    pub fn record_answer(&mut self, now: Time, fingerprint: &Digest, service: &Name) -> bool {
+    /// Records that a server answered a part. Returns the services whose parts that cleared,
+    /// `*` for the whole request.
+    pub fn record_answer(&mut self, now: Time, fingerprint: &Digest, service: &Name) -> Vec<Name> {
+        let mut cleared = Vec::new();
         if self.entries.is_empty() {
-            return false;
+            return cleared;
         }
-        let entry = self.entries.get_mut(&(*fingerprint, service.clone()));
-        let Some(entry) = entry.filter(|entry| !entry.mark.cleared) else {
-            return false;
-        };
-        entry.mark = Mark {
-            cleared: true,
-            crashes: 0,
-            ..entry.mark
-        };
-        entry.expires_at = now.after(entry.mark.ttl());
-        self.update_digest();
-        true
+        for name in [service.clone(), Name::from(WHOLE)] {
+            let entry = self.entries.get_mut(&(*fingerprint, name.clone()));
+            let Some(entry) = entry.filter(|entry| !entry.mark.cleared) else {
+                continue;
+            };
+            entry.mark = entry.mark.answered();
+            entry.expires_at = now.after(entry.mark.ttl());
+            cleared.push(name);
+        }
+        if !cleared.is_empty() {
+            self.update_digest();
+        }
+        cleared
     }
 
     /// Adopts the newer ones of another process's records. Returns the parts whose standing
--- a/decision/tests/tier/records.rs
+++ b/decision/tests/tier/records.rs
@@ -42,7 +42,7 @@
         sent: ms(sent),
         broke: ms(broke),
     };
-    ledger.record_crash(ms(broke), fatal(), &service(), run, true);
+    ledger.record_crash(ms(broke), fatal(), &service(), run);
 }
 
 /// A ledger in which the request is quarantined.
@@ -86,19 +86,60 @@
     let mut ledger = Ledger::default();
     crash(&mut ledger, 1, 5);
     crash(&mut ledger, 6, 10);
-    assert!(ledger.record_answer(ms(11), &fatal(), &service()));
+    assert!(
+        !ledger
+            .record_answer(ms(11), &fatal(), &service())
+            .is_empty()
+    );
     crash(&mut ledger, 12, 15);
     crash(&mut ledger, 16, 20);
     let standing = ledger.standing(ms(30), &fatal(), &service());
     assert_eq!(standing, Some(Standing::Suspect));
 }
 
-/// After a change of the routes a request goes to services that it hasn't ended yet.
+/// After a change of the routes a request goes to services whose servers it hasn't ended yet.
 #[test]
-fn a_quarantined_request_is_suspected_for_services_that_it_never_asked() {
+fn a_quarantined_request_is_quarantined_for_services_that_it_never_asked() {
     let ledger = quarantined(1);
     let standing = ledger.standing(ms(50), &fatal(), &Name::from("another"));
-    assert_eq!(standing, Some(Standing::Suspect));
+    assert_eq!(standing, Some(Standing::Quarantined));
+}
+
+/// Guards against counting the ends of servers of several services for one of them: other
+/// services answer the request in between (soak, seed 501).
+#[test]
+fn servers_of_several_services_that_end_between_answers_do_not_add_up() {
+    let mut ledger = Ledger::default();
+    for turn in 0..6 {
+        let (sent, broke) = (10 * turn + 1, 10 * turn + 5);
+        let run = Run {
+            sent: ms(sent),
+            broke: ms(broke),
+        };
+        let ended = Name::from(format!("shard-{turn}"));
+        ledger.record_crash(ms(broke), fatal(), &ended, run);
+        let answering = Name::from("shard-9");
+        ledger.record_answer(ms(broke + 1), &fatal(), &answering);
+    }
+    for turn in 0..6 {
+        let name = Name::from(format!("shard-{turn}"));
+        let standing = ledger.standing(ms(100), &fatal(), &name);
+        assert_eq!(standing, Some(Standing::Suspect), "{name}");
+    }
+}
+
+/// A request may end the servers of one service only; the others still serve it.
+#[test]
+fn a_request_that_ends_the_servers_of_one_service_is_quarantined_for_that_one() {
+    let mut ledger = Ledger::default();
+    for turn in 0..3 {
+        crash(&mut ledger, 10 * turn + 1, 10 * turn + 5);
+        ledger.record_answer(ms(10 * turn + 6), &fatal(), &Name::from("another"));
+    }
+    let standing = |name: &str| ledger.standing(ms(50), &fatal(), &Name::from(name));
+    assert_eq!(standing("shard-1"), Some(Standing::Quarantined));
+    assert_ne!(standing("another"), Some(Standing::Quarantined));
+    assert_ne!(standing("third"), Some(Standing::Quarantined));
 }
 
 /// Guards against records that reach only the hosts of one voter, and against a spread that
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -40,8 +40,11 @@
 /// Range of the random pause before each request of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..160;
 
-/// Titles, in the body of a refusal, which say that the request did not run.
-const NOT_RUN_TITLES: [&str; 2] = ["\"not-run\"", "\"quarantined\""];
+/// Title, in the body of a refusal, which says that the request did not run.
+const NOT_RUN_TITLE: &str = "\"not-run\"";
+
+/// Title of a refusal which says the same of a request that ended replicas before.
+const QUARANTINED_TITLE: &str = "\"quarantined\"";
 
 type Connection = SendRequest<Empty<Bytes>>;
 
@@ -67,8 +70,12 @@
 impl Answer {
     /// Whether the answer says that the request did not run.
     fn is_refusal(&self) -> bool {
-        let body = String::from_utf8_lossy(&self.body);
-        NOT_RUN_TITLES.iter().any(|title| body.contains(title))
+        self.has_title(NOT_RUN_TITLE) || self.has_title(QUARANTINED_TITLE)
+    }
+
+    /// Whether the body of the answer contains this title.
+    fn has_title(&self, title: &str) -> bool {
+        String::from_utf8_lossy(&self.body).contains(title)
     }
 }
 
@@ -161,6 +168,11 @@
                 checker.check_relayed(id, &services[0], &answer.body);
                 Outcome::Served
             }
+            _ if answer.has_title(QUARANTINED_TITLE) => {
+                let mut checker = self.checker.lock();
+                checker.report_violation(format!("{id}: refused as if it ended replicas"));
+                Outcome::NotRun
+            }
             _ if answer.is_refusal() => Outcome::NotRun,
             _ => Outcome::Failed,
         }
