soak: check the number of replicas on those that ended, too

Cause: had taken every replica that a fatal request ended at any time out of the check that no request runs on more than two replicas of a service, for all requests of the run. Change: the exemption is gone; the check excepts what it did before, replicas with a fault of their own. It is stricter than the users' rule, which doesn't count servers that ended. No product source changes.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -51,8 +51,6 @@
     drains: BTreeMap<String, (Instant, Option<Instant>)>,
     /// Request ids under which replicas ended, one for each replica, by the request's path.
     ended: BTreeMap<String, Vec<String>>,
-    /// Replicas whose process ended under a request.
-    ended_replicas: BTreeSet<String>,
     violations: Vec<String>,
 }
 
@@ -125,8 +123,7 @@
     }
 
     /// Records that the process of a replica ended under a request with this path.
-    pub fn record_ended(&mut self, replica: &str, path: &str, request: &str) {
-        self.ended_replicas.insert(replica.to_owned());
+    pub fn record_ended(&mut self, path: &str, request: &str) {
         let ended = self.ended.entry(path.to_owned()).or_default();
         ended.push(request.to_owned());
     }
@@ -209,8 +206,7 @@
         faulty_replicas: &BTreeSet<String>,
         delay_windows: &[(Instant, Instant)],
     ) -> Vec<String> {
-        let unreliable = faulty_replicas | &self.ended_replicas;
-        self.check_executions(at_most_once, &unreliable);
+        self.check_executions(at_most_once, faulty_replicas);
         self.check_extra_requests();
         self.check_drained(delay_windows);
         std::mem::take(&mut self.violations)
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -170,7 +170,7 @@
 
     /// Ends the process under the request `id`; it is back after [`DOWN_TIME`].
     fn end_process(&self, path: &str, id: &str) {
-        self.checker.lock().record_ended(&self.id, path, id);
+        self.checker.lock().record_ended(path, id);
         self.down.send_replace(true);
         let down = self.down.clone();
         tokio::spawn(async move {
