Log the limits that replicas name, and what a host sends to such a replica

Change: the adapter reads the header (its name stands in platform/); the gateway keeps the limit of each listed replica; lines 708 and 709, the gauge wagtailbeam_limited_replicas. No decision uses it.

--- a/adapter/src/dialect.rs
+++ b/adapter/src/dialect.rs
@@ -25,6 +25,9 @@
     pub missing: HeaderName,
     /// Present if the replica did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that the replica takes from all hosts together; absent without a
+    /// limit.
+    pub limit: HeaderName,
 }
 
 /// One page of the platform's list of replicas.
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -324,6 +324,11 @@
             self.entry_hosts.len(),
             self.pool.open_connections(),
         );
+        self.meter
+            .set_limited_replicas(self.gateway.limited_replicas());
+        for usage in self.gateway.take_usage() {
+            self.logger.limit_used(&usage);
+        }
         self.reload();
     }
 
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -15,6 +15,8 @@
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::quota::Rate;
+use wagtailbeam_decision::quota::Usage;
 use wagtailbeam_decision::suspect::Standing;
 
 /// Most lines buffered for a slow reader of standard output; further lines are dropped.
@@ -213,6 +215,34 @@
         }
     }
 
+    /// Logs that the limit which a replica names changed; absent if it names none any more.
+    pub fn limit_changed(&mut self, service: &str, replica: &str, limit: Option<Rate>) {
+        if self.admit(false) {
+            let limit = limit.map(|limit| limit.to_string());
+            tracing::info!(
+                event = 708,
+                service,
+                replica,
+                limit,
+                "limit of a replica changed"
+            );
+        }
+    }
+
+    /// Logs the calls of this host, in the last second or so, to a replica that names a limit.
+    pub fn limit_used(&mut self, usage: &Usage) {
+        if self.admit(false) {
+            let Usage {
+                service,
+                replica,
+                limit,
+                calls,
+            } = usage;
+            let (service, replica) = (&**service, &**replica);
+            tracing::info!(event = 709, service, replica, %limit, calls, "calls to a limited replica");
+        }
+    }
+
     /// Logs a call that got no usable response from a replica.
     pub fn replica_failed(&mut self, id: LogId<'_>, address: &str, cause: &str) {
         if self.admit(false) {
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -118,6 +118,7 @@
     list_age: Gauge<f64>,
     hosts: Gauge<u64>,
     connections: Gauge<u64>,
+    limited: Gauge<u64>,
 }
 
 impl Entry {
@@ -142,6 +143,7 @@
                 .build(),
             hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
             connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
+            limited: meter.u64_gauge("wagtailbeam_limited_replicas").build(),
         }
     }
 
@@ -176,6 +178,11 @@
             .add(1, &[KeyValue::new("standing", standing.to_string())]);
     }
 
+    /// Sets the number of replicas that name a limit.
+    pub fn set_limited_replicas(&self, replicas: usize) {
+        self.limited.record(replicas as u64, &[]);
+    }
+
     /// Counts an order that moved to another entry host.
     pub fn order_moved(&self) {
         self.moved.add(1, &[]);
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -5,12 +5,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::gateway::Completion;
+use wagtailbeam_decision::quota::Rate;
+use wagtailbeam_decision::quota::Statement;
 
 use crate::entry::Driver;
 use crate::entry::log_id;
@@ -35,6 +39,7 @@
             ending,
             stamp: None,
             body: Bytes::new(),
+            statement: Statement::Nothing,
         };
         let response = match result {
             Ok(response) => response,
@@ -61,8 +66,12 @@
         if response.status == StatusCode::MISDIRECTED_REQUEST {
             return without_body(Ending::Denied);
         }
+        let statement = statement(&response.headers, &names.limit);
         if response.headers.contains_key(&names.not_run) {
-            return without_body(Ending::Shed);
+            return Completion {
+                statement,
+                ..without_body(Ending::Shed)
+            };
         }
         let stamp = http::header_text(&response.headers, names.stamp.as_str());
         let stamp = stamp.map(Arc::<str>::from);
@@ -77,8 +86,12 @@
                 ending: Ending::Answered,
                 stamp,
                 body,
+                statement,
+            },
+            false => Completion {
+                statement,
+                ..without_body(Ending::Failed)
             },
-            false => without_body(Ending::Failed),
         }
     }
 
@@ -123,3 +136,16 @@
         }
     }
 }
+
+/// What the headers of an answer say about the replica's limit. A value that is no rate says
+/// nothing.
+fn statement(headers: &HeaderMap, name: &HeaderName) -> Statement {
+    if !headers.contains_key(name) {
+        return Statement::Unlimited;
+    }
+    let rate = http::header_text(headers, name.as_str()).and_then(|text| text.trim().parse().ok());
+    match rate.and_then(Rate::from_per_second) {
+        Some(rate) => Statement::Limited(rate),
+        None => Statement::Nothing,
+    }
+}
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -124,6 +124,9 @@
                         self.subscriber.hurry();
                     }
                 }
+                Action::Limit(service, replica, limit) => {
+                    self.logger.limit_changed(&service, &replica, limit);
+                }
                 Action::Extra(id, service, replica, why) => {
                     self.meter.extra_sent(why);
                     if let Some(pending) = self.pending.get(&id) {
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::gateway::RequestId;
 use crate::isolation::Clearance;
 use crate::name::Name;
+use crate::quota::Statement;
 use crate::suspect::Standing;
 
 /// Delay before a part that was left out is resumed, if the request needs it.
@@ -165,6 +166,9 @@
             return;
         };
         target.record_send(now, ticket, expected);
+        if self.limits.limit(&target.replica.instance).is_some() {
+            *self.usage.entry(endpoint).or_default() += 1;
+        }
         let part = &mut flight.parts[index];
         part.stage = Stage::Sent;
         part.tried.insert(endpoint);
@@ -215,6 +219,7 @@
         };
         let ending = completion.ending;
         self.record_ending(now, ticket, &call, ending);
+        self.record_statement(call.endpoint, completion.statement, actions);
         let Some(flight) = self.flights.get_mut(&call.request) else {
             return;
         };
@@ -262,6 +267,24 @@
         }
     }
 
+    /// Records what an answer says about the limit of its replica.
+    fn record_statement(
+        &mut self,
+        endpoint: EndpointId,
+        statement: Statement,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(endpoint) = self.endpoints.get(&endpoint) else {
+            return;
+        };
+        let replica = &endpoint.replica;
+        if self.limits.hear(&replica.instance, statement) {
+            let (service, id) = (replica.service.clone(), replica.instance.id.clone());
+            let limit = self.limits.limit(&replica.instance);
+            actions.push(Action::Limit(service, id, limit));
+        }
+    }
+
     /// Sends a part again after a call ended without an answer, if it may run again and
     /// the limits allow it. Otherwise leaves the part out.
     pub(crate) fn retry(
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -49,6 +49,9 @@
 use crate::plan::Plan;
 use crate::quarantine::Ledger;
 use crate::quarantine::Record;
+use crate::quota;
+use crate::quota::Rate;
+use crate::quota::Statement;
 use crate::suspect::Standing;
 
 /// Latency quantile after which a part is hedged.
@@ -167,6 +170,8 @@
     pub stamp: Option<Arc<str>>,
     /// Body of the answer; empty if the call was not answered.
     pub body: Bytes,
+    /// What the answer says about the replica's limit.
+    pub statement: Statement,
 }
 
 /// Input of the state machine.
@@ -217,6 +222,8 @@
     /// A hedge or retry was sent for a part of this request, to this service and replica,
     /// for this reason.
     Extra(RequestId, Name, Name, Extra),
+    /// The limit that a replica of this service names changed; absent if it names none.
+    Limit(Name, Name, Option<Rate>),
 }
 
 /// The part, replica and route that an open call belongs to.
@@ -260,6 +267,10 @@
     pub(crate) calls: HashMap<Ticket, Outstanding>,
     /// Parts of requests under which servers ended.
     pub(crate) ledger: Ledger,
+    /// Limits that replicas named.
+    pub(crate) limits: quota::Ledger,
+    /// Calls sent to replicas that name a limit, since [`Gateway::take_usage`].
+    pub(crate) usage: BTreeMap<EndpointId, u32>,
     /// Open calls for answered parts of closed requests, with the time at which each is
     /// withdrawn.
     pub(crate) orphans: VecDeque<(Time, Ticket)>,
@@ -289,6 +300,8 @@
             flights: HashMap::new(),
             calls: HashMap::new(),
             ledger: Ledger::default(),
+            limits: quota::Ledger::default(),
+            usage: BTreeMap::new(),
             orphans: VecDeque::new(),
             timers: BinaryHeap::new(),
             last_endpoint: 0,
@@ -336,6 +349,26 @@
         self.endpoints.len()
     }
 
+    /// Calls sent to each replica that names a limit, since the last time that this was asked.
+    pub fn take_usage(&mut self) -> Vec<quota::Usage> {
+        let usage = std::mem::take(&mut self.usage).into_iter();
+        let known = usage.filter_map(|(id, calls)| {
+            let replica = &self.endpoints.get(&id)?.replica;
+            Some(quota::Usage {
+                service: replica.service.clone(),
+                replica: replica.instance.id.clone(),
+                limit: self.limits.limit(&replica.instance)?,
+                calls,
+            })
+        });
+        known.collect()
+    }
+
+    /// Number of replicas that name a limit.
+    pub fn limited_replicas(&self) -> usize {
+        self.limits.limited()
+    }
+
     /// When the next tick is due; absent without timers.
     pub fn next_timer(&self) -> Option<Time> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -52,6 +52,7 @@
 mod publisher;
 pub mod quarantine;
 pub mod query;
+pub mod quota;
 mod refresh;
 pub mod register;
 pub mod repair;
--- a/decision/src/listing.rs
+++ b/decision/src/listing.rs
@@ -39,6 +39,8 @@
             pool.endpoints.push(id);
         }
         self.forget_unlisted(actions);
+        let known = &self.endpoint_ids;
+        self.limits.retain(|instance| known.contains_key(instance));
     }
 
     /// Closes idle connections to replicas that are no longer listed, and removes those
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -35,6 +35,7 @@
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::quarantine::Record;
+use wagtailbeam_decision::quota::Statement;
 
 use crate::model;
 
@@ -342,6 +343,7 @@
                     ending,
                     stamp: (ending == Ending::Answered).then(|| ticket.to_string().into()),
                     body: Bytes::from(vec![1; 16]),
+                    statement: Statement::Nothing,
                 };
                 self.step_gateway(host, gateway::Event::Completed(ticket, completion));
             }
@@ -462,7 +464,9 @@
                 }
                 gateway::Action::Answer(..) => panic!("a branch was answered as a request"),
                 gateway::Action::Standing(..) => self.spread_records(host),
-                gateway::Action::CloseIdle(_) | gateway::Action::Extra(..) => {}
+                gateway::Action::CloseIdle(_)
+                | gateway::Action::Extra(..)
+                | gateway::Action::Limit(..) => {}
             }
         }
     }
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -37,6 +37,7 @@
 use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::gateway::Settings;
 use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::quota::Statement;
 
 /// Time for a message between the gateway and a replica, one way.
 const TRANSIT: Span = Span::from_ms(1);
@@ -298,6 +299,7 @@
                     ending,
                     stamp: (ending == Ending::Answered).then(|| ticket.to_string().into()),
                     body: Bytes::from(vec![1; 16]),
+                    statement: Statement::Nothing,
                 };
                 self.handle(Event::Completed(ticket, completion));
             }
@@ -409,6 +411,7 @@
                 }
                 Action::CloseIdle(_)
                 | Action::Extra(..)
+                | Action::Limit(..)
                 | Action::Reply(..)
                 | Action::Standing(..) => {}
             }
