--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -157,6 +157,7 @@
             objective: order.route.objective,
             settle: order.settle,
             left: order.left,
+            priority: order.route.priority.into(),
         };
         self.send_branch(host, branch::Message::Order(message));
     }
--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -145,5 +145,6 @@
         boot: text(http::BOOT).map(Name::from),
         draining: text(http::DRAINING).is_some(),
         shed: text(http::SHED).is_some(),
+        limit: http::limit_statement(&response.headers, http::LIMIT),
     }
 }
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -294,6 +294,8 @@
         if let Some((voter, mut heartbeat)) = self.subscriber.tick(now, failing) {
             let known = self.subscriber.voter_ledger();
             heartbeat.ledger = self.gateway.ledger().summary(now, known).into();
+            let known = self.subscriber.voter_limits();
+            heartbeat.limits = self.gateway.limit_report(now, known).into();
             self.mesh.send(voter, Message::Heartbeat(heartbeat));
         }
         if self.gateway.next_timer().is_some_and(|at| at <= now) {
--- a/adapter/src/http.rs
+++ b/adapter/src/http.rs
@@ -9,6 +9,8 @@
 use hyper::header;
 use serde::Serialize;
 use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::quota::Rate;
+use wagtailbeam_decision::quota::Statement;
 
 /// Identifier of a request; backend servers may echo it.
 pub const REQUEST: &str = "wagtailbeam-request";
@@ -85,3 +87,16 @@
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
+
+/// What the headers of an answer say about its server's limit, in the one with this name. A value
+/// that is no rate says nothing.
+pub fn limit_statement(headers: &HeaderMap, name: &str) -> Statement {
+    if !headers.contains_key(name) {
+        return Statement::Unlimited;
+    }
+    let rate = header_text(headers, name).and_then(|text| text.trim().parse().ok());
+    match rate.and_then(Rate::from_per_second) {
+        Some(rate) => Statement::Limited(rate),
+        None => Statement::Nothing,
+    }
+}
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -46,6 +46,7 @@
         if !update.records.is_empty() {
             self.step_gateway(Event::Records(update.records));
         }
+        self.step_gateway(Event::Limits(update.limits));
         if let Some((version, document)) = update.document {
             match self.dialect.catalog(&document) {
                 Ok(catalog) => {
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -5,15 +5,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::header::HeaderName;
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::gateway::Completion;
-use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Statement;
 
 use crate::entry::Driver;
@@ -66,7 +63,7 @@
         if response.status == StatusCode::MISDIRECTED_REQUEST {
             return without_body(Ending::Denied);
         }
-        let statement = statement(&response.headers, &names.limit);
+        let statement = http::limit_statement(&response.headers, names.limit.as_str());
         if response.headers.contains_key(&names.not_run) {
             return Completion {
                 statement,
@@ -136,16 +133,3 @@
         }
     }
 }
-
-/// What the headers of an answer say about the replica's limit. A value that is no rate says
-/// nothing.
-fn statement(headers: &HeaderMap, name: &HeaderName) -> Statement {
-    if !headers.contains_key(name) {
-        return Statement::Unlimited;
-    }
-    let rate = http::header_text(headers, name.as_str()).and_then(|text| text.trim().parse().ok());
-    match rate.and_then(Rate::from_per_second) {
-        Some(rate) => Statement::Limited(rate),
-        None => Statement::Nothing,
-    }
-}
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -65,6 +65,7 @@
         let (now, fingerprint) = (self.now(), request.fingerprint);
         let admitted = route.filter(|route| !self.gateway.is_quarantined(now, route, fingerprint));
         if let Some(route) = admitted {
+            self.gateway.count_request(now, &route.name);
             let margin = match request.first_on_connection {
                 true => CALLER_MARGIN_FIRST,
                 false => CALLER_MARGIN,
--- a/decision/examples/slopes.rs
+++ b/decision/examples/slopes.rs
@@ -25,6 +25,7 @@
 use wagtailbeam_decision::owner::Owner;
 use wagtailbeam_decision::placement::Candidate;
 use wagtailbeam_decision::placement::Spread;
+use wagtailbeam_decision::quota::Statement;
 use wagtailbeam_decision::register::Change;
 use wagtailbeam_decision::register::Key;
 use wagtailbeam_decision::request::Answer;
@@ -179,6 +180,8 @@
             },
             domain_in: true,
             boot: None,
+            limit: None,
+            senders: 1,
             takeover_delay: Span::ZERO,
         });
         let assignments = assignments.collect::<Vec<_>>();
@@ -218,6 +221,7 @@
                         boot,
                         draining,
                         shed,
+                        limit: Statement::Unlimited,
                     };
                     drop(owner.on_exchange(Time::from_us(2), call.ticket, exchange));
                 }
--- a/decision/src/answering.rs
+++ b/decision/src/answering.rs
@@ -103,12 +103,20 @@
             return refusal;
         }
         let wait = match flight.cause() {
-            Some(Cause::Shed) => RETRY_AFTER_SHED,
-            _ => RETRY_AFTER_NO_REPLICA,
+            Some(Cause::Limited) => {
+                let flight = flight.clone();
+                self.room_retry_after(now, &flight)
+            }
+            Some(Cause::Shed) => self.with_jitter(RETRY_AFTER_SHED),
+            _ => self.with_jitter(RETRY_AFTER_NO_REPLICA),
         };
+        Answer::Refused(Refusal::NotRun, Some(wait))
+    }
+
+    /// A wait with up to half as much added at random, so that callers don't come back together.
+    pub(crate) fn with_jitter(&mut self, wait: Span) -> Span {
         let jitter_max = wait.divided_by(2).as_us().max(1);
-        let wait = wait.as_us() + self.random.next_u64() % jitter_max;
-        Answer::Refused(Refusal::NotRun, Some(Span::from_us(wait)))
+        wait + Span::from_us(self.random.next_u64() % jitter_max)
     }
 
     /// Answers the caller and closes the request.
--- a/decision/src/appended.rs
+++ b/decision/src/appended.rs
@@ -9,9 +9,9 @@
 use serde::Deserializer;
 use serde::Serialize;
 
-/// The last field of a message, read as the default value if the message ends before it.
+/// One of the last fields of a message, read as the default value if the message ends before it.
 ///
-/// Only the last field of a whole message may have this type.
+/// Only the last fields of a whole message may have this type.
 #[derive(Clone, Debug, Default, Deref, Eq, From, PartialEq, Serialize)]
 #[serde(transparent)]
 pub struct Appended<T>(pub T);
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::gateway::RequestId;
 use crate::isolation::Clearance;
 use crate::name::Name;
-use crate::quota::Statement;
+use crate::quota::Need;
 use crate::suspect::Standing;
 
 /// Delay before a part that was left out is resumed, if the request needs it.
@@ -56,13 +56,21 @@
         }
         let (service, tried) = (part.service.clone(), part.tried.clone());
         let allowed = self.allowed_replicas(flight, part);
-        let mut pick = self.pick(now, &service, &tried, allowed.as_ref());
+        let need = self.throttle.need(&service, flight.route.priority);
+        let left = flight.deadline.since(now);
+        let mut pick = self.pick(now, &service, &tried, allowed.as_ref(), need);
         if matches!(pick, Pick::Unavailable) && !tried.is_empty() {
-            pick = self.pick(now, &service, &BTreeSet::new(), allowed.as_ref());
+            pick = self.pick(now, &service, &BTreeSet::new(), allowed.as_ref(), need);
         }
         match pick {
             Pick::Endpoint(endpoint) => self.send(now, id, index, endpoint, actions),
             Pick::Wait => self.set_stage(id, index, Stage::Waiting),
+            Pick::Limited(wait) => {
+                let in_time = wait < left.divided_by(2);
+                let soonest = self.resume_time(now, id).filter(|_| in_time);
+                let resume_at = soonest.map(|soonest| soonest.max(now.after(wait)));
+                self.leave_out(id, index, Cause::Limited, resume_at);
+            }
             Pick::Unavailable => {
                 let resume_at = self.resume_time(now, id);
                 let cause = match self.is_held_back(now, &service) {
@@ -166,9 +174,6 @@
             return;
         };
         target.record_send(now, ticket, expected);
-        if self.limits.limit(&target.replica.instance).is_some() {
-            *self.usage.entry(endpoint).or_default() += 1;
-        }
         let part = &mut flight.parts[index];
         part.stage = Stage::Sent;
         part.tried.insert(endpoint);
@@ -190,6 +195,7 @@
             connections: 0,
             avoid_stale: route.repeat == Repeat::Once,
         };
+        self.count_call(now, endpoint);
         let connections = self.connections(&service);
         actions.push(Action::Send(Call {
             connections,
@@ -219,7 +225,7 @@
         };
         let ending = completion.ending;
         self.record_ending(now, ticket, &call, ending);
-        self.record_statement(call.endpoint, completion.statement, actions);
+        self.record_statement(now, call.endpoint, completion.statement, actions);
         let Some(flight) = self.flights.get_mut(&call.request) else {
             return;
         };
@@ -267,24 +273,6 @@
         }
     }
 
-    /// Records what an answer says about the limit of its replica.
-    fn record_statement(
-        &mut self,
-        endpoint: EndpointId,
-        statement: Statement,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(endpoint) = self.endpoints.get(&endpoint) else {
-            return;
-        };
-        let replica = &endpoint.replica;
-        if self.limits.hear(&replica.instance, statement) {
-            let (service, id) = (replica.service.clone(), replica.instance.id.clone());
-            let limit = self.limits.limit(&replica.instance);
-            actions.push(Action::Limit(service, id, limit));
-        }
-    }
-
     /// Sends a part again after a call ended without an answer, if it may run again and
     /// the limits allow it. Otherwise leaves the part out.
     pub(crate) fn retry(
@@ -411,7 +399,9 @@
         }
         let allowed = self.allowed_replicas(flight, part);
         let (service, tried) = (part.service.clone(), part.tried.clone());
-        let Pick::Endpoint(endpoint) = self.pick(now, &service, &tried, allowed.as_ref()) else {
+        let Pick::Endpoint(endpoint) =
+            self.pick(now, &service, &tried, allowed.as_ref(), Need::Spare)
+        else {
             return;
         };
         if !self.take_extra(now, &service) {
--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -21,6 +21,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::appended::Appended;
 use crate::catalog::Repeat;
 use crate::catalog::Route;
 use crate::catalog::Target;
@@ -88,6 +89,8 @@
     pub settle: Span,
     /// Time until the request's deadline.
     pub left: Span,
+    /// Priority of the route under load; zero is the most important.
+    pub priority: Appended<u32>,
 }
 
 /// Everything that a host has gathered for an order so far. A later reply replaces
@@ -147,7 +150,7 @@
             repeat: Repeat::Idempotent,
             timeout: self.left,
             objective: self.objective,
-            priority: 0,
+            priority: *self.priority,
             attempts_max: self.attempts_max,
             target: Target::Gather {
                 shards: self.shards.clone(),
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -13,6 +13,7 @@
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::name::Name;
+use crate::quota::Need;
 
 /// Cost factor for a replica in another failure domain.
 const REMOTE_COST: f64 = 2.2;
@@ -29,6 +30,9 @@
     Endpoint(EndpointId),
     /// All usable replicas are at their limits; try again later.
     Wait,
+    /// All usable replicas have no room under the limits that they name. The first one has after
+    /// this time; [`Span::MAX`] if this host has no share of any.
+    Limited(Span),
     /// No usable replica.
     Unavailable,
 }
@@ -60,13 +64,15 @@
     }
 
     /// The cheapest usable replica of a service that is within its limits, not in
-    /// `tried`, and in `allowed` if that is given.
+    /// `tried`, and in `allowed` if that is given. `need` tells which calls it may take from
+    /// replicas that name a limit.
     pub(crate) fn pick(
         &mut self,
         now: Time,
         service: &Name,
         tried: &BTreeSet<EndpointId>,
         allowed: Option<&BTreeSet<EndpointId>>,
+        need: Need,
     ) -> Pick {
         let Some(pool) = self.pools.get(service) else {
             return Pick::Unavailable;
@@ -74,6 +80,7 @@
         let connections = self.connections(service) as usize;
         let mut best: Option<(f64, EndpointId)> = None;
         let mut at_limit = false;
+        let mut limited = None;
         for id in pool.endpoints.clone() {
             let Some(endpoint) = self.endpoints.get(&id) else {
                 continue;
@@ -88,6 +95,15 @@
                 at_limit = true;
                 continue;
             }
+            let endpoint = self.endpoints.get(&id);
+            let bucket = endpoint.and_then(|endpoint| endpoint.bucket.as_ref());
+            if let Some(bucket) = bucket
+                && !bucket.allows(now, need)
+            {
+                let wait = bucket.wait(now, need);
+                limited = Some(limited.map_or(wait, |least: Span| least.min(wait)));
+                continue;
+            }
             let jitter = 1.0 + f64::from(self.random.next_u32() % 256) / 2_560.0;
             let endpoint = &self.endpoints[&id];
             let local = endpoint.replica.domain == self.settings.domain;
@@ -100,7 +116,7 @@
         match best {
             Some((_, id)) => Pick::Endpoint(id),
             None if at_limit => Pick::Wait,
-            None => Pick::Unavailable,
+            None => limited.map_or(Pick::Unavailable, Pick::Limited),
         }
     }
 
--- a/decision/src/clock.rs
+++ b/decision/src/clock.rs
@@ -36,6 +36,9 @@
 pub struct Span(u64);
 
 impl Span {
+    /// Longer than any other length of time.
+    pub const MAX: Span = Span(u64::MAX);
+
     /// A duration of zero.
     pub const ZERO: Span = Span(0);
 
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::plan::Host;
 use crate::quarantine::Ledger;
+use crate::quota;
 use crate::register::Change;
 use crate::register::Decision;
 use crate::register::Key;
@@ -177,6 +178,8 @@
     pub(crate) failing: u32,
     /// Digest of its records of requests under which servers ended.
     pub(crate) ledger: u64,
+    /// Digest of its ledger of limits.
+    pub(crate) limits: u64,
 }
 
 impl Peer {
@@ -188,6 +191,7 @@
             entries: Vec::new(),
             failing: 0,
             ledger: 0,
+            limits: 0,
         }
     }
 }
@@ -265,6 +269,8 @@
     pub(crate) ledger: Ledger,
     /// When others are to be told of changes of the ledger; absent without any.
     pub(crate) ledger_due: Option<Time>,
+    /// Limits that replicas name and the demand for them, as the entry hosts reported them.
+    pub(crate) limits: quota::Board,
 }
 
 impl Controller {
@@ -313,6 +319,7 @@
             reported_voters: Vec::new(),
             ledger: Ledger::default(),
             ledger_due: None,
+            limits: quota::Board::default(),
         };
         (controller, out)
     }
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -253,7 +253,8 @@
                 let actions = self.entry.on_outcome(now, id, Some(replica), outcome);
                 self.entry_actions(now, actions, out);
             }
-            Message::Health(replica, health, boot) => {
+            Message::Health(replica, health, boot, limit) => {
+                self.entry.router.set_limit(replica, limit.0);
                 self.entry.router.set_health(replica, health, boot);
             }
             Message::Probe => {}
@@ -325,10 +326,12 @@
             self.send(host, Message::Standing(fingerprint, standing), out);
         }
         let owned = self.owner.replicas();
-        let owned =
-            owned.map(|(replica, limiter)| (*replica, limiter.health(), limiter.boot().cloned()));
-        for (replica, health, boot) in owned.collect::<Vec<_>>() {
-            self.send(host, Message::Health(replica, health, boot), out);
+        let reports = owned.map(|(replica, limiter)| {
+            let (boot, limit) = (limiter.boot().cloned(), limiter.named_limit());
+            Message::Health(*replica, limiter.health(), boot, limit.into())
+        });
+        for report in reports.collect::<Vec<_>>() {
+            self.send(host, report, out);
         }
     }
 
@@ -462,9 +465,11 @@
                 } => {
                     self.send(&to, Message::Outcome(id, replica, outcome), out);
                 }
-                owner::Action::Health(replica, health, boot) => {
+                owner::Action::Health(replica, health, boot, limit) => {
+                    self.entry.router.set_limit(replica, limit);
                     self.entry.router.set_health(replica, health, boot.clone());
-                    self.broadcast(&Message::Health(replica, health, boot), out);
+                    let report = Message::Health(replica, health, boot, limit.into());
+                    self.broadcast(&report, out);
                     out.push(Action::Note(Note::Replica(replica, health)));
                 }
                 owner::Action::Suspect(fingerprint) => {
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -10,6 +10,8 @@
 use crate::clock::Time;
 use crate::fleet::Replica;
 use crate::fleet::State;
+use crate::quota::Bucket;
+use crate::quota::Share;
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
@@ -122,6 +124,8 @@
     cold_until: Time,
     /// Times of requests sent while the replica was cold.
     recent_cold: VecDeque<Time>,
+    /// This host's share of the limit that the replica names; absent without a limit.
+    pub(crate) bucket: Option<Bucket>,
 }
 
 /// Expected latencies of a request.
@@ -150,6 +154,7 @@
             half_open: false,
             cold_until,
             recent_cold: VecDeque::new(),
+            bucket: None,
         }
     }
 
@@ -163,6 +168,14 @@
         self.replica = replica;
     }
 
+    /// Sets this host's share of the limit that the replica names; absent without a limit.
+    pub(crate) fn set_share(&mut self, now: Time, share: Option<Share>) {
+        match (&mut self.bucket, share) {
+            (Some(bucket), Some(share)) => bucket.set_share(now, share),
+            (bucket, share) => *bucket = share.map(|share| Bucket::new(now, share)),
+        }
+    }
+
     /// Treats the replica as cold until this time at least.
     pub fn mark_cold(&mut self, until: Time) {
         self.cold_until = self.cold_until.max(until);
--- a/decision/src/exchange.rs
+++ b/decision/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::limiter::Observation;
 use crate::limiter::Ticket;
 use crate::name::Name;
+use crate::quota::Statement;
 use crate::request::Answer;
 use crate::request::Cause;
 use crate::request::Index;
@@ -37,6 +38,8 @@
         draining: bool,
         /// Whether the server shed the request without running it.
         shed: bool,
+        /// What the answer says about the server's limit.
+        limit: Statement,
     },
     /// No connection could be opened; no byte was sent.
     NotSent,
@@ -85,6 +88,18 @@
         }
     }
 
+    /// What the result says about the server's limit.
+    pub fn limit(&self) -> Statement {
+        match self {
+            Exchange::Answered { limit, .. } => *limit,
+            Exchange::NotSent
+            | Exchange::StaleConnection
+            | Exchange::Broken
+            | Exchange::Ended
+            | Exchange::BadAnswer => Statement::Nothing,
+        }
+    }
+
     /// Outcome of the sub-request.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -22,6 +22,7 @@
 use crate::plan::Host;
 use crate::quarantine::Record;
 use crate::quarantine::Summary;
+use crate::quota;
 use crate::tier::State;
 use crate::voter;
 use crate::voter::Seat;
@@ -95,6 +96,8 @@
     pub failing: bool,
     /// The host's records of requests under which servers ended.
     pub ledger: Appended<Summary>,
+    /// What the host tells of limits that replicas name.
+    pub limits: Appended<quota::Report>,
 }
 
 /// What an entry host lacks, sent by a voter in answer to a heartbeat and whenever the state
@@ -130,6 +133,8 @@
     /// The voter's records of requests under which servers ended, set also without contact
     /// with a majority.
     pub ledger: Appended<Summary>,
+    /// What the voter tells of limits that replicas name, set also without contact with a majority.
+    pub limits: Appended<quota::Report>,
 }
 
 /// Status of a voter, sent to the other voters at intervals.
@@ -149,6 +154,8 @@
     pub failing: u32,
     /// The sender's records of requests under which servers ended.
     pub ledger: Appended<Summary>,
+    /// What the sender tells of limits that replicas name.
+    pub limits: Appended<quota::Report>,
 }
 
 /// Computes the digest of a list of entry hosts.
@@ -180,6 +187,8 @@
     failing: u32,
     /// Digest of the current voter's records of requests under which servers ended.
     voter_ledger: u64,
+    /// Digest of the current voter's ledger of limits.
+    voter_limits: u64,
     /// Whether the next heartbeat is due soon.
     urgent: bool,
 }
@@ -199,6 +208,8 @@
     pub hosts: Option<Vec<Host>>,
     /// The voter's records of requests under which servers ended, if they differ.
     pub records: Vec<Record>,
+    /// What the voter tells of limits that replicas name.
+    pub limits: quota::Report,
 }
 
 impl Subscriber {
@@ -221,6 +232,7 @@
             fleet_read_at: None,
             failing: 0,
             voter_ledger: 0,
+            voter_limits: 0,
             urgent: false,
         }
     }
@@ -230,6 +242,11 @@
         self.voter_ledger
     }
 
+    /// Digest of the current voter's ledger of limits.
+    pub fn voter_limits(&self) -> u64 {
+        self.voter_limits
+    }
+
     /// Makes the next heartbeat due soon.
     pub fn hurry(&mut self) {
         self.urgent = true;
@@ -278,6 +295,7 @@
     pub fn switch_voter(&mut self, now: Time) {
         self.last_contact = now;
         self.voter_ledger = 0;
+        self.voter_limits = 0;
         if self.is_fresh(now) {
             self.last_heartbeat = None;
         }
@@ -293,8 +311,8 @@
         }
     }
 
-    /// Returns the heartbeat that is due and its receiver; the caller adds the ledger's
-    /// summary. Switches to the next voter first if the current one has been silent for too
+    /// Returns the heartbeat that is due and its receiver; the caller adds what it tells of the
+    /// two ledgers. Switches to the next voter first if the current one has been silent for too
     /// long.
     pub fn tick(&mut self, now: Time, failing: bool) -> Option<(SocketAddr, Heartbeat)> {
         let silence = if self.is_fresh(now) {
@@ -349,26 +367,26 @@
             self.voter_index = position.unwrap_or(self.voter_index);
         }
         let records = feed.ledger.0.records;
+        let limits = feed.limits.0;
         if Some(from) == self.voter() {
             self.voter_ledger = feed.ledger.0.digest;
+            self.voter_limits = limits.digest;
         }
+        let mut update = Update {
+            records,
+            limits,
+            ..Update::default()
+        };
         if !feed.fresh {
             if Some(from) == self.voter() {
                 self.switch_voter(now);
             }
-            return Update {
-                records,
-                ..Update::default()
-            };
+            return update;
         }
         if Some(from) == self.voter() {
             self.last_contact = now;
         }
         self.failing = feed.failing;
-        let mut update = Update {
-            records,
-            ..Update::default()
-        };
         if feed.revision >= self.revision {
             self.confirmed_at = Some(now);
             if feed.revision > self.revision {
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -80,6 +80,10 @@
     /// hosts: an older one could not decode it.
     #[display("quarantined")]
     Quarantined,
+    /// All usable replicas are at the limits that they name. Never sent to other hosts: an older
+    /// one could not decode it.
+    #[display("replicas at their limits")]
+    Limited,
 }
 
 /// The part of a request that goes to one service.
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -53,6 +53,7 @@
 use crate::quota::Rate;
 use crate::quota::Statement;
 use crate::suspect::Standing;
+use crate::throttle::Throttle;
 
 /// Latency quantile after which a part is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
@@ -191,6 +192,8 @@
     Catalog(Arc<Catalog>),
     /// Other hosts recorded servers that ended under requests.
     Records(Vec<Record>),
+    /// Limits and demands that a voter tells of.
+    Limits(quota::Report),
     /// The replica list changed; read at this time.
     Fleet(Arc<Fleet>, Time),
     /// The replica list was read again at this time and is unchanged.
@@ -267,10 +270,8 @@
     pub(crate) calls: HashMap<Ticket, Outstanding>,
     /// Parts of requests under which servers ended.
     pub(crate) ledger: Ledger,
-    /// Limits that replicas named.
-    pub(crate) limits: quota::Ledger,
-    /// Calls sent to replicas that name a limit, since [`Gateway::take_usage`].
-    pub(crate) usage: BTreeMap<EndpointId, u32>,
+    /// Limits that replicas named, and the demand for them.
+    pub(crate) throttle: Throttle,
     /// Open calls for answered parts of closed requests, with the time at which each is
     /// withdrawn.
     pub(crate) orphans: VecDeque<(Time, Ticket)>,
@@ -300,8 +301,7 @@
             flights: HashMap::new(),
             calls: HashMap::new(),
             ledger: Ledger::default(),
-            limits: quota::Ledger::default(),
-            usage: BTreeMap::new(),
+            throttle: Throttle::default(),
             orphans: VecDeque::new(),
             timers: BinaryHeap::new(),
             last_endpoint: 0,
@@ -349,26 +349,6 @@
         self.endpoints.len()
     }
 
-    /// Calls sent to each replica that names a limit, since the last time that this was asked.
-    pub fn take_usage(&mut self) -> Vec<quota::Usage> {
-        let usage = std::mem::take(&mut self.usage).into_iter();
-        let known = usage.filter_map(|(id, calls)| {
-            let replica = &self.endpoints.get(&id)?.replica;
-            Some(quota::Usage {
-                service: replica.service.clone(),
-                replica: replica.instance.id.clone(),
-                limit: self.limits.limit(&replica.instance)?,
-                calls,
-            })
-        });
-        known.collect()
-    }
-
-    /// Number of replicas that name a limit.
-    pub fn limited_replicas(&self) -> usize {
-        self.limits.limited()
-    }
-
     /// When the next tick is due; absent without timers.
     pub fn next_timer(&self) -> Option<Time> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
@@ -388,13 +368,20 @@
                 self.complete(now, ticket, completion, &mut actions)
             }
             Event::Records(records) => self.merge_records(now, records, &mut actions),
-            Event::Catalog(catalog) => self.catalog = catalog,
+            Event::Limits(report) => self.merge_limits(now, report, &mut actions),
+            Event::Catalog(catalog) => {
+                let routes = catalog.routes.iter().map(|route| &**route);
+                self.throttle.set_routes(routes);
+                self.catalog = catalog;
+                self.update_shares(now);
+            }
             Event::Fleet(fleet, read) => self.update_fleet(now, &fleet, read, &mut actions),
             Event::FleetUnchanged(read) => self.fleet_read = self.fleet_read.max(read),
             Event::DomainsClosed(closed) => self.update_closed(now, closed),
             Event::Plan(plan) => {
                 self.plan = plan;
                 self.cold_shares.clear();
+                self.update_shares(now);
             }
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -420,13 +407,14 @@
             let report = self.report_unrouted(now);
             return actions.push(Action::Answer(id, refusal, report));
         };
+        self.count_request(now, &route.name);
         let services = self.choose_services(&route);
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
         let margin = match request.first_on_connection {
             true => self.settings.margin_first,
             false => self.settings.margin,
         };
-        let flight = Flight {
+        let mut flight = Flight {
             others_healthier: request.others_healthier,
             fingerprint: request.fingerprint,
             ..Flight::new(now, route, services, left, margin)
@@ -440,6 +428,10 @@
             self.flights.insert(id, flight);
             return self.finish(now, id, refusal, actions);
         }
+        if let Some(refusal) = self.limit_refusal(now, &mut flight) {
+            self.flights.insert(id, flight);
+            return self.finish(now, id, refusal, actions);
+        }
         self.start_parts(now, id, flight, actions);
     }
 
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -146,6 +146,7 @@
 fn known_to_older_hosts(cause: Cause) -> Cause {
     match cause {
         Cause::Quarantined => Cause::NoReplica,
+        Cause::Limited => Cause::Shed,
         cause => cause,
     }
 }
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -63,6 +63,7 @@
 mod scatter;
 mod seats;
 pub mod suspect;
+mod throttle;
 pub mod tier;
 pub mod trace;
 pub mod voter;
--- a/decision/src/limiter.rs
+++ b/decision/src/limiter.rs
@@ -15,6 +15,11 @@
 use crate::clock::Time;
 use crate::manifest::Limits;
 use crate::name::Name;
+use crate::quota::Bucket;
+use crate::quota::Need;
+use crate::quota::Rate;
+use crate::quota::Share;
+use crate::quota::Statement;
 use crate::request::Cause;
 
 /// Sub-requests that may wait, per slot of the current limit.
@@ -146,6 +151,11 @@
     late_cancellations: u32,
     /// Whether a connection broke or was refused since the last slow start.
     connection_failed: bool,
+    /// The limit that the server names, with what this daemon may send of it now; absent without
+    /// a limit.
+    named: Option<(Rate, Bucket)>,
+    /// Number of daemons that send to the server.
+    senders: u32,
     /// Sub-requests running at the server.
     running: BTreeMap<Ticket, Running>,
     /// Waiting sub-requests, in order of arrival.
@@ -173,6 +183,8 @@
             boot_inherited: false,
             late_cancellations: 0,
             connection_failed: false,
+            named: None,
+            senders: 1,
             running: BTreeMap::new(),
             queue: Vec::new(),
             admitted: BTreeMap::new(),
@@ -201,6 +213,43 @@
         self
     }
 
+    /// Sets the limit that an earlier owner heard the server name.
+    pub fn with_limit(mut self, now: Time, limit: Option<Rate>) -> Limiter {
+        if let Some(rate) = limit {
+            self.set_limit(now, Statement::Limited(rate));
+        }
+        self
+    }
+
+    /// Sets the number of daemons that send to the server.
+    pub fn set_senders(&mut self, now: Time, senders: u32) {
+        self.senders = senders;
+        if let Some((rate, bucket)) = &mut self.named {
+            bucket.set_share(now, Share::equal(*rate, senders));
+        }
+    }
+
+    /// Applies what an answer says about the server's limit.
+    pub fn set_limit(&mut self, now: Time, statement: Statement) {
+        match (statement, &mut self.named) {
+            (Statement::Nothing, _) => {}
+            (Statement::Unlimited, _) => self.named = None,
+            (Statement::Limited(rate), Some((known, bucket))) => {
+                *known = rate;
+                bucket.set_share(now, Share::equal(rate, self.senders));
+            }
+            (Statement::Limited(rate), None) => {
+                let share = Share::equal(rate, self.senders);
+                self.named = Some((rate, Bucket::new(now, share)));
+            }
+        }
+    }
+
+    /// The limit that the server names; absent without one.
+    pub fn named_limit(&self) -> Option<Rate> {
+        self.named.as_ref().map(|(rate, _)| *rate)
+    }
+
     /// Last known boot identifier of the server.
     pub fn boot(&self) -> Option<&Name> {
         self.boot.as_ref()
@@ -239,7 +288,8 @@
 
     /// Offers a sub-request, which is admitted, queued or refused. It is refused if it
     /// must wait and its expected end is after its deadline; a full queue drops its last
-    /// entry.
+    /// entry. Under a limit that the server names, waiters for which there will be no room in
+    /// time are refused.
     pub fn offer(&mut self, now: Time, waiter: Waiter) -> Vec<Decision> {
         if let Some(cause) = self.refusal_cause(now) {
             return vec![Decision::Reject(waiter.ticket, cause)];
@@ -249,9 +299,10 @@
         let in_time = now.after(wait).after(self.typical_latency) <= waiter.deadline;
         let ticket = waiter.ticket;
         self.queue.push(waiter);
-        if !in_time && !self.has_capacity() {
+        if !in_time && !self.has_slot() {
             decisions.extend(self.evict(|waiter| waiter.ticket == ticket));
         }
+        decisions.extend(self.reject_without_room(now));
         if self.queue.len() > self.queue_max() {
             decisions.extend(self.evict(|_| true));
         }
@@ -263,9 +314,47 @@
         self.limit as usize * QUEUE_PER_SLOT
     }
 
+    /// Whether another sub-request may be sent now, by the concurrency limit and by the limit
+    /// that the server names.
+    pub fn has_capacity(&self, now: Time) -> bool {
+        self.has_slot() && self.has_room(now, Need::Urgent)
+    }
+
+    /// Whether the limit that the server names leaves room for a call; true without one.
+    pub fn has_room(&self, now: Time, need: Need) -> bool {
+        let named = self.named.as_ref();
+        named.is_none_or(|(_, bucket)| bucket.allows(now, need))
+    }
+
+    /// Refuses the waiters for which the limit that the server names leaves no room in time,
+    /// the last in queue order first.
+    fn reject_without_room(&mut self, now: Time) -> Vec<Decision> {
+        let Some((_, bucket)) = self.named else {
+            return Vec::new();
+        };
+        let mut order = (0..self.queue.len()).collect::<Vec<_>>();
+        order.sort_by_key(|at| self.queue_order(&self.queue[*at]));
+        let mut ahead = 0;
+        let mut rejected = Vec::new();
+        for at in order {
+            let wait = bucket.wait_behind(now, ahead);
+            let left = self.queue[at].deadline.since(now);
+            match wait < left && wait + self.typical_latency <= left {
+                true => ahead += 1,
+                false => rejected.push(self.queue[at].ticket),
+            }
+        }
+        self.queue
+            .retain(|waiter| !rejected.contains(&waiter.ticket));
+        let rejected = rejected.into_iter();
+        rejected
+            .map(|ticket| Decision::Reject(ticket, Cause::Overloaded))
+            .collect()
+    }
+
     /// Whether the concurrency limit allows another sub-request now. A draining or
     /// stalled server gets one at a time.
-    pub fn has_capacity(&self) -> bool {
+    fn has_slot(&self) -> bool {
         if self.running.values().any(|running| running.exclusive) {
             return false;
         }
@@ -277,7 +366,7 @@
 
     /// Expected time until a new sub-request is admitted.
     fn expected_wait(&self) -> Span {
-        let ahead = self.queue.len() as u64 + u64::from(!self.has_capacity());
+        let ahead = self.queue.len() as u64 + u64::from(!self.has_slot());
         self.typical_latency
             .saturating_mul(ahead)
             .divided_by(u64::from(self.limit.max(1)))
@@ -325,7 +414,7 @@
     /// allows.
     fn admit_waiting(&mut self, now: Time) -> Vec<Decision> {
         let mut decisions = self.reject_late(now);
-        while self.has_capacity() && self.refusal_cause(now).is_none() {
+        while self.has_capacity(now) && self.refusal_cause(now).is_none() {
             let next = (0..self.queue.len()).min_by_key(|at| self.queue_order(&self.queue[*at]));
             let Some(at) = next else { break };
             if self.queue[at].exclusive && !self.running.is_empty() {
@@ -333,6 +422,9 @@
             }
             let waiter = self.queue.remove(at);
             self.count_admission(&waiter.caller);
+            if let Some((_, bucket)) = &mut self.named {
+                bucket.take(now);
+            }
             let running = Running {
                 since: now,
                 exclusive: waiter.exclusive,
@@ -526,7 +618,7 @@
             .saturating_mul(STALL_FACTOR)
             .max(STALL_MIN);
         let old = |running: &Running| now.since(running.since) >= stall_timeout;
-        let stuck = !self.has_capacity() && self.running.values().all(old);
+        let stuck = !self.has_slot() && self.running.values().all(old);
         let silent = now.since(self.last_success) >= stall_timeout;
         let open = matches!(self.health, Health::Ready | Health::Cold);
         if stuck && silent && open {
--- a/decision/src/listing.rs
+++ b/decision/src/listing.rs
@@ -6,6 +6,7 @@
 use crate::clock::Time;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
+use crate::fleet::Instance;
 use crate::gateway::Action;
 use crate::gateway::Gateway;
 use crate::name::Name;
@@ -40,7 +41,9 @@
         }
         self.forget_unlisted(actions);
         let known = &self.endpoint_ids;
-        self.limits.retain(|instance| known.contains_key(instance));
+        let listed = |instance: &Instance| known.contains_key(instance);
+        self.throttle.ledger.retain(now, listed);
+        self.update_shares(now);
     }
 
     /// Closes idle connections to replicas that are no longer listed, and removes those
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -3,6 +3,7 @@
 //! The adapter feeds [`Event`]s to [`Daemon::step`](crate::daemon::Daemon::step) and
 //! carries out the returned [`Action`]s. Messages and datagrams are encoded by position.
 
+use crate::appended::Appended;
 use crate::digest::Digest;
 use crate::exchange::Call;
 use crate::exchange::Exchange;
@@ -12,6 +13,7 @@
 use crate::limiter::Ticket;
 use crate::name::Name;
 use crate::query::Reply;
+use crate::quota::Rate;
 use crate::register::Change;
 use crate::register::Decision;
 use crate::register::Key;
@@ -82,9 +84,9 @@
     /// assigned to.
     #[serde(rename = "Reply")]
     Outcome(u64, SocketAddr, Outcome),
-    /// Health and boot identifier of a replica that the sender owns.
+    /// Health, boot identifier and named limit of a replica that the sender owns.
     #[serde(rename = "Hint")]
-    Health(SocketAddr, Health, Option<Name>),
+    Health(SocketAddr, Health, Option<Name>, Appended<Option<Rate>>),
     /// Standing of a request suspected of making servers fail.
     Standing(Digest, Standing),
     /// Asks the arbiter for permission to run a query of the sender as a canary.
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -25,6 +25,8 @@
 use crate::manifest::Hedge;
 use crate::manifest::Limits;
 use crate::name::Name;
+use crate::quota::Need;
+use crate::quota::Rate;
 use crate::request::Batch;
 use crate::request::Cause;
 use crate::request::Index;
@@ -62,8 +64,8 @@
         /// Outcome of the sub-request.
         outcome: Outcome,
     },
-    /// Announce the health and the boot identifier of a replica to all daemons.
-    Health(SocketAddr, Health, Option<Name>),
+    /// Announce the health, the boot identifier and the named limit of a replica to all daemons.
+    Health(SocketAddr, Health, Option<Name>, Option<Rate>),
     /// Announce to all daemons that a request was running where a connection broke.
     Suspect(Digest),
     /// Close the connections to a replica that is no longer owned.
@@ -128,6 +130,8 @@
     /// Health last announced to all daemons; ready, which a router assumes without a
     /// report, before the first announcement.
     announced: Health,
+    /// Limit last announced; absent if the replica names none.
+    announced_limit: Option<Rate>,
     /// Other replicas of the shard.
     siblings: Vec<SocketAddr>,
 }
@@ -149,6 +153,10 @@
     pub domain_in: bool,
     /// Boot identifier under which an earlier owner announced the replica as ready.
     pub boot: Option<Name>,
+    /// Limit that an earlier owner heard the replica name.
+    pub limit: Option<Rate>,
+    /// Number of daemons that send to the replica.
+    pub senders: u32,
     /// Time for which an earlier owner may still send to the replica.
     pub takeover_delay: Span,
 }
@@ -220,6 +228,7 @@
             return Vec::new();
         };
         owned.limiter.update(assignment.limits);
+        owned.limiter.set_senders(now, assignment.senders);
         owned.siblings.clone_from(&assignment.siblings);
         if returned {
             owned.limiter.start_slow(now);
@@ -250,9 +259,12 @@
         let running = running.map(|(ticket, _)| *ticket);
         let limiter = Limiter::new(now, assignment.limits).with_running(now, running);
         let limiter = limiter.with_boot(assignment.boot.clone());
+        let mut limiter = limiter.with_limit(now, assignment.limit);
+        limiter.set_senders(now, assignment.senders);
         let owned = Replica {
             limiter,
             announced: Health::Ready,
+            announced_limit: None,
             siblings: assignment.siblings.clone(),
         };
         self.owned.insert(assignment.replica, owned);
@@ -380,7 +392,7 @@
                 / limiter.limit().max(1);
             (
                 !limiter.is_accepting(now),
-                !limiter.has_capacity(),
+                !limiter.has_capacity(now),
                 (limiter.health() == Health::Ready) == prefer_cold,
                 load,
             )
@@ -418,7 +430,7 @@
     fn has_spare_capacity(&self, now: Time, replica: &SocketAddr) -> bool {
         let limiter = self.owned.get(replica).map(|owned| &owned.limiter);
         let idle = |limiter: &Limiter| {
-            limiter.is_accepting(now) && limiter.has_capacity() && limiter.waiting() == 0
+            limiter.is_accepting(now) && limiter.has_capacity(now) && limiter.waiting() == 0
         };
         limiter.is_some_and(idle) && self.refusal_cause(replica).is_none()
     }
@@ -534,6 +546,9 @@
             actions.push(Action::Suspect(subrequest.request.fingerprint()));
         }
         let (replica, observation) = (subrequest.replica, exchange.observation());
+        if let Some(owned) = self.owned.get_mut(&replica) {
+            owned.limiter.set_limit(now, exchange.limit());
+        }
         actions.extend(self.reply_or_await_duplicate(now, subrequest, exchange));
         actions.extend(self.finish_call(now, replica, ticket, observation));
         actions
@@ -608,7 +623,7 @@
         actions
     }
 
-    /// Announces the health of a replica if it changed. A draining or stalled replica
+    /// Announces the health and the named limit of a replica if they changed. A draining or stalled replica
     /// that may be tried again is announced as cold.
     fn announce_health(&mut self, now: Time, replica: SocketAddr) -> Option<Action> {
         let owned = self.owned.get_mut(&replica)?;
@@ -616,15 +631,14 @@
             _ if owned.limiter.is_retry_due(now) => Health::Cold,
             health => health,
         };
-        if owned.announced == health {
+        let limit = owned.limiter.named_limit();
+        if owned.announced == health && owned.announced_limit == limit {
             return None;
         }
         owned.announced = health;
-        Some(Action::Health(
-            replica,
-            health,
-            owned.limiter.boot().cloned(),
-        ))
+        owned.announced_limit = limit;
+        let boot = owned.limiter.boot().cloned();
+        Some(Action::Health(replica, health, boot, limit))
     }
 
     /// Cancels a sub-request of the entry daemon on the host `from`.
@@ -757,11 +771,13 @@
         Some(self.enqueue(now, duplicate, copy))
     }
 
-    /// Whether hedges may go to a replica: it must be ready and in service.
+    /// Whether hedges may go to a replica: it must be ready and in service, and under a limit that
+    /// it names there must be room beyond that for other calls.
     fn may_hedge(&self, now: Time, replica: &SocketAddr) -> bool {
         let limiter = self.owned.get(replica).map(|owned| &owned.limiter);
         let ready =
             |limiter: &Limiter| limiter.is_accepting(now) && limiter.health() == Health::Ready;
+        let ready = |limiter: &Limiter| ready(limiter) && limiter.has_room(now, Need::Spare);
         limiter.is_some_and(ready) && self.refusal_cause(replica).is_none()
     }
 }
--- a/decision/src/ownership.rs
+++ b/decision/src/ownership.rs
@@ -132,7 +132,7 @@
     /// Limits under which this daemon sends to a server: with direct dispatch its share of
     /// them, else all.
     fn own_limits(&self, limits: Limits) -> Limits {
-        let share = |limit: u32| (limit / self.candidates.len().max(1) as u32).max(1);
+        let share = |limit: u32| (limit / self.senders()).max(1);
         match self.identity.dispatch {
             Dispatch::Owner | Dispatch::Apart => limits,
             Dispatch::Direct => Limits {
@@ -144,6 +144,14 @@
         }
     }
 
+    /// Number of daemons that send to a replica.
+    fn senders(&self) -> u32 {
+        match self.identity.dispatch {
+            Dispatch::Owner | Dispatch::Apart => 1,
+            Dispatch::Direct => self.candidates.len().max(1) as u32,
+        }
+    }
+
     /// Live daemons that may own replicas: not stopping, and in service by the operators'
     /// file.
     pub(crate) fn find_candidates(&self) -> Vec<Candidate> {
@@ -194,6 +202,8 @@
                     limits: self.own_limits(service.limits),
                     domain_in: self.manifest.is_domain_in_service(&replica.domain),
                     boot: self.entry.router.ready_boot(&replica.address),
+                    limit: self.entry.router.limit(&replica.address),
+                    senders: self.senders(),
                     takeover_delay: self.takeover_delay(now, &replica.address),
                 });
             }
--- a/decision/src/publisher.rs
+++ b/decision/src/publisher.rs
@@ -20,8 +20,10 @@
 use crate::feed::Message;
 use crate::feed::Status;
 use crate::feed::digest_hosts;
+use crate::fleet::Instance;
 use crate::plan::Host;
 use crate::quarantine::Record;
+use crate::quota;
 use crate::voter::Mode;
 
 /// Time for which changes of the ledger are collected before others are told.
@@ -45,6 +47,8 @@
             .insert(from, (heartbeat.clone(), now))
             .is_some();
         self.merge_records(now, records);
+        let limits = heartbeat.limits.0.clone();
+        self.limits.merge(now, from, limits);
         if !known {
             self.update_hosts(now, out);
         }
@@ -87,9 +91,11 @@
     /// only.
     pub(crate) fn build_feed(&mut self, now: Time, heartbeat: &Heartbeat) -> Message {
         let ledger = Appended(self.ledger.summary(now, heartbeat.ledger.digest));
+        let limits = Appended(self.limits.report(now, heartbeat.limits.digest, None));
         let Some(state) = self.chosen.as_ref().filter(|_| self.quorum) else {
             return Message::Feed(Box::new(Feed {
                 ledger,
+                limits,
                 ..Feed::default()
             }));
         };
@@ -110,6 +116,7 @@
             failing: self.failing_count(now),
             voters: self.voters(),
             ledger,
+            limits,
         }))
     }
 
@@ -149,6 +156,7 @@
         let ledger = self.ledger.digest();
         if let Some((heartbeat, _)) = self.entries.get_mut(&entry) {
             heartbeat.ledger.0.digest = ledger;
+            heartbeat.limits.0.digest = self.limits.digest();
             heartbeat.version = version;
             heartbeat.fleet_digest = fleet.unwrap_or_default();
             heartbeat.hosts_digest = self.hosts_digest;
@@ -188,7 +196,9 @@
             peer.voting = status.voting;
             peer.failing = status.failing;
             peer.ledger = status.ledger.digest;
+            peer.limits = status.limits.digest;
         }
+        self.limits.merge(now, from, status.limits.0);
         self.merge_records(now, status.ledger.0.records);
         let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
         if status.revision > revision {
@@ -208,6 +218,23 @@
         }
     }
 
+    /// What this voter tells the others of limits: the demand at its own entry hosts, and the
+    /// ledger if that of any of them differs.
+    fn limit_report(&mut self, now: Time) -> quota::Report {
+        let listing = self.listing.as_ref();
+        let listed = |instance: &Instance| {
+            listing.is_none_or(|listing| listing.fleet.replicas.contains_key(instance))
+        };
+        self.limits.retain(now, ENTRY_TIMEOUT, listed);
+        let own = self.limits.digest();
+        let live = |peer: &&Peer| now.since(peer.last_heard) < PEER_TIMEOUT;
+        let peers = self.peers.values().filter(live).map(|peer| peer.limits);
+        let differing = peers.into_iter().find(|known| *known != own);
+        let entries = self.entries.keys().copied().collect();
+        let known = differing.unwrap_or(own);
+        self.limits.report(now, known, Some(&entries))
+    }
+
     /// Sends this voter's status to all other voters.
     pub(crate) fn send_status(&mut self, now: Time, out: &mut Vec<Action>) {
         let ledger = self.ledger.digest();
@@ -215,6 +242,7 @@
         let peers = self.peers.values().filter(live);
         let differing = peers.map(|peer| peer.ledger).find(|known| *known != ledger);
         let ledger = Appended(self.ledger.summary(now, differing.unwrap_or(ledger)));
+        let limits = Appended(self.limit_report(now));
         let listing = self.listing.as_ref();
         let status = Status {
             voting: self.mode() == Some(Mode::Voting),
@@ -224,6 +252,7 @@
             entries: self.own_hosts().collect(),
             failing: self.own_failing_count(),
             ledger,
+            limits,
         };
         self.broadcast(&Message::Status(status), out);
     }
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -18,6 +18,7 @@
 use crate::placement::Spread;
 use crate::placement::owners;
 use crate::query::Query;
+use crate::quota::Rate;
 use crate::request::Cause;
 
 /// One in this many sub-requests prefers a cold replica to a ready one.
@@ -29,6 +30,8 @@
 pub struct Router {
     owners: BTreeMap<SocketAddr, Name>,
     health: BTreeMap<SocketAddr, (Health, Option<Name>)>,
+    /// Limits that replicas name, as their owners last reported them.
+    limits: BTreeMap<SocketAddr, Rate>,
     outstanding: BTreeMap<SocketAddr, u32>,
     manifest: Arc<Manifest>,
 }
@@ -48,6 +51,8 @@
         }
         self.health
             .retain(|replica, _| self.owners.contains_key(replica));
+        self.limits
+            .retain(|replica, _| self.owners.contains_key(replica));
         self.outstanding.retain(|_, count| *count > 0);
     }
 
@@ -56,6 +61,19 @@
         self.health.insert(replica, (health, boot));
     }
 
+    /// Records the limit that a replica names, as its owner reports it.
+    pub fn set_limit(&mut self, replica: SocketAddr, limit: Option<Rate>) {
+        match limit {
+            Some(limit) => drop(self.limits.insert(replica, limit)),
+            None => drop(self.limits.remove(&replica)),
+        }
+    }
+
+    /// The limit that a replica names, if its owner last reported one.
+    pub fn limit(&self, replica: &SocketAddr) -> Option<Rate> {
+        self.limits.get(replica).copied()
+    }
+
     /// The health last reported for a replica; the default, ready, without a report.
     pub fn health(&self, replica: &SocketAddr) -> Health {
         self.health
--- a/decision/tests/properties/owner.rs
+++ b/decision/tests/properties/owner.rs
@@ -17,6 +17,7 @@
 use wagtailbeam_decision::owner::Action;
 use wagtailbeam_decision::owner::Assignment;
 use wagtailbeam_decision::owner::Owner;
+use wagtailbeam_decision::quota::Statement;
 use wagtailbeam_decision::request::Answer;
 use wagtailbeam_decision::request::Batch;
 use wagtailbeam_decision::request::Request;
@@ -84,6 +85,8 @@
             limits,
             domain_in: !self.replicas_out.contains(&replica),
             boot: None,
+            limit: None,
+            senders: 1,
             takeover_delay: Span::ZERO,
         });
         self.disowned = false;
@@ -151,6 +154,7 @@
                 boot: Some(boot.to_string().as_str().into()),
                 draining: kind == 4 && pick.is_multiple_of(3),
                 shed: kind == 5 && pick.is_multiple_of(3),
+                limit: Statement::Unlimited,
             },
         };
         let actions = self.owner.on_exchange(self.now, ticket, exchange);
--- a/decision/tests/scenarios.rs
+++ b/decision/tests/scenarios.rs
@@ -19,6 +19,7 @@
 use wagtailbeam_decision::owner::Action;
 use wagtailbeam_decision::owner::Assignment;
 use wagtailbeam_decision::owner::Owner;
+use wagtailbeam_decision::quota::Statement;
 use wagtailbeam_decision::request::Answer;
 use wagtailbeam_decision::request::Batch;
 use wagtailbeam_decision::request::Outcome;
@@ -104,6 +105,8 @@
                 ..Limits::default()
             },
             domain_in: !out.contains(replica),
+            limit: None,
+            senders: 1,
             boot: arg(case, "boot").map(|boot| boot.as_str().into()),
             takeover_delay: Span::from_ms(number(case, "takeover-delay", 0)),
         });
@@ -160,6 +163,7 @@
                 boot: Some(boot.as_str().into()),
                 draining: how == Some("draining"),
                 shed: how == Some("shed"),
+                limit: Statement::Unlimited,
             },
         };
         let tickets = list(case, "ticket");
@@ -219,7 +223,7 @@
                 outcome: Outcome::IndexMismatch { .. },
                 ..
             } => format!("reply {id}: index mismatch"),
-            Action::Health(replica, health, _) => format!("health {} {health}", name(replica)),
+            Action::Health(replica, health, ..) => format!("health {} {health}", name(replica)),
             Action::Suspect(_) => "suspect".to_owned(),
             Action::ReplicaReleased(replica) => format!("released {}", name(replica)),
             Action::CloseConnections(replica) => format!("close connections to {}", name(replica)),
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -35,6 +35,7 @@
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::plan::Plan;
+use wagtailbeam_decision::quota::Board;
 use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Statement;
 
@@ -43,6 +44,9 @@
 /// Time for a message between a host and a replica, one way.
 const TRANSIT: Span = Span::from_ms(1);
 
+/// Time between two heartbeats of a host.
+const HEARTBEAT_EVERY: Span = Span::from_ms(400);
+
 /// Time after a replica first named a limit from which it is checked.
 pub const CONTACT: Span = Span::from_secs(4);
 
@@ -54,6 +58,8 @@
     Request(usize, u64, &'static str),
     /// A host learns how a call ended.
     Done(usize, u64, Ending, Statement),
+    /// A host sends a heartbeat to the voter and gets a feed.
+    Heartbeat(usize, u64),
 }
 
 /// Entry hosts and the replicas that they share.
@@ -70,6 +76,10 @@
     catalog: Arc<Catalog>,
     fleet: Arc<Fleet>,
     gateways: Vec<Option<Gateway>>,
+    /// What the voter knows of limits.
+    board: Board,
+    /// Run of each host, which ends when it is killed.
+    runs: Vec<u64>,
     started: HashMap<u64, Time>,
     withdrawn: HashSet<(usize, u64)>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
@@ -157,6 +167,8 @@
             catalog: Arc::new(catalog(shards)),
             fleet: Arc::new(Fleet::new(replicas)),
             gateways: (0..hosts).map(|_| None).collect(),
+            board: Board::default(),
+            runs: vec![0; hosts],
             started: HashMap::new(),
             withdrawn: HashSet::new(),
             queue: BinaryHeap::new(),
@@ -182,6 +194,21 @@
         self.step(at, Event::Catalog(self.catalog.clone()));
         self.step(at, Event::Fleet(self.fleet.clone(), now));
         self.replan();
+        self.runs[at] += 1;
+        self.schedule(HEARTBEAT_EVERY, Step::Heartbeat(at, self.runs[at]));
+    }
+
+    /// Exchanges what a host and the voter know of limits.
+    fn heartbeat(&mut self, at: usize) {
+        let Some(gateway) = &self.gateways[at] else {
+            return;
+        };
+        let report = gateway.limit_report(self.now, self.board.digest());
+        let known = report.digest;
+        self.board.merge(self.now, address(at), report);
+        let feed = self.board.report(self.now, known, None);
+        self.step(at, Event::Limits(feed));
+        self.schedule(HEARTBEAT_EVERY, Step::Heartbeat(at, self.runs[at]));
     }
 
     /// Kills a host; its callers' requests are lost.
@@ -274,7 +301,8 @@
                 };
                 self.step(at, Event::Completed(ticket, completion));
             }
-            None => {}
+            Some(Step::Heartbeat(at, run)) if run == self.runs[at] => self.heartbeat(at),
+            Some(Step::Heartbeat(..)) | None => {}
         }
     }
 
@@ -328,6 +356,12 @@
         self.schedule(TRANSIT + work + TRANSIT, done);
     }
 
+    /// Number of replicas with a limit as each host knows it.
+    pub fn limited(&self) -> Vec<usize> {
+        let gateways = self.gateways.iter().flatten();
+        gateways.map(Gateway::limited_replicas).collect()
+    }
+
     /// By how many requests each replica exceeded its limit in some window, summed over the
     /// replicas: one and a half times the limit and five more are allowed.
     pub fn excess(&self) -> usize {
@@ -335,10 +369,10 @@
         let excess = limited.map(|(address, (limit, since))| {
             let arrivals = self.arrivals.get(address).map_or(&[][..], Vec::as_slice);
             let allowed = 1.5 * limit * WINDOW.as_ms() as f64 / 1_000.0 + 5.0;
-            let checked = arrivals.iter().filter(|at| **at >= since.after(CONTACT));
-            let in_window = checked.clone().map(|from| {
-                let within = |at: &&Time| *at >= from && at.since(*from) < WINDOW;
-                checked.clone().filter(within).count()
+            let first = arrivals.partition_point(|at| *at < since.after(CONTACT));
+            let checked = &arrivals[first..];
+            let in_window = checked.iter().enumerate().map(|(index, from)| {
+                checked.partition_point(|at| at.since(*from) < WINDOW) - index
             });
             let most = in_window.max().unwrap_or_default();
             most.saturating_sub(allowed as usize)
--- a/decision/tests/tier/records.rs
+++ b/decision/tests/tier/records.rs
@@ -11,10 +11,13 @@
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::feed::Heartbeat;
 use wagtailbeam_decision::feed::Message;
+use wagtailbeam_decision::fleet::Instance;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::quarantine::Ledger;
 use wagtailbeam_decision::quarantine::Run;
 use wagtailbeam_decision::quarantine::Summary;
+use wagtailbeam_decision::quota;
+use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::suspect::Standing;
 
 use crate::check;
@@ -242,6 +245,7 @@
         version: 7,
         failing: true,
         ledger: quarantined(1).summary(ms(50), 0).into(),
+        limits: limits().into(),
         ..heartbeat(&mut Ledger::default(), ms(1))
     };
     let bytes = postcard::to_stdvec(&Message::Heartbeat(newer.clone())).expect("bytes");
@@ -252,7 +256,41 @@
     let read: Message = postcard::from_bytes(&bytes).expect("a heartbeat");
     let expected = Heartbeat {
         ledger: Appended(Summary::default()),
-        ..newer
+        limits: Appended(quota::Report::default()),
+        ..newer.clone()
     };
     assert_eq!(read, Message::Heartbeat(expected));
+    let without_limits = Heartbeat {
+        limits: Appended(quota::Report::default()),
+        ..newer
+    };
+    let message = Message::Heartbeat(without_limits);
+    let mut bytes = postcard::to_stdvec(&message).expect("bytes");
+    bytes.truncate(bytes.len() - EMPTY_REPORT_BYTES);
+    let read: Message = postcard::from_bytes(&bytes).expect("a heartbeat");
+    assert_eq!(read, message);
+}
+
+/// Length of an empty report of limits, with which a newer build's heartbeat ends.
+const EMPTY_REPORT_BYTES: usize = 3;
+
+/// A report of a limit and of the demand for it.
+fn limits() -> quota::Report {
+    let rate = Rate::from_per_second(2.5).expect("a rate");
+    quota::Report {
+        digest: 5,
+        records: vec![quota::Record {
+            instance: Instance {
+                id: Name::from("r-1"),
+                born: 3,
+            },
+            limit: Some(rate),
+            age: Span::from_ms(20),
+        }],
+        demands: vec![quota::Demand {
+            host: host(1),
+            route: Name::from("all"),
+            rate,
+        }],
+    }
 }
