Judge a host's own links to the servers, and log a change with its evidence

Change: uplink suspects the links when calls fail at three servers, or when all are silent; then it tries connections to servers that answered lately. Line 718 tells lost, on trial and sound. No decision uses it.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -91,6 +91,7 @@
     ingress: mpsc::Receiver<ingress::Event>,
     pool: mpsc::Receiver<pool::Event<Ticket>>,
     mesh: mpsc::Receiver<mesh::Report>,
+    probes: mpsc::Receiver<bool>,
     signals: mpsc::Receiver<Signal>,
 }
 
@@ -111,6 +112,8 @@
     pub(crate) last_id: Arc<AtomicU64>,
     pub(crate) subscriber: Subscriber,
     pub(crate) mesh: Mesh,
+    /// Takes the results of probes of the links to the servers.
+    pub(crate) probes: mpsc::Sender<bool>,
     pub(crate) pool: Pool<Ticket>,
     pub(crate) pending: HashMap<u64, Pending>,
     /// Running calls to replicas, with the request and the replica's address.
@@ -150,6 +153,7 @@
     let (state, published) = watch::channel(State::default());
     let (ingress_sender, ingress_events) = mpsc::channel(CHANNEL_CAPACITY);
     let (pool_sender, pool_events) = mpsc::channel(CHANNEL_CAPACITY);
+    let (probe_sender, probes) = mpsc::channel(CHANNEL_CAPACITY);
     let last_id = Arc::new(AtomicU64::new(0));
     let ingress = Ingress {
         state: published.clone(),
@@ -191,6 +195,7 @@
             seed,
         ),
         mesh,
+        probes: probe_sender,
         pool: Pool::new(pool_sender, ANSWER_MAX_BYTES),
         pending: HashMap::new(),
         calls: HashMap::new(),
@@ -212,6 +217,7 @@
         ingress: ingress_events,
         pool: pool_events,
         mesh: mesh_reports,
+        probes,
         signals,
     };
     driver.event_loop(sources).await;
@@ -232,6 +238,7 @@
             tokio::select! {
                 biased;
                 Some(event) = sources.pool.recv() => self.handle_pool(event),
+                Some(accepted) = sources.probes.recv() => self.step_gateway(Event::Probed(accepted)),
                 Some(report) = sources.mesh.recv() => self.handle_mesh(report),
                 Some(event) = sources.ingress.recv() => self.handle_ingress(event),
                 Some(signal) = sources.signals.recv() => self.handle_signal(signal),
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -15,9 +15,11 @@
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::gateway::Evidence;
 use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Usage;
 use wagtailbeam_decision::suspect::Standing;
+use wagtailbeam_decision::uplink::State;
 
 /// Most lines buffered for a slow reader of standard output; further lines are dropped.
 const BUFFERED_LINES_MAX: usize = 8_192;
@@ -258,6 +260,20 @@
     }
 }
 
+/// Logs that the state of this host's links to the servers changed, and why.
+pub fn links_changed(state: State, evidence: Evidence) {
+    let Evidence { failed, quiet, .. } = evidence;
+    let quiet_ms = evidence.quiet_for.as_ms();
+    match state {
+        State::Sound => {
+            tracing::info!(event = 718, %state, failed, quiet, quiet_ms, "links to the servers changed")
+        }
+        State::Lost | State::Trial => {
+            tracing::warn!(event = 718, %state, failed, quiet, quiet_ms, "links to the servers changed");
+        }
+    }
+}
+
 /// Logs a note of the voter's state machine.
 pub fn voter_note(note: &Note) {
     match note {
--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -40,3 +40,11 @@
     let mut byte = [0];
     timeout(OPEN_MIN, stream.read(&mut byte)).await.is_err()
 }
+
+/// Whether a server accepts a connection and keeps it open.
+pub async fn accepts(address: SocketAddr) -> bool {
+    match connect(address).await {
+        Ok(stream) => stays_open(stream).await,
+        Err(_) => false,
+    }
+}
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -26,8 +26,10 @@
 use crate::entry::log_id;
 use crate::ingress;
 use crate::ingress::Request;
+use crate::logging;
 use crate::pool;
 use crate::pool::Options;
+use crate::probe;
 
 /// Time added to the caller margin for merging the replies of several hosts.
 const MERGE_MARGIN: Span = Span::from_ms(5);
@@ -125,6 +127,16 @@
                         self.subscriber.hurry();
                     }
                 }
+                Action::Probe(address) => {
+                    let probes = self.probes.clone();
+                    tokio::spawn(async move {
+                        let accepted = probe::accepts(address).await;
+                        if probes.send(accepted).await.is_err() {
+                            tracing::debug!(%address, "result of a probe came after the stop");
+                        }
+                    });
+                }
+                Action::Links(state, evidence) => logging::links_changed(state, evidence),
                 Action::Limit(service, replica, limit) => {
                     self.logger.limit_changed(&service, &replica, limit);
                 }
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -262,7 +262,19 @@
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else {
             return;
         };
-        let service = endpoint.replica.service.clone();
+        let (service, address) = (endpoint.replica.service.clone(), endpoint.replica.address);
+        match ending {
+            Ending::Answered | Ending::Failed | Ending::Shed | Ending::Denied => {
+                self.uplink.record_answer(now, address)
+            }
+            Ending::Unreachable | Ending::Broken | Ending::Ended => {
+                self.uplink.record_failure(now, address);
+            }
+            Ending::Withdrawn if endpoint.is_silent(now) => {
+                self.uplink.record_failure(now, address);
+            }
+            Ending::Withdrawn | Ending::Stale => {}
+        }
         let known = self.catalog.services.get(&service);
         let warmup = known.map_or(Span::ZERO, |service| service.warmup);
         let took = endpoint.record_end(now, ticket, ending, expected, warmup);
--- /dev/null
+++ b/decision/src/detour.rs
@@ -0,0 +1,55 @@
+//! Judges this host's links to the servers.
+//!
+//! See `uplink` for the evidence.
+
+use crate::clock::Time;
+use crate::gateway::Action;
+use crate::gateway::Evidence;
+use crate::gateway::Gateway;
+use crate::uplink;
+
+impl Gateway {
+    /// State of this host's links to the servers.
+    pub fn links(&self) -> uplink::State {
+        self.uplink.state()
+    }
+
+    /// Judges the links, tries servers if they are suspected, and tells of a change.
+    pub(crate) fn check_links(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let sound = self.uplink.state() == uplink::State::Sound;
+        if sound
+            && self.calls.is_empty()
+            && self.uplink.suspects() == 0
+            && self.links == uplink::State::Sound
+        {
+            return;
+        }
+        let quiet = self.quiet_servers(now);
+        let evidence = Evidence {
+            failed: self.uplink.suspects(),
+            quiet,
+            quiet_for: self.uplink.quiet_for(now),
+        };
+        let endpoints = self.endpoints.values();
+        let servers = endpoints.filter(|endpoint| endpoint.listed);
+        let servers = servers.map(|endpoint| endpoint.replica.address);
+        let probes = self.uplink.check(now, quiet, servers);
+        actions.extend(probes.into_iter().map(Action::Probe));
+        let state = self.uplink.state();
+        if state != self.links {
+            self.links = state;
+            actions.push(Action::Links(state, evidence));
+        }
+    }
+
+    /// Number of servers with a call that has been open for long, if none has answered for as
+    /// long.
+    fn quiet_servers(&self, now: Time) -> usize {
+        if self.uplink.quiet_for(now) < uplink::QUIET_MIN {
+            return 0;
+        }
+        let endpoints = self.endpoints.values();
+        let quiet = endpoints.filter(|endpoint| endpoint.has_call_open_for(now, uplink::QUIET_MIN));
+        quiet.count()
+    }
+}
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -186,6 +186,11 @@
         now < self.cold_until
     }
 
+    /// Whether a call has been open for this long or longer.
+    pub fn has_call_open_for(&self, now: Time, span: Span) -> bool {
+        self.sent.iter().any(|sent| now.since(sent.at) >= span)
+    }
+
     /// Number of calls that have not ended.
     pub fn in_flight(&self) -> usize {
         self.sent.len()
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -54,6 +54,8 @@
 use crate::quota::Statement;
 use crate::suspect::Standing;
 use crate::throttle::Throttle;
+use crate::uplink;
+use crate::uplink::Uplink;
 
 /// Latency quantile after which a part is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
@@ -192,6 +194,8 @@
     Catalog(Arc<Catalog>),
     /// Other hosts recorded servers that ended under requests.
     Records(Vec<Record>),
+    /// A probe ended: whether the server accepted a connection.
+    Probed(bool),
     /// Limits and demands that a voter tells of.
     Limits(quota::Report),
     /// The replica list changed; read at this time.
@@ -206,6 +210,17 @@
     Tick,
 }
 
+/// What a change of the state of a host's links was derived from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Evidence {
+    /// Servers at which calls failed lately.
+    pub failed: usize,
+    /// Servers with a call that has been open for long.
+    pub quiet: usize,
+    /// Time since a server last answered.
+    pub quiet_for: Span,
+}
+
 /// Output of the state machine, to be carried out by the adapter.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -225,6 +240,11 @@
     /// A hedge or retry was sent for a part of this request, to this service and replica,
     /// for this reason.
     Extra(RequestId, Name, Name, Extra),
+    /// Try to open a connection to a server, and report with [`Event::Probed`] whether it was
+    /// accepted.
+    Probe(SocketAddr),
+    /// The state of this host's links to the servers changed.
+    Links(uplink::State, Evidence),
     /// The limit that a replica of this service names changed; absent if it names none.
     Limit(Name, Name, Option<Rate>),
 }
@@ -272,6 +292,10 @@
     pub(crate) ledger: Ledger,
     /// Limits that replicas named, and the demand for them.
     pub(crate) throttle: Throttle,
+    /// Evidence on this host's links to the servers.
+    pub(crate) uplink: Uplink,
+    /// State of the links in the last [`Action::Links`].
+    pub(crate) links: uplink::State,
     /// Open calls for answered parts of closed requests, with the time at which each is
     /// withdrawn.
     pub(crate) orphans: VecDeque<(Time, Ticket)>,
@@ -302,6 +326,8 @@
             calls: HashMap::new(),
             ledger: Ledger::default(),
             throttle: Throttle::default(),
+            uplink: Uplink::default(),
+            links: uplink::State::default(),
             orphans: VecDeque::new(),
             timers: BinaryHeap::new(),
             last_endpoint: 0,
@@ -353,7 +379,8 @@
     pub fn next_timer(&self) -> Option<Time> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
         let orphan = self.orphans.front().map(|(at, _)| *at);
-        timer.into_iter().chain(orphan).min()
+        let links = self.uplink.next_timer();
+        timer.into_iter().chain(orphan).chain(links).min()
     }
 
     /// Handles an event and returns the resulting actions in order.
@@ -368,6 +395,7 @@
                 self.complete(now, ticket, completion, &mut actions)
             }
             Event::Records(records) => self.merge_records(now, records, &mut actions),
+            Event::Probed(accepted) => self.uplink.record_probe(now, accepted),
             Event::Limits(report) => self.merge_limits(now, report, &mut actions),
             Event::Catalog(catalog) => {
                 let routes = catalog.routes.iter().map(|route| &**route);
@@ -385,6 +413,7 @@
             }
             Event::Tick => self.tick(now, &mut actions),
         }
+        self.check_links(now, &mut actions);
         actions
     }
 
--- /dev/null
+++ b/decision/src/uplink.rs
@@ -0,0 +1,245 @@
+//! Whether a host's own links to the servers work.
+//!
+//! Load pattern: a host loses its links to all servers for seconds, while callers and other hosts
+//! still reach it. Connections hang or are reset, or old ones live on while new ones are refused.
+//! A host that only sees calls fail can't tell that from many servers that fail at once. So calls
+//! that fail at several servers are a suspicion, and the host then tries to open connections to
+//! servers, first to those that answered last. If none of them accepts one, or all stay silent,
+//! the links are lost. They count as back once servers answer trial calls.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use derive_more::Display;
+
+use crate::clock::Span;
+use crate::clock::Time;
+
+/// Servers at which calls must fail before the links are suspected.
+const SUSPECTS_MIN: usize = 3;
+
+/// Time for which a failed call counts.
+const FAILURE_TTL: Span = Span::from_ms(1_000);
+
+/// Time without any answer, while calls to several servers are open for as long, after which the
+/// links are suspected.
+pub const QUIET_MIN: Span = Span::from_ms(120);
+
+/// The same after which the links count as lost even if servers accept connections.
+const QUIET_MAX: Span = Span::from_ms(700);
+
+/// Servers to which connections are tried in one round.
+const PROBES: usize = 3;
+
+/// Rounds in a row that must find no server while servers answer on open connections.
+const ROUNDS_MIN: u32 = 2;
+
+/// Shortest time between two rounds while the links are suspected.
+const ROUND_EVERY: Span = Span::from_ms(300);
+
+/// Time between two probes while the links are lost.
+const PROBE_EVERY: Span = Span::from_ms(250);
+
+/// Time between two trial calls while the links may be back.
+const TRIAL_EVERY: Span = Span::from_ms(60);
+
+/// Servers that must answer trial calls before the links count as back.
+const TRIALS_MIN: usize = 4;
+
+/// Time within which they must answer.
+const TRIAL_MAX: Span = Span::from_ms(1_500);
+
+/// Last answers that are remembered, to pick servers for probes.
+const ANSWERED_MAX: usize = 16;
+
+/// State of a host's links to the servers.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+pub enum State {
+    /// The links work.
+    #[default]
+    #[display("sound")]
+    Sound,
+    /// No server can be reached.
+    #[display("lost")]
+    Lost,
+    /// A server accepted a connection after the links were lost.
+    #[display("on trial")]
+    Trial,
+}
+
+/// A host's evidence on its links.
+#[derive(Clone, Debug, Default)]
+pub struct Uplink {
+    state: State,
+    /// When the state began.
+    since: Time,
+    /// When a server last answered.
+    heard_at: Time,
+    /// Servers that answered last, the latest at the end.
+    answered: Vec<SocketAddr>,
+    /// Servers at which a call failed, with the time of the last one.
+    failed: BTreeMap<SocketAddr, Time>,
+    /// Probes that have not ended.
+    probing: usize,
+    /// When the last round or probe began.
+    probed_at: Option<Time>,
+    /// Whether the last round of probes found a server that accepts connections.
+    accepted: bool,
+    /// Rounds in a row that found none.
+    failed_rounds: u32,
+    /// When the next trial call may be sent.
+    trial_at: Time,
+    /// Servers that answered trial calls.
+    trials: BTreeSet<SocketAddr>,
+}
+
+impl Uplink {
+    /// State of the links.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Number of servers at which calls failed lately.
+    pub fn suspects(&self) -> usize {
+        self.failed.len()
+    }
+
+    /// Time since a server last answered.
+    pub fn quiet_for(&self, now: Time) -> Span {
+        now.since(self.heard_at)
+    }
+
+    /// Records an answer of a server.
+    pub fn record_answer(&mut self, now: Time, server: SocketAddr) {
+        self.heard_at = now;
+        self.failed.remove(&server);
+        self.answered.retain(|other| *other != server);
+        self.answered.push(server);
+        if self.answered.len() > ANSWERED_MAX {
+            self.answered.remove(0);
+        }
+        if self.state == State::Trial {
+            self.trials.insert(server);
+            if self.trials.len() >= TRIALS_MIN {
+                self.enter(now, State::Sound);
+            }
+        }
+    }
+
+    /// Records that a call to a server failed at the connection, or that the server is silent.
+    pub fn record_failure(&mut self, now: Time, server: SocketAddr) {
+        self.failed.insert(server, now);
+        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
+    }
+
+    /// Records the end of a probe: whether the server accepted a connection.
+    pub fn record_probe(&mut self, now: Time, accepted: bool) {
+        self.probing = self.probing.saturating_sub(1);
+        self.accepted |= accepted;
+        if self.accepted {
+            self.failed_rounds = 0;
+        }
+        match self.state {
+            State::Lost if accepted => self.enter(now, State::Trial),
+            State::Sound if self.probing == 0 && !self.accepted => self.end_round(now),
+            _ => {}
+        }
+    }
+
+    /// Ends a round that found no server. While servers answer on open connections, one round
+    /// proves little: servers reset connections beyond their limit.
+    fn end_round(&mut self, now: Time) {
+        self.failed_rounds += 1;
+        if self.failed_rounds >= ROUNDS_MIN || self.quiet_for(now) >= QUIET_MIN {
+            self.enter(now, State::Lost);
+        }
+    }
+
+    fn enter(&mut self, now: Time, state: State) {
+        self.state = state;
+        self.since = now;
+        self.failed.clear();
+        self.failed_rounds = 0;
+        self.trials.clear();
+        self.trial_at = now;
+        self.probed_at = Some(now);
+    }
+
+    /// Judges the links and returns the servers to which connections are to be tried. `quiet` is
+    /// the number of servers with a call that has been open for [`QUIET_MIN`] or longer; `servers`
+    /// are all servers.
+    pub fn check(
+        &mut self,
+        now: Time,
+        quiet: usize,
+        servers: impl Iterator<Item = SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let servers = servers.collect::<Vec<_>>();
+        let needed = SUSPECTS_MIN.min(servers.len()).max(1);
+        let is_quiet = quiet >= needed && self.quiet_for(now) >= QUIET_MIN;
+        let due = |every| self.probed_at.is_none_or(|at| now.since(at) >= every);
+        match self.state {
+            State::Sound if is_quiet && self.quiet_for(now) >= QUIET_MAX => {
+                self.enter(now, State::Lost);
+                Vec::new()
+            }
+            State::Sound => {
+                self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
+                let suspected = is_quiet || self.failed.len() >= needed;
+                match suspected && self.probing == 0 && due(ROUND_EVERY) {
+                    true => self.probe(now, PROBES, &servers),
+                    false => Vec::new(),
+                }
+            }
+            State::Lost if due(PROBE_EVERY) && self.probing == 0 => self.probe(now, 1, &servers),
+            State::Lost => Vec::new(),
+            State::Trial => {
+                if now.since(self.since) >= TRIAL_MAX || self.failed.len() >= needed {
+                    self.enter(now, State::Lost);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Picks servers for probes: those that answered last, then any others.
+    fn probe(&mut self, now: Time, count: usize, servers: &[SocketAddr]) -> Vec<SocketAddr> {
+        let failed = |server: &SocketAddr| self.failed.contains_key(server);
+        let answered = self.answered.iter().rev().copied();
+        let mut chosen = answered
+            .filter(|server| !failed(server))
+            .collect::<Vec<_>>();
+        let others = servers.iter().copied();
+        let others = others.filter(|server| !self.answered.contains(server));
+        chosen.extend(others.take(PROBES));
+        chosen.extend(self.answered.iter().rev().filter(|server| failed(server)));
+        chosen.truncate(count);
+        if let Some(last) = self.answered.pop() {
+            self.answered.insert(0, last);
+        }
+        self.probing = chosen.len();
+        self.accepted = false;
+        self.probed_at = Some(now);
+        chosen
+    }
+
+    /// Whether a call may be sent on links that are not known to work. At most one in
+    /// [`TRIAL_EVERY`] may while they are on trial.
+    pub fn take_trial(&mut self, now: Time) -> bool {
+        let due = self.state == State::Trial && now >= self.trial_at;
+        if due {
+            self.trial_at = now.after(TRIAL_EVERY);
+        }
+        due
+    }
+
+    /// When the links are to be judged next; absent while nothing is suspected.
+    pub fn next_timer(&self) -> Option<Time> {
+        match self.state {
+            State::Sound => None,
+            State::Lost => Some(self.probed_at.unwrap_or_default().after(PROBE_EVERY)),
+            State::Trial => Some(self.since.after(TRIAL_MAX)),
+        }
+    }
+}
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -466,7 +466,9 @@
                 gateway::Action::Standing(..) => self.spread_records(host),
                 gateway::Action::CloseIdle(_)
                 | gateway::Action::Extra(..)
-                | gateway::Action::Limit(..) => {}
+                | gateway::Action::Limit(..)
+                | gateway::Action::Links(..)
+                | gateway::Action::Probe(_) => {}
             }
         }
     }
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -338,6 +338,8 @@
                 Action::CloseIdle(_)
                 | Action::Extra(..)
                 | Action::Limit(..)
+                | Action::Links(..)
+                | Action::Probe(_)
                 | Action::Reply(..)
                 | Action::Standing(..) => {}
             }
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -412,6 +412,8 @@
                 Action::CloseIdle(_)
                 | Action::Extra(..)
                 | Action::Limit(..)
+                | Action::Links(..)
+                | Action::Probe(_)
                 | Action::Reply(..)
                 | Action::Standing(..) => {}
             }
