Tests that fail: callers of hosts that are cut off from all replicas aren't served

Change: the simulation of several hosts cuts them off (silent, reset, new connections refused); the soak's proxies and the stand-ins' servers cut single processes off by the owner of a connection's socket, in series and beside all other faults; a steady load beside the closed-loop callers, and a check of the share served at cut hosts against the others; a process test of a group with a settings file in which three of five daemons are cut off, with queries and jobs (once at most).

--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -6,3 +6,4 @@
 mod harness;
 mod lifecycle;
 mod limited;
+mod stranded;
--- /dev/null
+++ b/bins/tests/processes/stranded.rs
@@ -0,0 +1,72 @@
+//! Daemons that are cut off from all backend servers, while callers and the other daemons reach
+//! them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use wagtailbeam_fakes::backend::Behavior;
+use wagtailbeam_fakes::backend::Cluster;
+use wagtailbeam_fakes::caller;
+use wagtailbeam_fakes::fleet;
+
+use crate::harness::Harness;
+
+const SHARDS: usize = 8;
+const REPLICAS: usize = 2;
+const CALLER: &str = "airline-one";
+
+/// Time after a cut from which callers must be served.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// Makes all servers reset the connections of these daemons.
+fn cut_off(cluster: &Cluster, harness: &Harness, daemons: &[usize]) {
+    let pids = daemons.iter().filter_map(|daemon| harness.pid(*daemon));
+    let pids = pids.collect::<Vec<_>>();
+    for server in &cluster.servers {
+        server.configure(|behavior| behavior.cut_off.clone_from(&pids));
+    }
+}
+
+/// Guards against owners that keep their replicas although they can't reach them: queries and jobs
+/// at all daemons fail for them.
+#[test]
+fn callers_are_served_while_most_daemons_of_a_group_with_a_settings_file_are_cut_off() {
+    let names = (0..SHARDS * REPLICAS).map(|index| format!("gate-{index:02}"));
+    let cluster = Cluster::start(&names.collect::<Vec<_>>(), &Behavior::default(), 7);
+    let service = fleet::Service::of(
+        "desk-gate",
+        "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n",
+        &cluster,
+        REPLICAS,
+    );
+    let file = fleet::manifest(1, &[service], &[CALLER], &[]);
+    let harness = Harness::start(5, 3);
+    let path = harness.write_file("first.ini", &file);
+    assert_eq!(harness.run_client(0, &["apply", &path]).code, 0);
+    harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
+    let query = caller::get(&fleet::caller_key(CALLER), "/desk-gate/x");
+    let traffic = harness.start_traffic(&query);
+    std::thread::sleep(Duration::from_secs(1));
+    cut_off(&cluster, &harness, &[0, 2, 4]);
+    std::thread::sleep(CONTACT);
+    let mut complete = 0;
+    let until = Instant::now() + Duration::from_secs(3);
+    for turn in 0..60 {
+        let answer = harness.send(turn % 5, &query);
+        complete += u32::from(answer.coverage() == (SHARDS as u64, SHARDS as u64));
+        let job = caller::post(
+            &fleet::caller_key(CALLER),
+            "/desk-gate/entries",
+            &format!("visit-{turn}"),
+            "{}",
+        );
+        let answer = harness.send(turn % 5, &job);
+        complete += u32::from(answer.status == 200);
+        assert!(cluster.runs(&format!("visit-{turn}")) <= 1);
+        std::thread::sleep(until.saturating_duration_since(Instant::now()) / (60 - turn as u32));
+    }
+    assert!(complete >= 110, "{complete} of 120 served");
+    cut_off(&cluster, &harness, &[]);
+    harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
+    assert!(traffic.stop().answered > 0);
+}
--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -56,3 +56,22 @@
         assert!(report.served > 0, "{report}");
     }
 }
+
+/// Time during which faults are injected in a run of cuts: hosts are cut off for up to 11 s.
+const CUT_TIME: Duration = Duration::from_secs(24);
+
+/// Guards against callers that are served far worse at hosts which are cut off from all replicas,
+/// while other processes are killed and restarted.
+#[test]
+fn callers_are_served_at_hosts_cut_off_from_all_replicas_under_injected_faults() {
+    for seed in [31, 32] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
+            duration: CUT_TIME,
+            ..Options::default()
+        };
+        let report = run::run(&options, seed).expect("a run");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.served > 0, "{report}");
+    }
+}
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -44,6 +44,9 @@
 /// Time for a message between a host and a replica, one way.
 const TRANSIT: Span = Span::from_ms(1);
 
+/// Time after which a probe without an answer ends.
+const PROBE_TIMEOUT: Span = Span::from_ms(100);
+
 /// Time between two heartbeats of a host.
 const HEARTBEAT_EVERY: Span = Span::from_ms(400);
 
@@ -53,11 +56,24 @@
 /// Length of the windows in which requests are counted against a limit.
 const WINDOW: Span = Span::from_secs(4);
 
+/// How a host is cut off from all replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Calls and new connections get no answer.
+    Hang,
+    /// Calls break, and new connections are refused.
+    Reset,
+    /// New connections are refused; one in three calls finds an open one.
+    Refuse,
+}
+
 enum Step {
     /// A caller's request for a route arrives at the host.
     Request(usize, u64, &'static str),
     /// A host learns how a call ended.
     Done(usize, u64, Ending, Statement),
+    /// A host learns whether a server accepted a connection.
+    Probed(usize, bool),
     /// A host sends a heartbeat to the voter and gets a feed.
     Heartbeat(usize, u64),
 }
@@ -71,6 +87,12 @@
     pub routes: HashMap<u64, &'static str>,
     /// Requests at each replica.
     pub arrivals: BTreeMap<SocketAddr, Vec<Time>>,
+    /// Host that got each request.
+    pub callers: HashMap<u64, usize>,
+    /// Hosts that are cut off from all replicas.
+    cuts: HashMap<usize, Cut>,
+    /// Calls under way, by host.
+    calls: HashSet<(usize, u64)>,
     /// Limits named by replicas, with the time since when.
     limits: HashMap<SocketAddr, (f64, Time)>,
     catalog: Arc<Catalog>,
@@ -163,6 +185,9 @@
             answers: BTreeMap::new(),
             routes: HashMap::new(),
             arrivals: BTreeMap::new(),
+            callers: HashMap::new(),
+            cuts: HashMap::new(),
+            calls: HashSet::new(),
             limits: HashMap::new(),
             catalog: Arc::new(catalog(shards)),
             fleet: Arc::new(Fleet::new(replicas)),
@@ -217,6 +242,31 @@
         self.replan();
     }
 
+    /// Cuts hosts off from all replicas.
+    pub fn cut(&mut self, hosts: &[usize], cut: Cut) {
+        for at in hosts {
+            self.cuts.insert(*at, cut);
+            if cut == Cut::Refuse {
+                continue;
+            }
+            let open = self.calls.iter().filter(|(host, _)| host == at);
+            let mut open = open.map(|(_, ticket)| *ticket).collect::<Vec<_>>();
+            open.sort_unstable();
+            for ticket in open {
+                self.calls.remove(&(*at, ticket));
+                if cut == Cut::Reset {
+                    let done = Step::Done(*at, ticket, Ending::Broken, Statement::Nothing);
+                    self.schedule(TRANSIT, done);
+                }
+            }
+        }
+    }
+
+    /// Restores the links of all hosts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
     /// Tells all hosts which hosts are live.
     fn replan(&mut self) {
         let live = (0..self.gateways.len()).filter(|at| self.gateways[*at].is_some());
@@ -291,6 +341,9 @@
         };
         match self.due.remove(&number) {
             Some(Step::Request(at, id, route)) => self.request(at, id, route),
+            Some(Step::Probed(at, accepted)) => self.step(at, Event::Probed(accepted)),
+            Some(Step::Done(at, ticket, Ending::Answered, _))
+                if !self.calls.remove(&(at, ticket)) => {}
             Some(Step::Done(at, ticket, ending, statement)) => {
                 let answered = ending == Ending::Answered;
                 let completion = Completion {
@@ -317,6 +370,7 @@
             others_healthier: false,
         };
         self.started.insert(id, self.now);
+        self.callers.insert(id, at);
         self.step(at, Event::Request(id, request));
     }
 
@@ -335,11 +389,16 @@
                     let earlier = self.answers.insert(id, (answer, took));
                     assert!(earlier.is_none(), "request {id} was answered twice");
                 }
+                Action::Probe(_) => {
+                    let accepted = !self.cuts.contains_key(&at);
+                    let hangs = self.cuts.get(&at) == Some(&Cut::Hang);
+                    let wait = if hangs { PROBE_TIMEOUT } else { TRANSIT };
+                    self.schedule(wait, Step::Probed(at, accepted));
+                }
                 Action::CloseIdle(_)
                 | Action::Extra(..)
                 | Action::Limit(..)
                 | Action::Links(..)
-                | Action::Probe(_)
                 | Action::Reply(..)
                 | Action::Standing(..) => {}
             }
@@ -347,6 +406,15 @@
     }
 
     fn arrive(&mut self, at: usize, ticket: u64, address: SocketAddr) {
+        match self.cuts.get(&at) {
+            Some(Cut::Hang) => return,
+            Some(Cut::Refuse) if self.random.next_u32().is_multiple_of(3) => {}
+            Some(Cut::Reset | Cut::Refuse) => {
+                let refused = Step::Done(at, ticket, Ending::Unreachable, Statement::Nothing);
+                return self.schedule(TRANSIT, refused);
+            }
+            None => {}
+        }
         let arrived = self.now.after(TRANSIT);
         self.arrivals.entry(address).or_default().push(arrived);
         let limit = self.limits.get(&address).copied();
@@ -354,6 +422,7 @@
         let statement = statement.map_or(Statement::Unlimited, Statement::Limited);
         let pause = u64::from(self.random.next_u32().is_multiple_of(20)) * 150;
         let work = Span::from_ms(5 + u64::from(self.random.next_u32() % 15) + pause);
+        self.calls.insert((at, ticket));
         let done = Step::Done(at, ticket, Ending::Answered, statement);
         self.schedule(TRANSIT + work + TRANSIT, done);
     }
@@ -394,6 +463,20 @@
         served as f64 / answers.len().max(1) as f64
     }
 
+    /// Share of the requests of a route at these hosts that got a success, among those sent from
+    /// `since` on; requests without any answer count as failed.
+    pub fn served_at(&self, hosts: &[usize], route: &str, since: Time) -> f64 {
+        let requests = self.callers.iter().filter(|(id, at)| {
+            hosts.contains(at) && self.routes[id] == route && self.started[id] >= since
+        });
+        let requests = requests.map(|(id, _)| id).collect::<Vec<_>>();
+        let served = requests.iter().filter(|id| {
+            let answer = self.answers.get(id);
+            answer.is_some_and(|(answer, _)| !matches!(answer, Answer::Refused(..)))
+        });
+        served.count() as f64 / requests.len().max(1) as f64
+    }
+
     /// Refusals that say "not run", with the time they took and the time to come back.
     pub fn refusals(&self) -> impl Iterator<Item = (Span, Option<Span>)> {
         self.answers
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -16,6 +16,7 @@
 mod records;
 mod rotation;
 mod state;
+mod stranded;
 mod voters;
 
 use quickcheck::Gen;
--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -29,11 +29,15 @@
 use tokio::sync::watch;
 use wagtailbeam_adapter::http;
 
+use crate::origin;
 use crate::port;
 
 /// A server crashes while it handles a request whose target contains this text.
 pub const POISON_MARKER: &str = "poison";
 
+/// Time between two checks whether the process at the other end of a connection is cut off.
+const CUT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time from the start of work on a request with `POISON_MARKER` to the crash.
 const POISON_CRASH_DELAY: Duration = Duration::from_millis(3);
 
@@ -74,6 +78,8 @@
     pub lose_answers: bool,
     /// Whether only half of the body is sent, under the `content-length` of all of it.
     pub truncate_body: bool,
+    /// Processes whose connections are reset; new ones too.
+    pub cut_off: Vec<u32>,
     /// Requests per second that answers name as the most that the server takes.
     pub limit: Option<f64>,
 }
@@ -97,6 +103,7 @@
             wrong_request_id: false,
             lose_answers: false,
             truncate_body: false,
+            cut_off: Vec::new(),
             limit: None,
         }
     }
@@ -349,7 +356,10 @@
             let mut crash = crash.clone();
             let (server, slots) = (server.clone(), slots.clone());
             tokio::spawn(async move {
+                let cut = wait_until_cut(server.clone(), stream.peer_addr());
                 tokio::select! {
+                    biased;
+                    () = cut => {}
                     () = serve_connection(server, slots, stream) => {}
                     _ = crash.changed() => {}
                 }
@@ -364,6 +374,20 @@
     }
 }
 
+/// Waits until the process at the other end of a connection is cut off.
+async fn wait_until_cut(server: Arc<Server>, peer: std::io::Result<SocketAddr>) {
+    let Ok(peer) = peer else { return };
+    let mut checked = Vec::new();
+    loop {
+        let pids = server.lock().behavior.cut_off.clone();
+        if pids != checked && pids.iter().any(|pid| origin::is_from(*pid, peer)) {
+            return;
+        }
+        checked = pids;
+        tokio::time::sleep(CUT_INTERVAL).await;
+    }
+}
+
 /// Listens again on the address that the server had before its crash.
 async fn rebind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4()?;
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod caller;
 pub mod fleet;
 pub mod load;
+pub mod origin;
 pub mod port;
 pub mod process;
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -87,6 +87,11 @@
         Ok(())
     }
 
+    /// Process identifier of a daemon that runs.
+    pub fn pid(&self, index: usize) -> Option<u32> {
+        self.children[index].as_ref().map(Child::id)
+    }
+
     /// Sends a signal, such as `-TERM`, to a daemon; does nothing if none was started or it
     /// was stopped.
     pub fn signal(&self, index: usize, signal: &str) -> Result<()> {
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -40,6 +40,12 @@
 /// Range of the random pause before each request of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..160;
 
+/// Pause between two requests that are sent steadily.
+const STEADY_PAUSE: Duration = Duration::from_millis(25);
+
+/// Most entry hosts that get requests steadily.
+const STEADY_HOSTS_MAX: usize = 12;
+
 /// Title, in the body of a refusal, which says that the request did not run.
 const NOT_RUN_TITLE: &str = "\"not-run\"";
 
@@ -108,6 +114,11 @@
         }
     }
 
+    /// Sends one request to the caller's entry host.
+    async fn send_one(mut self, id: String, is_gather: bool) {
+        self.send(&id, is_gather).await;
+    }
+
     /// Sends a request and records its outcome. If no connection can be opened, nothing is
     /// sent and the caller moves on to the next entry host.
     async fn send(&mut self, id: &str, is_gather: bool) {
@@ -116,6 +127,7 @@
             return;
         };
         self.checker.lock().record_sent(id);
+        self.checker.lock().record_entry(id, self.entry);
         let (method, path) = match is_gather {
             true => (Method::GET, "/all/x"),
             false => (Method::POST, "/once/x"),
@@ -179,6 +191,27 @@
     }
 }
 
+/// Sends requests to each entry host, or to some of them, at a steady pace on new connections, whether
+/// earlier ones were answered or not, until `stopped` becomes true.
+pub async fn send_steadily(
+    deployment: Deployment,
+    checker: Shared,
+    stopped: watch::Receiver<bool>,
+) {
+    let mut count = 0;
+    while !*stopped.borrow() {
+        tokio::time::sleep(STEADY_PAUSE).await;
+        count += 1;
+        let host = count % deployment.entry_hosts.min(STEADY_HOSTS_MAX);
+        let caller = Caller {
+            entry: host,
+            ..Caller::new(0, count as u64, &deployment, checker.clone())
+        };
+        let is_gather = count / deployment.entry_hosts % 2 == 0;
+        tokio::spawn(caller.send_one(format!("steady-{count}"), is_gather));
+    }
+}
+
 /// Opens an HTTP connection to an entry host; `None` if that fails.
 pub async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -20,8 +20,11 @@
 /// draining.
 pub const DRAIN_LAG_MAX: Duration = Duration::from_secs(4);
 
-/// Time after a replica first named a limit from which all hosts must keep to it.
-pub const LIMIT_CONTACT: Duration = Duration::from_secs(4);
+/// Time after a change within which hosts that are in touch with the others must follow it.
+pub const CONTACT: Duration = Duration::from_secs(4);
+
+/// First tries at hosts that are cut off that may fail, before any share counts.
+const CUT_FAILURES_MAX: usize = 10;
 
 /// Length of the windows in which requests are counted against a limit.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -43,6 +46,14 @@
     until: Option<Instant>,
 }
 
+/// A time in which some entry hosts were cut off from all replicas.
+#[derive(Clone, Debug)]
+struct LinksCut {
+    entries: BTreeSet<usize>,
+    from: Instant,
+    until: Option<Instant>,
+}
+
 /// A request that reached a replica; `ran` tells whether the replica began to run it.
 #[derive(Clone, Debug)]
 struct Arrival {
@@ -68,6 +79,12 @@
 pub struct Checker {
     /// Time sent and outcome of each request, by request id.
     requests: BTreeMap<String, (Instant, Option<Outcome>)>,
+    /// Entry host that got each request of a caller, unless that was disturbed lately.
+    entries: BTreeMap<String, usize>,
+    /// Until when each entry host counts as disturbed by another fault.
+    disturbed: BTreeMap<usize, Instant>,
+    /// Times in which entry hosts were cut off, in order.
+    cuts: Vec<LinksCut>,
     /// Arrivals at replicas, by request id.
     arrivals: BTreeMap<String, Vec<Arrival>>,
     /// Start and, once over, end of the last drain of each replica, by replica id.
@@ -115,6 +132,36 @@
             .insert(request.to_owned(), (Instant::now(), None));
     }
 
+    /// Records which entry host a caller's request goes to.
+    pub fn record_entry(&mut self, request: &str, entry: usize) {
+        let until = self.disturbed.get(&entry);
+        if until.is_none_or(|until| *until <= Instant::now()) {
+            self.entries.insert(request.to_owned(), entry);
+        }
+    }
+
+    /// Records that a fault other than a cut disturbs an entry host.
+    pub fn record_disturbed(&mut self, entry: usize, until: Instant) {
+        let known = self.disturbed.entry(entry).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Records that these entry hosts are cut off from all replicas from now on.
+    pub fn record_links_cut(&mut self, entries: BTreeSet<usize>) {
+        self.cuts.push(LinksCut {
+            entries,
+            from: Instant::now(),
+            until: None,
+        });
+    }
+
+    /// Records that no entry host is cut off any more.
+    pub fn record_links_back(&mut self) {
+        if let Some(cut) = self.cuts.last_mut() {
+            cut.until.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Records how a request ended.
     pub fn record_outcome(&mut self, request: &str, outcome: Outcome) {
         if let Some((_, recorded)) = self.requests.get_mut(request) {
@@ -264,6 +311,7 @@
         self.check_extra_requests();
         self.check_drained(delay_windows);
         self.check_limits();
+        self.check_cuts();
         std::mem::take(&mut self.violations)
     }
 
@@ -348,7 +396,38 @@
         self.violations.extend(violations);
     }
 
-    /// Checks that no replica got more than its limit allows, from [`LIMIT_CONTACT`] after it
+    /// Checks that callers at hosts which were cut off were served at least two thirds as often as
+    /// those at the others, from [`CONTACT`] after the cut on.
+    fn check_cuts(&mut self) {
+        let mut violations = Vec::new();
+        for cut in &self.cuts {
+            let (from, until) = (cut.from + CONTACT, cut.until.unwrap_or_else(Instant::now));
+            let mut counts = [(0_usize, 0_usize); 2];
+            for (request, entry) in &self.entries {
+                let Some((sent, outcome)) = self.requests.get(request) else {
+                    continue;
+                };
+                if *sent < from || *sent >= until {
+                    continue;
+                }
+                let (served, all) = &mut counts[usize::from(cut.entries.contains(entry))];
+                *all += 1;
+                *served += usize::from(*outcome == Some(Outcome::Served));
+            }
+            let [(served, all), (cut_served, cut_all)] = counts;
+            let failed = cut_all - cut_served;
+            let worse = 3 * cut_served * all < 2 * served * cut_all;
+            if worse && failed > CUT_FAILURES_MAX + (all + cut_all) / 50 {
+                violations.push(format!(
+                    "hosts that were cut off served {cut_served} of {cut_all} requests, the others \
+                     {served} of {all}"
+                ));
+            }
+        }
+        self.violations.extend(violations);
+    }
+
+    /// Checks that no replica got more than its limit allows, from [`CONTACT`] after it
     /// first named it.
     fn check_limits(&mut self) {
         let mut violations = Vec::new();
@@ -356,7 +435,7 @@
             let Some(named_at) = limited.named_at else {
                 continue;
             };
-            let from = named_at + LIMIT_CONTACT;
+            let from = named_at + CONTACT;
             let until = limited.until.unwrap_or_else(Instant::now);
             let of_replica = self.arrivals.values().flatten();
             let of_replica = of_replica.filter(|arrival| arrival.replica == limited.replica);
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The daemon processes and fakes of a run. Starts them, and injects and reverts faults when
 //! [`crate::run`] asks for it.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io::Result;
 use std::path::PathBuf;
@@ -19,6 +20,7 @@
 use crate::deployment::REPLICAS_PER_SERVICE;
 use crate::deployment::VOTERS;
 use crate::fault::Fault;
+use crate::fault::Target;
 use crate::limit;
 use crate::list;
 use crate::process;
@@ -32,6 +34,9 @@
 /// that delays them, alone or together with other faults of voters.
 const UPDATE_LAG_MAX: Duration = Duration::from_secs(2);
 
+/// Longest time after a fault of an entry host until it serves callers as before.
+const ENTRY_RECOVERY_MAX: Duration = Duration::from_millis(1_500);
+
 /// Maximum number of unavailable voters with which the others still form a majority.
 const VOTER_LOSSES_MAX: usize = VOTERS / 2;
 
@@ -59,6 +64,10 @@
     pub(crate) voters: Vec<Process>,
     pub(crate) entry_hosts: Vec<Process>,
     pub(crate) backends: Vec<Backend>,
+    /// Tells all proxies which processes are cut off.
+    cuts: watch::Sender<proxy::Cuts>,
+    /// Entry hosts that are cut off from all replicas, by index.
+    cut_entries: BTreeMap<usize, proxy::Cut>,
     /// Sets what the list endpoint serves.
     pub(crate) list_view: watch::Sender<list::View>,
     pub(crate) checker: Shared,
@@ -83,9 +92,12 @@
         let deployment = Deployment::random(rng, options.entry_hosts);
         let checker = Shared::default();
         let mut backends = Vec::new();
+        let (cuts, _) = watch::channel(proxy::Cuts::default());
         for service in deployment.services() {
             for index in 0..REPLICAS_PER_SERVICE {
-                backends.push(Backend::start(&deployment, service, index, &checker).await?);
+                let receiver = cuts.subscribe();
+                let backend = Backend::start(&deployment, service, index, &checker, receiver);
+                backends.push(backend.await?);
             }
         }
         let (list_view, receiver) = watch::channel(list::View::default());
@@ -93,6 +105,8 @@
         let mut cluster = Cluster {
             voters: Vec::new(),
             entry_hosts: Vec::new(),
+            cuts,
+            cut_entries: BTreeMap::new(),
             backends,
             list_view,
             checker,
@@ -130,6 +144,39 @@
         Ok(cluster)
     }
 
+    /// Cuts these entry hosts off from all replicas, and no others.
+    pub(crate) fn cut_off(&mut self, entries: BTreeMap<usize, proxy::Cut>) {
+        if entries.is_empty() {
+            self.checker.lock().record_links_back();
+        } else {
+            let indices = entries.keys().copied().collect();
+            let text = entries
+                .iter()
+                .map(|(entry, cut)| format!("entry-{entry} {cut:?}"));
+            let text = text.collect::<Vec<_>>().join(", ");
+            let start_ms = self.started.elapsed().as_millis();
+            self.injected
+                .push(format!("{start_ms} ms: cut off: {text}"));
+            self.checker.lock().record_links_cut(indices);
+        }
+        self.cut_entries = entries;
+        self.publish_cuts();
+    }
+
+    /// Tells the proxies the processes of the entry hosts that are cut off, if they changed.
+    pub(crate) fn publish_cuts(&self) {
+        let cuts = self.cut_entries.iter().filter_map(|(entry, cut)| {
+            let pid = self.entry_hosts[*entry].pid()?;
+            Some((pid, *cut))
+        });
+        let cuts = cuts.collect::<Vec<_>>();
+        self.cuts.send_if_modified(|published| {
+            let changed = **published != cuts;
+            *published = cuts.into();
+            changed
+        });
+    }
+
     /// Kills and restarts all entry hosts, one after the other, then all voters at once.
     pub(crate) async fn restart_all(&mut self) -> Result<()> {
         for entry in &mut self.entry_hosts {
@@ -184,6 +231,10 @@
             self.delay_windows
                 .push((now, now + duration + UPDATE_LAG_MAX));
         }
+        if let Target::Entry(index) = fault.target() {
+            let until = now + duration + ENTRY_RECOVERY_MAX;
+            self.checker.lock().record_disturbed(index, until);
+        }
         self.active_faults.push((now + duration, fault));
         match fault {
             Fault::KillVoter(index) => self.voters[index].kill(),
@@ -319,6 +370,7 @@
         service: &Name,
         index: usize,
         checker: &Shared,
+        cuts: watch::Receiver<proxy::Cuts>,
     ) -> Result<Backend> {
         let id = Name::from(format!("{service}-{index}"));
         let bind_address = deployment.backend_address();
@@ -334,7 +386,7 @@
             limits,
         )
         .await?;
-        let (address, link_mode) = proxy::start(bind_address, target, down_updates).await?;
+        let (address, link_mode) = proxy::start(bind_address, target, down_updates, cuts).await?;
         Ok(Backend {
             list_entry: encode::Replica {
                 id,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod checker;
 mod cluster;
+pub mod cut;
 pub mod deployment;
 pub mod fault;
 pub mod limit;
--- a/soak/src/limit.rs
+++ b/soak/src/limit.rs
@@ -15,7 +15,7 @@
 const LIMITS: [f64; 6] = [0.0, 0.7, 1.5, 4.0, 8.0, 12.0];
 
 /// Range of the times for which replicas name a limit, in milliseconds. Hosts must keep to it
-/// from [`crate::checker::LIMIT_CONTACT`] on.
+/// from [`crate::checker::CONTACT`] on.
 const NAMED_MS: std::ops::Range<u64> = 5_500..9_000;
 
 /// Range of the pauses between two series, in milliseconds.
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -79,6 +79,11 @@
         self.child.is_some()
     }
 
+    /// Identifier of the process while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether the process is running and has not been sent [`Signal::Term`].
     pub fn is_active(&self) -> bool {
         self.is_running() && !self.stopping
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -3,6 +3,7 @@
 
 use std::io::Result;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -12,6 +13,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use wagtailbeam_fakes::origin;
 
 /// What the proxy does with connections and the bytes on them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -29,6 +31,32 @@
     Close,
 }
 
+/// How an entry host is cut off from all replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Its connections stay open and silent; new ones too.
+    Hang,
+    /// Its connections break; new ones are reset.
+    Reset,
+    /// Its connections go on; new ones are reset.
+    Refuse,
+}
+
+/// Processes that are cut off from all replicas.
+pub type Cuts = Arc<Vec<(u32, Cut)>>;
+
+/// How the process at the other end of a connection is cut off, if it is.
+async fn cut_of(cuts: Cuts, peer: SocketAddr) -> Option<Cut> {
+    if cuts.is_empty() {
+        return None;
+    }
+    let search = tokio::task::spawn_blocking(move || {
+        let cut = cuts.iter().find(|(pid, _)| origin::is_from(*pid, peer));
+        cut.map(|(_, cut)| *cut)
+    });
+    search.await.unwrap_or_default()
+}
+
 /// The direction of a byte stream: from the client to the server or back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
@@ -38,11 +66,13 @@
 
 /// Starts a proxy to `target` on a free port of `bind_address`. Returns the address that
 /// the proxy listens on, and the sender that sets its mode. While `down` is true, its
-/// connections break and its port refuses new ones, like those of a process that ended.
+/// connections break and its port refuses new ones, like those of a process that ended. `cuts`
+/// names the processes that are cut off.
 pub async fn start(
     bind_address: SocketAddr,
     target: SocketAddr,
     down: watch::Receiver<bool>,
+    cuts: watch::Receiver<Cuts>,
 ) -> Result<(SocketAddr, watch::Sender<Mode>)> {
     let listener = TcpListener::bind(bind_address).await?;
     let address = listener.local_addr()?;
@@ -50,7 +80,7 @@
     tokio::spawn(async move {
         let (mut listener, mut down) = (listener, down);
         loop {
-            accept_until_down(listener, target, &mode, down.clone()).await;
+            accept_until_down(listener, target, &mode, down.clone(), cuts.clone()).await;
             if down.wait_for(|down| !*down).await.is_err() {
                 return;
             }
@@ -69,14 +99,16 @@
     target: SocketAddr,
     mode: &watch::Receiver<Mode>,
     mut down: watch::Receiver<bool>,
+    cuts: watch::Receiver<Cuts>,
 ) {
     let down_updates = down.clone();
     let accept = async {
-        while let Ok((stream, _)) = listener.accept().await {
+        while let Ok((stream, peer)) = listener.accept().await {
             let (mode, mut down) = (mode.clone(), down_updates.clone());
+            let relay = relay_unless_cut(stream, peer, target, mode, cuts.clone());
             tokio::spawn(async move {
                 tokio::select! {
-                    () = relay(stream, target, mode) => {}
+                    () = relay => {}
                     _ = down.wait_for(|down| *down) => {}
                 }
             });
@@ -88,6 +120,46 @@
     }
 }
 
+/// Relays a connection until it breaks because its process is cut off. One that hangs is held and
+/// breaks when the cut ends.
+async fn relay_unless_cut(
+    stream: TcpStream,
+    peer: SocketAddr,
+    target: SocketAddr,
+    mode: watch::Receiver<Mode>,
+    mut cuts: watch::Receiver<Cuts>,
+) {
+    let known = cuts.borrow_and_update().clone();
+    let mut cut = cut_of(known, peer).await;
+    if matches!(cut, Some(Cut::Reset | Cut::Refuse)) {
+        return;
+    }
+    let mut relay = std::pin::pin!(relay(stream, target, mode));
+    loop {
+        match cut {
+            Some(Cut::Reset) => return,
+            Some(Cut::Hang) => {
+                while cut.is_some() && cuts.changed().await.is_ok() {
+                    let known = cuts.borrow_and_update().clone();
+                    cut = cut_of(known, peer).await;
+                }
+                return;
+            }
+            Some(Cut::Refuse) | None => {}
+        }
+        tokio::select! {
+            () = &mut relay => return,
+            changed = cuts.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+        let known = cuts.borrow_and_update().clone();
+        cut = cut_of(known, peer).await;
+    }
+}
+
 /// Connects to the target and forwards both directions until one ends or the mode becomes
 /// [`Mode::Close`].
 async fn relay(stream: TcpStream, target: SocketAddr, mut mode: watch::Receiver<Mode>) {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak: starts the cluster, sends load while faults are injected, waits for
 //! recovery and checks the guarantees.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::io::Result;
@@ -19,6 +20,7 @@
 use crate::checker::Shared;
 use crate::cluster::Backend;
 use crate::cluster::Cluster;
+use crate::cut::CutSeries;
 use crate::deployment::Deployment;
 use crate::deployment::ENTRY_HOSTS;
 use crate::deployment::VOTERS;
@@ -148,6 +150,11 @@
     });
     let callers = callers.collect::<Vec<_>>();
     let operator = tokio::spawn(operator.run(stopped.clone()));
+    let steady = tokio::spawn(caller::send_steadily(
+        cluster.deployment.clone(),
+        cluster.checker.clone(),
+        stopped.clone(),
+    ));
     let fatal = tokio::spawn(send_fatal_requests(
         cluster.deployment.clone(),
         ChaCha8Rng::seed_from_u64(!seed),
@@ -167,6 +174,7 @@
         caller.await.map_err(std::io::Error::other)?;
     }
     fatal.await.map_err(std::io::Error::other)?;
+    steady.await.map_err(std::io::Error::other)?;
     let mut operator = operator.await.map_err(std::io::Error::other)?;
     cluster.recover(&mut operator).await?;
     if options.older.is_none() {
@@ -241,7 +249,12 @@
     async fn inject_faults(&mut self, rng: &mut ChaCha8Rng, duration: Duration) -> Result<()> {
         let end = Instant::now() + duration;
         let mut next = Instant::now();
+        let mut cuts = CutSeries::new(rng.clone());
         while Instant::now() < end {
+            if let Some(entries) = cuts.next(self.entry_hosts.len()) {
+                self.cut_off(entries);
+            }
+            self.publish_cuts();
             if Instant::now() >= next {
                 let fault = fault::random(rng, self.entry_hosts.len(), self.backends.len());
                 let duration = fault::random_duration(rng, &fault);
@@ -251,6 +264,7 @@
             self.poll()?;
             tokio::time::sleep(POLL_INTERVAL).await;
         }
+        self.cut_off(BTreeMap::new());
         Ok(())
     }
 
