Take a server for ended only while another one accepts connections

Cause: a broken connection whose server then refuses new ones counted as a server that ended; a host that is cut off finds each server so. Change: the probe also tries up to three other servers with open connections; one must accept. Result: adapter/tests/probe.rs failed before (server ended) and passes.

--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -45,6 +46,9 @@
 /// Most connections to a server beyond its limit, to replace ones that are still closing.
 const CLOSING_CONNECTIONS_MAX: u32 = 1;
 
+/// Servers to which connections are tried before another one is taken for ended.
+const REFERENCES_MAX: usize = 3;
+
 /// Largest request body, in bytes, after which a connection is reused. A server may
 /// answer a larger body before it has read all of it.
 const REUSE_BODY_MAX_BYTES: usize = 8 * 1024;
@@ -200,8 +204,9 @@
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(ticket, cancel);
         let (events, answer_max) = (self.events.clone(), self.answer_max);
+        let others = self.references(address);
         tokio::spawn(async move {
-            let task = exchange(address, request, connection, guard, answer_max);
+            let task = exchange(address, request, connection, guard, answer_max, others);
             tokio::select! {
                 biased;
                 _ = cancelled => {}
@@ -213,6 +218,16 @@
         });
     }
 
+    /// Other servers with open connections, which show whether this host's links work.
+    fn references(&self, address: SocketAddr) -> Vec<SocketAddr> {
+        let after = (Bound::Excluded(address), Bound::Unbounded);
+        let after = self.servers.range(after);
+        let others = after.chain(self.servers.range(..address));
+        let open = others.filter(|(_, server)| server.open > 0);
+        let addresses = open.map(|(address, _)| *address);
+        addresses.take(REFERENCES_MAX).collect()
+    }
+
     /// Cancels a call and closes its connection.
     pub fn abort(&mut self, ticket: &T) {
         self.calls.remove(ticket);
@@ -288,6 +303,7 @@
     connection: Option<Idle>,
     guard: Option<Guard<T>>,
     answer_max: usize,
+    others: Vec<SocketAddr>,
 ) -> (Result, Option<Idle>) {
     let reused = connection.is_some();
     let request_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
@@ -311,7 +327,7 @@
             let failure = if reused { Failure::Stale } else { unsent };
             return (Err(failure), None);
         }
-        Err(error) => return (Err(unanswered(address, &error).await), None),
+        Err(error) => return (Err(unanswered(address, &others, &error).await), None),
     };
     let (head, incoming) = response.into_parts();
     let body = match Limited::new(incoming, answer_max).collect().await {
@@ -339,9 +355,9 @@
 }
 
 /// Why a call that was sent has no response: its server ended, or it goes on running.
-async fn unanswered(address: SocketAddr, error: &hyper::Error) -> Failure {
+async fn unanswered(address: SocketAddr, others: &[SocketAddr], error: &hyper::Error) -> Failure {
     let cause = error.to_string();
-    match !error.is_parse() && probe::has_ended(address).await {
+    match !error.is_parse() && probe::has_ended(address, others).await {
         true => Failure::Ended(cause),
         false => Failure::Broken(cause),
     }
--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -1,7 +1,8 @@
 //! Finds out whether the process of a server ended, after a connection to it broke.
 //!
 //! A broken connection alone says little: answers get lost and connections are reset while
-//! the server goes on. A process that ended listens no more.
+//! the server goes on. A process that ended listens no more. But a host whose own links are cut
+//! may find each server's port refused, so another server must accept a connection meanwhile.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -18,13 +19,25 @@
 /// still accept one, and then resets it.
 const OPEN_MIN: Duration = Duration::from_millis(4);
 
-/// Whether no process listens at `address`. Without an answer nothing is known of it, and it
-/// counts as running.
-pub async fn has_ended(address: SocketAddr) -> bool {
-    match connect(address).await {
+/// Whether no process listens at `address`, while one of the `others` accepts a connection. Without
+/// an answer nothing is known of it, and it counts as running. If there are no others, the links
+/// count as sound.
+pub async fn has_ended(address: SocketAddr, others: &[SocketAddr]) -> bool {
+    let refused = match connect(address).await {
         Ok(stream) => !stays_open(stream).await && is_refused(connect(address).await),
         refused => is_refused(refused),
+    };
+    refused && are_links_sound(others).await
+}
+
+/// Whether one of these servers accepts a connection, or there are none.
+async fn are_links_sound(others: &[SocketAddr]) -> bool {
+    for other in others {
+        if accepts(*other).await {
+            return true;
+        }
     }
+    others.is_empty()
 }
 
 async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
--- /dev/null
+++ b/adapter/tests/probe.rs
@@ -0,0 +1,89 @@
+//! What a broken connection to a server is taken for.
+
+#![expect(clippy::unwrap_used, reason = "a failed step is a failed test")]
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use wagtailbeam_adapter::pool::Event;
+use wagtailbeam_adapter::pool::Failure;
+use wagtailbeam_adapter::pool::Options;
+use wagtailbeam_adapter::pool::Pool;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Accepts a connection and reads a request on it.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut request = [0; 1_024];
+    assert!(stream.read(&mut request).await.unwrap() > 0);
+    stream
+}
+
+fn call(pool: &mut Pool<u32>, ticket: u32, address: SocketAddr) {
+    let options = Options {
+        address,
+        connections_max: 4,
+        avoid_stale: false,
+    };
+    let request = Request::builder().uri("/x").header("host", "desk");
+    pool.call(
+        ticket,
+        options,
+        request.body(Full::new(Bytes::new())).unwrap(),
+    );
+}
+
+/// Result of the next call that ends.
+async fn next(
+    pool: &mut Pool<u32>,
+    events: &mut mpsc::Receiver<Event<u32>>,
+) -> Result<(), Failure> {
+    loop {
+        if let Some((_, result)) = pool.handle(events.recv().await.unwrap()) {
+            return result.map(drop);
+        }
+    }
+}
+
+/// Calls a server that breaks the connection and refuses new ones, beside one that answered and,
+/// if `refuses`, refuses new connections too.
+async fn break_call(refuses: bool) -> Failure {
+    let (sender, mut events) = mpsc::channel(16);
+    let mut pool = Pool::new(sender, 1_024);
+    let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let broken = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    call(&mut pool, 1, other.local_addr().unwrap());
+    let mut kept = accept(&other).await;
+    kept.write_all(ANSWER).await.unwrap();
+    next(&mut pool, &mut events).await.unwrap();
+    call(&mut pool, 2, broken.local_addr().unwrap());
+    let stream = accept(&broken).await;
+    let other = (!refuses).then_some(other);
+    drop((stream, broken));
+    let failure = next(&mut pool, &mut events).await.unwrap_err();
+    drop((other, kept));
+    failure
+}
+
+/// Guards against quarantines of harmless requests at all hosts because one host's links are cut:
+/// its connections break and all its new ones are refused.
+#[tokio::test]
+async fn a_server_that_refuses_like_all_others_is_not_taken_for_ended() {
+    let failure = break_call(true).await;
+    assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+}
+
+/// The same where another server accepts connections: the process of this one ended.
+#[tokio::test]
+async fn a_server_that_refuses_while_another_accepts_is_taken_for_ended() {
+    let failure = break_call(false).await;
+    assert!(matches!(failure, Failure::Ended(_)), "{failure}");
+}
