Bound answers without end: interim answers, heads, and all bodies of a host together

Cause: the task that drives a connection outlived its call, and nothing bounded the bytes before the final head; bodies were bounded for each call only. Change: a connection closes with its call, whatever the server still sends; at most 512 KiB are read before the head is complete; unfinished bodies of all calls take 48 MiB at most. The pool serves both kinds of group. No test with a whole daemon was made.

--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod logging;
 pub mod mesh;
 pub mod meter;
+mod metered;
 pub mod metric;
 pub mod node;
 pub mod operator;
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -11,22 +11,27 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::http;
+use crate::metered::Buffer;
+use crate::metered::Meter;
+use crate::metered::Metered;
 use crate::probe;
 use crate::socket;
 
@@ -46,6 +51,9 @@
 /// Most connections to a server beyond its limit, to replace ones that are still closing.
 const CLOSING_CONNECTIONS_MAX: u32 = 1;
 
+/// Most bytes of unfinished answers that all calls together may buffer.
+const BUFFERED_MAX_BYTES: usize = 48 * 1024 * 1024;
+
 /// Servers to which connections are tried before another one is taken for ended.
 const REFERENCES_MAX: usize = 3;
 
@@ -81,7 +89,7 @@
     /// refused a new connection: its process ended.
     #[display("server ended: {_0}")]
     Ended(String),
-    /// The response body exceeds the pool's limit.
+    /// The response body exceeds the pool's limit for one answer or for all together.
     #[display("answer too long")]
     TooLong,
 }
@@ -91,9 +99,22 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// An open connection, which closes when this is dropped, whatever the server still sends.
+struct Connection {
+    sender: Sender,
+    meter: Meter,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 /// An idle connection.
 pub struct Idle {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
     /// Keep-alive time announced by the server, if any.
     keep_alive: Option<Duration>,
@@ -141,12 +162,14 @@
     calls: BTreeMap<T, oneshot::Sender<()>>,
     events: mpsc::Sender<Event<T>>,
     answer_max: usize,
+    /// Bytes that all calls together may buffer.
+    buffer: Buffer,
     opened: u64,
 }
 
 impl Idle {
     fn is_usable(&self, avoid_stale: bool) -> bool {
-        if self.sender.is_closed() {
+        if self.connection.sender.is_closed() {
             return false;
         }
         let idle = self.since.elapsed();
@@ -168,6 +191,7 @@
             calls: BTreeMap::new(),
             events,
             answer_max,
+            buffer: Buffer::new(BUFFERED_MAX_BYTES),
             opened: 0,
         }
     }
@@ -183,7 +207,9 @@
             avoid_stale,
         } = options;
         let server = self.servers.entry(address).or_default();
-        server.idle.retain(|idle| !idle.sender.is_closed());
+        server
+            .idle
+            .retain(|idle| !idle.connection.sender.is_closed());
         let usable = server
             .idle
             .iter()
@@ -205,8 +231,16 @@
         self.calls.insert(ticket, cancel);
         let (events, answer_max) = (self.events.clone(), self.answer_max);
         let others = self.references(address);
+        let buffer = self.buffer.clone();
         tokio::spawn(async move {
-            let task = exchange(address, request, connection, guard, answer_max, others);
+            let task = exchange(
+                address,
+                request,
+                connection,
+                guard,
+                (answer_max, buffer),
+                others,
+            );
             tokio::select! {
                 biased;
                 _ = cancelled => {}
@@ -258,7 +292,9 @@
             Event::Closed(address) => {
                 let server = self.servers.entry(address).or_default();
                 server.open = server.open.saturating_sub(1);
-                server.idle.retain(|idle| !idle.sender.is_closed());
+                server
+                    .idle
+                    .retain(|idle| !idle.connection.sender.is_closed());
                 if server.open == 0 && server.idle.is_empty() {
                     self.servers.remove(&address);
                 }
@@ -267,6 +303,17 @@
         }
     }
 
+    /// Sets the most bytes of answers that all calls together may buffer.
+    pub fn with_buffered_max(mut self, bytes: usize) -> Pool<T> {
+        self.buffer = Buffer::new(bytes);
+        self
+    }
+
+    /// Bytes of unfinished answers that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.used()
+    }
+
     /// Number of open connections to all servers.
     pub fn open_connections(&self) -> u32 {
         self.servers.values().map(|server| server.open).sum()
@@ -302,22 +349,23 @@
     request: Request<Full<Bytes>>,
     connection: Option<Idle>,
     guard: Option<Guard<T>>,
-    answer_max: usize,
+    (answer_max, buffer): (usize, Buffer),
     others: Vec<SocketAddr>,
 ) -> (Result, Option<Idle>) {
     let reused = connection.is_some();
     let request_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
-    let sender = match (connection, guard) {
-        (Some(idle), _) => Ok(idle.sender),
+    let connection = match (connection, guard) {
+        (Some(idle), _) => Ok(idle.connection),
         (None, Some(guard)) => dial(address, guard).await,
         (None, None) => Err(Failure::Unreachable("no connection is free".to_owned())),
     };
-    let mut sender = match sender {
-        Ok(sender) => sender,
+    let mut connection = match connection {
+        Ok(connection) => connection,
         Err(failure) => return (Err(failure), None),
     };
-    let sent = match sender.ready().await {
-        Ok(()) => sender.send_request(request).await,
+    connection.meter.expect_head();
+    let sent = match connection.sender.ready().await {
+        Ok(()) => connection.sender.send_request(request).await,
         Err(error) => Err(error),
     };
     let response = match sent {
@@ -329,17 +377,15 @@
         }
         Err(error) => return (Err(unanswered(address, &others, &error).await), None),
     };
+    connection.meter.expect_body();
     let (head, incoming) = response.into_parts();
-    let body = match Limited::new(incoming, answer_max).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return (Err(Failure::TooLong), None);
-        }
-        Err(error) => return (Err(Failure::Broken(error.to_string())), None),
+    let body = match read_body(incoming, answer_max, &buffer).await {
+        Ok(body) => body,
+        Err(failure) => return (Err(failure), None),
     };
     let closing = announces_close(&head.headers);
     let idle = Idle {
-        sender,
+        connection,
         since: Instant::now(),
         keep_alive: announced_keep_alive(&head.headers),
     };
@@ -354,6 +400,27 @@
     )
 }
 
+/// Reads a body of at most `body_max` bytes, within what all answers together may take.
+async fn read_body(
+    mut incoming: Incoming,
+    body_max: usize,
+    buffer: &Buffer,
+) -> std::result::Result<Bytes, Failure> {
+    let mut reserved = buffer.reserve();
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| Failure::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > body_max || !reserved.grow(data.len()) {
+            return Err(Failure::TooLong);
+        }
+        body.extend_from_slice(&data);
+    }
+    Ok(body.freeze())
+}
+
 /// Why a call that was sent has no response: its server ended, or it goes on running.
 async fn unanswered(address: SocketAddr, others: &[SocketAddr], error: &hyper::Error) -> Failure {
     let cause = error.to_string();
@@ -375,7 +442,7 @@
 async fn dial<T: Send + 'static>(
     address: SocketAddr,
     guard: Guard<T>,
-) -> std::result::Result<Sender, Failure> {
+) -> std::result::Result<Connection, Failure> {
     let unreachable = |cause: String| Failure::Unreachable(cause);
     let stream = match timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -383,16 +450,23 @@
         Err(_) => return Err(unreachable("no answer to the connection".to_owned())),
     };
     socket::tune(&stream).map_err(|error| unreachable(error.to_string()))?;
+    let meter = Meter::default();
+    let stream = Metered::new(stream, meter.clone());
     let (sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
+        let guard = guard;
         if let Err(error) = driver.await {
             tracing::debug!(%address, %error, "backend connection ended");
         }
         drop(guard);
     });
-    Ok(sender)
+    Ok(Connection {
+        sender,
+        meter,
+        driver: task.abort_handle(),
+    })
 }
 
 /// Whether a response has the header `Connection: close`.
