--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -148,6 +148,15 @@
     pub avoid_stale: bool,
 }
 
+/// Bounds on what a call may buffer.
+#[derive(Clone)]
+struct Bounds {
+    /// Most bytes of one body.
+    body_max: usize,
+    /// Bytes that all calls together may buffer.
+    buffer: Buffer,
+}
+
 #[derive(Default)]
 struct Server {
     idle: Vec<Idle>,
@@ -161,9 +170,7 @@
     /// Running calls; dropping the sender cancels the call.
     calls: BTreeMap<T, oneshot::Sender<()>>,
     events: mpsc::Sender<Event<T>>,
-    answer_max: usize,
-    /// Bytes that all calls together may buffer.
-    buffer: Buffer,
+    bounds: Bounds,
     opened: u64,
 }
 
@@ -190,8 +197,10 @@
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             events,
-            answer_max,
-            buffer: Buffer::new(BUFFERED_MAX_BYTES),
+            bounds: Bounds {
+                body_max: answer_max,
+                buffer: Buffer::new(BUFFERED_MAX_BYTES),
+            },
             opened: 0,
         }
     }
@@ -229,18 +238,10 @@
         });
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(ticket, cancel);
-        let (events, answer_max) = (self.events.clone(), self.answer_max);
+        let (events, bounds) = (self.events.clone(), self.bounds.clone());
         let others = self.references(address);
-        let buffer = self.buffer.clone();
         tokio::spawn(async move {
-            let task = exchange(
-                address,
-                request,
-                connection,
-                guard,
-                (answer_max, buffer),
-                others,
-            );
+            let task = exchange(address, request, connection, guard, bounds, others);
             tokio::select! {
                 biased;
                 _ = cancelled => {}
@@ -305,13 +306,13 @@
 
     /// Sets the most bytes of answers that all calls together may buffer.
     pub fn with_buffered_max(mut self, bytes: usize) -> Pool<T> {
-        self.buffer = Buffer::new(bytes);
+        self.bounds.buffer = Buffer::new(bytes);
         self
     }
 
     /// Bytes of unfinished answers that are buffered.
     pub fn buffered(&self) -> usize {
-        self.buffer.used()
+        self.bounds.buffer.used()
     }
 
     /// Number of open connections to all servers.
@@ -349,7 +350,7 @@
     request: Request<Full<Bytes>>,
     connection: Option<Idle>,
     guard: Option<Guard<T>>,
-    (answer_max, buffer): (usize, Buffer),
+    bounds: Bounds,
     others: Vec<SocketAddr>,
 ) -> (Result, Option<Idle>) {
     let reused = connection.is_some();
@@ -379,7 +380,7 @@
     };
     connection.meter.expect_body();
     let (head, incoming) = response.into_parts();
-    let body = match read_body(incoming, answer_max, &buffer).await {
+    let body = match read_body(incoming, &bounds).await {
         Ok(body) => body,
         Err(failure) => return (Err(failure), None),
     };
@@ -400,20 +401,16 @@
     )
 }
 
-/// Reads a body of at most `body_max` bytes, within what all answers together may take.
-async fn read_body(
-    mut incoming: Incoming,
-    body_max: usize,
-    buffer: &Buffer,
-) -> std::result::Result<Bytes, Failure> {
-    let mut reserved = buffer.reserve();
+/// Reads a body within the bounds.
+async fn read_body(mut incoming: Incoming, bounds: &Bounds) -> std::result::Result<Bytes, Failure> {
+    let mut reserved = bounds.buffer.reserve();
     let mut body = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|error| Failure::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if body.len() + data.len() > body_max || !reserved.grow(data.len()) {
+        if body.len() + data.len() > bounds.body_max || !reserved.grow(data.len()) {
             return Err(Failure::TooLong);
         }
         body.extend_from_slice(&data);
