Judge ended servers of a group with a settings file as before: its owners have few servers

Change: only entry hosts of discovered tiers, which have connections to many servers, ask for another one that accepts (Pool::with_comparison).

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -208,7 +208,7 @@
         ),
         mesh,
         probes: probe_sender,
-        pool: Pool::new(pool_sender, ANSWER_MAX_BYTES),
+        pool: Pool::new(pool_sender, ANSWER_MAX_BYTES).with_comparison(),
         pending: HashMap::new(),
         calls: HashMap::new(),
         held_response: None,
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -171,6 +171,8 @@
     calls: BTreeMap<T, oneshot::Sender<()>>,
     events: mpsc::Sender<Event<T>>,
     bounds: Bounds,
+    /// Whether a server counts as ended only while another one accepts connections.
+    compares: bool,
     opened: u64,
 }
 
@@ -201,6 +203,7 @@
                 body_max: answer_max,
                 buffer: Buffer::new(BUFFERED_MAX_BYTES),
             },
+            compares: false,
             opened: 0,
         }
     }
@@ -253,8 +256,12 @@
         });
     }
 
-    /// Other servers with open connections, which show whether this host's links work.
+    /// Other servers with open connections, which show whether this host's links work; none
+    /// without [`Pool::with_comparison`].
     fn references(&self, address: SocketAddr) -> Vec<SocketAddr> {
+        if !self.compares {
+            return Vec::new();
+        }
         let after = (Bound::Excluded(address), Bound::Unbounded);
         let after = self.servers.range(after);
         let others = after.chain(self.servers.range(..address));
@@ -304,6 +311,13 @@
         }
     }
 
+    /// Takes a server for ended only while another one accepts connections. For callers with
+    /// connections to many servers: with few, all of them may have ended at once.
+    pub fn with_comparison(mut self) -> Pool<T> {
+        self.compares = true;
+        self
+    }
+
     /// Sets the most bytes of answers that all calls together may buffer.
     pub fn with_buffered_max(mut self, bytes: usize) -> Pool<T> {
         self.bounds.buffer = Buffer::new(bytes);
