--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -311,8 +311,8 @@
         }
     }
 
-    /// Takes a server for ended only while another one accepts connections. For callers with
-    /// connections to many servers: with few, all of them may have ended at once.
+    /// Takes a server for ended only while another one accepts connections. Meant for pools with
+    /// connections to many servers: of a few, all may have ended at once.
     pub fn with_comparison(mut self) -> Pool<T> {
         self.compares = true;
         self
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -64,8 +64,8 @@
     }
 
     /// The cheapest usable replica of a service that is within its limits, not in
-    /// `tried`, and in `allowed` if that is given. `need` tells which calls it may take from
-    /// replicas that name a limit.
+    /// `tried`, and in `allowed` if that is given. `need` tells how much it may use of
+    /// the limits that replicas name.
     pub(crate) fn pick(
         &mut self,
         now: Time,
--- a/decision/src/quota.rs
+++ b/decision/src/quota.rs
@@ -329,12 +329,12 @@
     -uniform.ln() / sharer.weight.log2().round().exp2()
 }
 
-/// Which requests a call may be taken from.
+/// How much of a bucket a call may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Need {
-    /// A first call of one of the most urgent requests to the service.
+    /// All of it: a first call of one of the most urgent requests to the service.
     Urgent,
-    /// Any other call: it leaves a reserve for the urgent ones.
+    /// What is left above a reserve for urgent calls.
     Spare,
 }
 
--- a/decision/src/throttle.rs
+++ b/decision/src/throttle.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    /// Which calls a request of this priority may be taken from at a service.
+    /// How much of a bucket the first calls of a request of this priority may use at a service.
     pub(crate) fn need(&self, service: &Name, priority: u32) -> Need {
         let uses = self.uses.get(service).map_or(&[][..], Vec::as_slice);
         match uses.iter().any(|user| user.priority < priority) {
--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -228,8 +228,8 @@
         chosen
     }
 
-    /// Whether a call may be sent on links that are not known to work. A few
-    /// may, one at a time, while they are on trial.
+    /// Whether a call may be sent on links that are not known to work. A few may
+    /// while they are on trial, at intervals.
     pub fn take_trial(&mut self, now: Time) -> bool {
         let due = self.state == State::Trial && now >= self.trial_at;
         if due {
