soak: look up the processes of connections once for all, not once for each connection

Cause: each connection through a proxy searched the sockets of each cut process by itself, in a thread of its own; a host that is cut off opens connections all the time, and each change of the cuts asks for all. Change: one task answers all questions that wait with one look at the system's tables, at most one each 10 ms. Each run prints the soak's processor time, memory and threads. No check or bound is changed.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -23,6 +23,7 @@
 use crate::fault::Target;
 use crate::limit;
 use crate::list;
+use crate::locator::Locator;
 use crate::process;
 use crate::process::Process;
 use crate::process::Signal;
@@ -92,11 +93,15 @@
         let deployment = Deployment::random(rng, options.entry_hosts);
         let checker = Shared::default();
         let mut backends = Vec::new();
-        let (cuts, _) = watch::channel(proxy::Cuts::default());
+        let (cuts, receiver) = watch::channel(proxy::Cuts::default());
+        let links = proxy::Links {
+            cuts: receiver,
+            locator: Locator::start(),
+        };
         for service in deployment.services() {
             for index in 0..REPLICAS_PER_SERVICE {
-                let receiver = cuts.subscribe();
-                let backend = Backend::start(&deployment, service, index, &checker, receiver);
+                let links = links.clone();
+                let backend = Backend::start(&deployment, service, index, &checker, links);
                 backends.push(backend.await?);
             }
         }
@@ -370,7 +375,7 @@
         service: &Name,
         index: usize,
         checker: &Shared,
-        cuts: watch::Receiver<proxy::Cuts>,
+        links: proxy::Links,
     ) -> Result<Backend> {
         let id = Name::from(format!("{service}-{index}"));
         let bind_address = deployment.backend_address();
@@ -386,7 +391,7 @@
             limits,
         )
         .await?;
-        let (address, link_mode) = proxy::start(bind_address, target, down_updates, cuts).await?;
+        let (address, link_mode) = proxy::start(bind_address, target, down_updates, links).await?;
         Ok(Backend {
             list_entry: encode::Replica {
                 id,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,7 @@
 use clap::value_parser;
 use wagtailbeam_soak::run;
 use wagtailbeam_soak::run::Options;
+use wagtailbeam_soak::usage::Usage;
 
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
@@ -68,6 +69,7 @@
         match run::run(&options, seed) {
             Ok(report) => {
                 println!("{report}");
+                println!("seed {seed}: the soak itself: {}", Usage::read());
                 failed |= !report.violations.is_empty();
             }
             Err(error) => {
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -13,7 +13,8 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
-use wagtailbeam_fakes::origin;
+
+use crate::locator::Locator;
 
 /// What the proxy does with connections and the bytes on them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -45,16 +46,21 @@
 /// Processes that are cut off from all replicas.
 pub type Cuts = Arc<Vec<(u32, Cut)>>;
 
-/// How the process at the other end of a connection is cut off, if it is.
-async fn cut_of(cuts: Cuts, peer: SocketAddr) -> Option<Cut> {
-    if cuts.is_empty() {
-        return None;
+/// The cuts in effect, and how to find the one that applies to a connection.
+#[derive(Clone)]
+pub struct Links {
+    /// Processes that are cut off.
+    pub cuts: watch::Receiver<Cuts>,
+    /// Finds the process of a connection.
+    pub locator: Locator,
+}
+
+impl Links {
+    /// The cut that applies now to the connection from `peer`, if any.
+    async fn cut_of(&mut self, peer: SocketAddr) -> Option<Cut> {
+        let known = self.cuts.borrow_and_update().clone();
+        self.locator.cut_of(known, peer).await
     }
-    let search = tokio::task::spawn_blocking(move || {
-        let cut = cuts.iter().find(|(pid, _)| origin::is_from(*pid, peer));
-        cut.map(|(_, cut)| *cut)
-    });
-    search.await.unwrap_or_default()
 }
 
 /// The direction of a byte stream: from the client to the server or back.
@@ -66,13 +72,13 @@
 
 /// Starts a proxy to `target` on a free port of `bind_address`. Returns the address that
 /// the proxy listens on, and the sender that sets its mode. While `down` is true, its
-/// connections break and its port refuses new ones, like those of a process that ended. `cuts`
-/// names the processes that are cut off.
+/// connections break and its port refuses new ones, like those of a process that ended. `links`
+/// tells which processes are cut off.
 pub async fn start(
     bind_address: SocketAddr,
     target: SocketAddr,
     down: watch::Receiver<bool>,
-    cuts: watch::Receiver<Cuts>,
+    links: Links,
 ) -> Result<(SocketAddr, watch::Sender<Mode>)> {
     let listener = TcpListener::bind(bind_address).await?;
     let address = listener.local_addr()?;
@@ -80,7 +86,7 @@
     tokio::spawn(async move {
         let (mut listener, mut down) = (listener, down);
         loop {
-            accept_until_down(listener, target, &mode, down.clone(), cuts.clone()).await;
+            accept_until_down(listener, target, &mode, down.clone(), &links).await;
             if down.wait_for(|down| !*down).await.is_err() {
                 return;
             }
@@ -99,13 +105,13 @@
     target: SocketAddr,
     mode: &watch::Receiver<Mode>,
     mut down: watch::Receiver<bool>,
-    cuts: watch::Receiver<Cuts>,
+    links: &Links,
 ) {
     let down_updates = down.clone();
     let accept = async {
         while let Ok((stream, peer)) = listener.accept().await {
             let (mode, mut down) = (mode.clone(), down_updates.clone());
-            let relay = relay_unless_cut(stream, peer, target, mode, cuts.clone());
+            let relay = relay_unless_cut(stream, peer, target, mode, links.clone());
             tokio::spawn(async move {
                 tokio::select! {
                     () = relay => {}
@@ -127,10 +133,9 @@
     peer: SocketAddr,
     target: SocketAddr,
     mode: watch::Receiver<Mode>,
-    mut cuts: watch::Receiver<Cuts>,
+    mut links: Links,
 ) {
-    let known = cuts.borrow_and_update().clone();
-    let mut cut = cut_of(known, peer).await;
+    let mut cut = links.cut_of(peer).await;
     if matches!(cut, Some(Cut::Reset | Cut::Refuse)) {
         return;
     }
@@ -139,9 +144,8 @@
         match cut {
             Some(Cut::Reset) => return,
             Some(Cut::Hang) => {
-                while cut.is_some() && cuts.changed().await.is_ok() {
-                    let known = cuts.borrow_and_update().clone();
-                    cut = cut_of(known, peer).await;
+                while cut.is_some() && links.cuts.changed().await.is_ok() {
+                    cut = links.cut_of(peer).await;
                 }
                 return;
             }
@@ -149,14 +153,13 @@
         }
         tokio::select! {
             () = &mut relay => return,
-            changed = cuts.changed() => {
+            changed = links.cuts.changed() => {
                 if changed.is_err() {
                     return;
                 }
             }
         }
-        let known = cuts.borrow_and_update().clone();
-        cut = cut_of(known, peer).await;
+        cut = links.cut_of(peer).await;
     }
 }
 
