probe: wait longer for the end of a process whose port outlives its connections

Cause: after a broken call an owner opens a connection to the server. A process that is ending may accept it, and the owner took it for running if that connection lived for 4 ms; on a busy host the port closes later. The end did not count, so the request was neither suspected nor refused. Probes of a host's links count a server as reachable only if the connection lives for 100 ms: a device that accepts and resets a moment later isn't a link.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -24,6 +24,7 @@
 use crate::pool::Options;
 use crate::pool::Pool;
 use crate::pool::Response;
+use crate::probe::Patience;
 
 /// Event that the connection pool sends to the loop; to be passed to [`Backend::finish`].
 pub type Report = pool::Event<Ticket>;
@@ -47,7 +48,7 @@
     /// `answer_max` bytes fail.
     pub fn new(reports: mpsc::Sender<Report>, answer_max: usize) -> Backend {
         Backend {
-            pool: Pool::new(reports, answer_max),
+            pool: Pool::new(reports, answer_max).with_patience(Patience::Long),
             expected: BTreeMap::new(),
         }
     }
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -33,6 +33,7 @@
 use crate::metered::Meter;
 use crate::metered::Metered;
 use crate::probe;
+use crate::probe::Patience;
 use crate::socket;
 
 /// Time limit for opening a connection.
@@ -157,6 +158,13 @@
     buffer: Buffer,
 }
 
+/// What tells a server that ended from one that broke a connection.
+struct References {
+    /// Other servers, one of which must accept a connection; empty for no comparison.
+    others: Vec<SocketAddr>,
+    patience: Patience,
+}
+
 #[derive(Default)]
 struct Server {
     idle: Vec<Idle>,
@@ -173,6 +181,8 @@
     bounds: Bounds,
     /// Whether a server counts as ended only while another one accepts connections.
     compares: bool,
+    /// How long a call whose connection broke waits to learn whether the server ended.
+    patience: Patience,
     opened: u64,
 }
 
@@ -204,6 +214,7 @@
                 buffer: Buffer::new(BUFFERED_MAX_BYTES),
             },
             compares: false,
+            patience: Patience::default(),
             opened: 0,
         }
     }
@@ -242,9 +253,12 @@
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(ticket, cancel);
         let (events, bounds) = (self.events.clone(), self.bounds.clone());
-        let others = self.references(address);
+        let references = References {
+            others: self.references(address),
+            patience: self.patience,
+        };
         tokio::spawn(async move {
-            let task = exchange(address, request, connection, guard, bounds, others);
+            let task = exchange(address, request, connection, guard, bounds, references);
             tokio::select! {
                 biased;
                 _ = cancelled => {}
@@ -318,6 +332,12 @@
         self
     }
 
+    /// Sets how long a call whose connection broke waits to learn whether the server ended.
+    pub fn with_patience(mut self, patience: Patience) -> Pool<T> {
+        self.patience = patience;
+        self
+    }
+
     /// Sets the most bytes of answers that all calls together may buffer.
     pub fn with_buffered_max(mut self, bytes: usize) -> Pool<T> {
         self.bounds.buffer = Buffer::new(bytes);
@@ -365,7 +385,7 @@
     connection: Option<Idle>,
     guard: Option<Guard<T>>,
     bounds: Bounds,
-    others: Vec<SocketAddr>,
+    references: References,
 ) -> (Result, Option<Idle>) {
     let reused = connection.is_some();
     let request_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
@@ -390,7 +410,7 @@
             let failure = if reused { Failure::Stale } else { unsent };
             return (Err(failure), None);
         }
-        Err(error) => return (Err(unanswered(address, &others, &error).await), None),
+        Err(error) => return (Err(unanswered(address, &references, &error).await), None),
     };
     connection.meter.expect_body();
     let (head, incoming) = response.into_parts();
@@ -433,9 +453,10 @@
 }
 
 /// Why a call that was sent has no response: its server ended, or it goes on running.
-async fn unanswered(address: SocketAddr, others: &[SocketAddr], error: &hyper::Error) -> Failure {
+async fn unanswered(address: SocketAddr, references: &References, error: &hyper::Error) -> Failure {
+    let References { others, patience } = references;
     let cause = error.to_string();
-    match !error.is_parse() && probe::has_ended(address, others).await {
+    match !error.is_parse() && probe::has_ended(address, others, *patience).await {
         true => Failure::Ended(cause),
         false => Failure::Broken(cause),
     }
--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -15,16 +15,39 @@
 /// Time within which a server that runs accepts a connection; a call waits for the result.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time for which an accepted connection must stay open. A process that is just ending may
-/// still accept one, and then resets it.
-const OPEN_MIN: Duration = Duration::from_millis(4);
+/// Time for which a connection must stay open to show that a server can be reached. A device on the
+/// way may accept connections and reset them a moment later.
+const REACHABLE_MIN: Duration = Duration::from_millis(100);
+
+/// How long a call waits for the end of a process whose port still accepts connections. A process
+/// that is ending may accept some after its open ones broke, for longer on a busy host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Patience {
+    /// A few milliseconds, for callers with other servers at hand.
+    #[default]
+    Short,
+    /// Long enough for a busy host, so that a request that ends servers is recognised before its
+    /// caller can repeat it.
+    Long,
+}
+
+impl Patience {
+    fn duration(self) -> Duration {
+        match self {
+            Patience::Short => Duration::from_millis(4),
+            Patience::Long => Duration::from_millis(80),
+        }
+    }
+}
 
 /// Whether no process listens at `address`, while one of the `others` accepts a connection. Without
 /// an answer nothing is known of it, and it counts as running. If there are no others, the links
 /// count as sound.
-pub async fn has_ended(address: SocketAddr, others: &[SocketAddr]) -> bool {
+pub async fn has_ended(address: SocketAddr, others: &[SocketAddr], patience: Patience) -> bool {
     let refused = match connect(address).await {
-        Ok(stream) => !stays_open(stream).await && is_refused(connect(address).await),
+        Ok(stream) => {
+            !stays_open(stream, patience.duration()).await && is_refused(connect(address).await)
+        }
         refused => is_refused(refused),
     };
     refused && are_links_sound(others).await
@@ -33,7 +56,7 @@
 /// Whether one of these servers accepts a connection, or there are none.
 async fn are_links_sound(others: &[SocketAddr]) -> bool {
     for other in others {
-        if accepts(*other).await {
+        if accepts_for(*other, Patience::Short.duration()).await {
             return true;
         }
     }
@@ -48,16 +71,21 @@
     connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Whether the server keeps a connection open for [`OPEN_MIN`].
-async fn stays_open(mut stream: TcpStream) -> bool {
+/// Whether the server keeps a connection open for this time.
+async fn stays_open(mut stream: TcpStream, time: Duration) -> bool {
     let mut byte = [0];
-    timeout(OPEN_MIN, stream.read(&mut byte)).await.is_err()
+    timeout(time, stream.read(&mut byte)).await.is_err()
 }
 
-/// Whether a server accepts a connection and keeps it open.
+/// Whether a server can be reached: accepts a connection and keeps it open for a while.
 pub async fn accepts(address: SocketAddr) -> bool {
+    accepts_for(address, REACHABLE_MIN).await
+}
+
+/// Whether a server accepts a connection and keeps it open for this time.
+async fn accepts_for(address: SocketAddr, time: Duration) -> bool {
     match connect(address).await {
-        Ok(stream) => stays_open(stream).await,
+        Ok(stream) => stays_open(stream, time).await,
         Err(_) => false,
     }
 }
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -16,6 +16,7 @@
 use wagtailbeam_adapter::pool::Failure;
 use wagtailbeam_adapter::pool::Options;
 use wagtailbeam_adapter::pool::Pool;
+use wagtailbeam_adapter::probe;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
@@ -87,3 +88,18 @@
     let failure = break_call(false).await;
     assert!(matches!(failure, Failure::Ended(_)), "{failure}");
 }
+
+/// Guards against a host that takes its links for sound because a device on the way accepts its
+/// connections, to reset them a moment later.
+#[tokio::test]
+async fn a_server_whose_new_connections_are_reset_after_a_moment_is_not_reachable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        drop(stream);
+        std::future::pending::<()>().await;
+    });
+    assert!(!probe::accepts(address).await);
+}
--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -120,6 +120,26 @@
     assert_eq!(harness.send(1, &job).status, 200);
 }
 
+/// Guards against servers that are taken for running because their port outlives their
+/// connections for a moment, as on a host whose processor is busy.
+#[test]
+fn a_job_that_crashes_servers_whose_ports_close_late_fails_only_its_first_run_and_one_canary() {
+    let cluster = cluster();
+    let late = std::time::Duration::from_millis(30);
+    let servers = cluster.servers.iter();
+    servers.for_each(|server| server.configure(|behavior| behavior.close_delay = late));
+    let harness = start_with_file(&cluster);
+    let key = fleet::caller_key(CALLER);
+    for turn in 0..40 {
+        let job = caller::post(&key, "/desk-gate/poison", &format!("visit-{turn}"), "{}");
+        let answer = harness.send(turn % harness.hosts.len(), &job);
+        assert_ne!(answer.status, 200, "{:?}", answer.json());
+    }
+    assert!(cluster.crashes() <= 2, "{} crashes", cluster.crashes());
+    let job = caller::post(&key, "/desk-gate/entries", "visit-harmless", "{}");
+    assert_eq!(harness.send(1, &job).status, 200);
+}
+
 /// Guards against daemons that forget a quarantine when they are restarted in turn.
 #[test]
 fn a_quarantine_outlasts_a_restart_of_each_daemon_in_turn() {
--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -74,6 +74,8 @@
     pub restart_delay: Duration,
     /// Whether answers carry the identifier of another request.
     pub wrong_request_id: bool,
+    /// Time for which the port still accepts connections after a crash broke the open ones.
+    pub close_delay: Duration,
     /// Whether requests are run and their connections closed without an answer.
     pub lose_answers: bool,
     /// Whether only half of the body is sent, under the `content-length` of all of it.
@@ -100,6 +102,7 @@
             draining: false,
             frozen: false,
             restart_delay: Duration::from_millis(500),
+            close_delay: Duration::ZERO,
             wrong_request_id: false,
             lose_answers: false,
             truncate_body: false,
@@ -365,6 +368,8 @@
                 }
             });
         }
+        let close_delay = server.lock().behavior.close_delay;
+        tokio::time::sleep(close_delay).await;
         drop(listener);
         let delay = server.lock().behavior.restart_delay;
         tokio::time::sleep(delay).await;
