Keep requests from replicas that say they leave or that name a time, in discovered tiers

Change: answers carry a Notice (limit, leaving, pause). A host that received one keeps its requests, hedges, retries, canaries and branches away from that run of the replica: for good if it leaves, also when the list shows it as ready; for the time named, fractions included and cut to an hour. If no other replica of a service is left, callers are rejected at once with the time that is left, and gathers go on without the part. A restart is another run and starts afresh. Other hosts aren't told: each is bound by what it heard itself. Times that aren't understood are logged and ignored. Events 722 to 724.

--- a/adapter/src/dialect.rs
+++ b/adapter/src/dialect.rs
@@ -28,6 +28,8 @@
     /// Requests per second that the replica takes from all hosts together; absent without a
     /// limit.
     pub limit: HeaderName,
+    /// Present, as `1`, if the replica is leaving.
+    pub leaving: HeaderName,
 }
 
 /// One page of the platform's list of replicas.
--- a/adapter/src/http.rs
+++ b/adapter/src/http.rs
@@ -8,7 +8,9 @@
 use hyper::StatusCode;
 use hyper::header;
 use serde::Serialize;
+use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::notice;
 use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Statement;
 
@@ -100,3 +102,16 @@
         None => Statement::Nothing,
     }
 }
+
+/// The time in the `Retry-After` header of an answer, if the answer has it and it is understood.
+pub fn retry_after(headers: &HeaderMap) -> Option<Span> {
+    let value = headers.get(header::RETRY_AFTER)?;
+    let text = value.to_str().unwrap_or_default();
+    match notice::parse_pause(text) {
+        Ok(pause) => Some(pause),
+        Err(fault) => {
+            tracing::warn!(event = 724, value = ?value, %fault, "time to wait not understood");
+            None
+        }
+    }
+}
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -13,6 +13,7 @@
 use wagtailbeam_decision::answer::Extra;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::branch::Reply;
+use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Evidence;
@@ -268,6 +269,27 @@
         }
     }
 
+    /// Logs that a replica said in an answer that it is leaving.
+    pub fn replica_leaves(&mut self, service: &str, replica: &str) {
+        if self.admit(true) {
+            tracing::info!(event = 722, service, replica, "replica is leaving");
+        }
+    }
+
+    /// Logs that a replica wants no requests from this host for a time.
+    pub fn replica_pauses(&mut self, service: &str, replica: &str, pause: Span) {
+        if self.admit(true) {
+            let pause_ms = pause.as_ms();
+            tracing::info!(
+                event = 723,
+                service,
+                replica,
+                pause_ms,
+                "replica wants no requests"
+            );
+        }
+    }
+
     /// Logs a call that got no usable response from a replica.
     pub fn replica_failed(&mut self, id: LogId<'_>, address: &str, cause: &str) {
         if self.admit(false) {
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -11,7 +11,7 @@
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::gateway::Completion;
-use wagtailbeam_decision::quota::Statement;
+use wagtailbeam_decision::notice::Notice;
 
 use crate::entry::Driver;
 use crate::entry::log_id;
@@ -22,6 +22,9 @@
 use crate::pool;
 use crate::pool::Failure;
 
+/// Value of the header with which a replica says that it is leaving.
+const LEAVING: &str = "1";
+
 impl Driver {
     /// Classifies the result of a call for the gateway. A response that may be relayed is
     /// kept in `held_response`.
@@ -36,7 +39,7 @@
             ending,
             stamp: None,
             body: Bytes::new(),
-            statement: Statement::Nothing,
+            notice: Notice::default(),
         };
         let response = match result {
             Ok(response) => response,
@@ -63,10 +66,16 @@
         if response.status == StatusCode::MISDIRECTED_REQUEST {
             return without_body(Ending::Denied);
         }
-        let statement = http::limit_statement(&response.headers, names.limit.as_str());
+        let headers = &response.headers;
+        let overloaded = response.status == StatusCode::SERVICE_UNAVAILABLE;
+        let notice = Notice {
+            limit: http::limit_statement(headers, names.limit.as_str()),
+            leaving: http::header_text(headers, names.leaving.as_str()) == Some(LEAVING),
+            pause: overloaded.then(|| http::retry_after(headers)).flatten(),
+        };
         if response.headers.contains_key(&names.not_run) {
             return Completion {
-                statement,
+                notice,
                 ..without_body(Ending::Shed)
             };
         }
@@ -83,10 +92,10 @@
                 ending: Ending::Answered,
                 stamp,
                 body,
-                statement,
+                notice,
             },
             false => Completion {
-                statement,
+                notice,
                 ..without_body(Ending::Failed)
             },
         }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -161,6 +161,12 @@
                     });
                 }
                 Action::Links(state, evidence) => logging::links_changed(state, evidence),
+                Action::Leaving(service, replica) => {
+                    self.logger.replica_leaves(&service, &replica);
+                }
+                Action::Pause(service, replica, pause) => {
+                    self.logger.replica_pauses(&service, &replica, pause);
+                }
                 Action::Limit(service, replica, limit) => {
                     self.logger.limit_changed(&service, &replica, limit);
                 }
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -225,7 +225,7 @@
         };
         let ending = completion.ending;
         self.record_ending(now, ticket, &call, ending);
-        self.record_statement(now, call.endpoint, completion.statement, actions);
+        self.record_notice(now, call.endpoint, completion.notice, actions);
         let Some(flight) = self.flights.get_mut(&call.request) else {
             return;
         };
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -30,8 +30,8 @@
     Endpoint(EndpointId),
     /// All usable replicas are at their limits; try again later.
     Wait,
-    /// All usable replicas have no room under the limits that they name. The first one has after
-    /// this time; [`Span::MAX`] if this host has no share of any.
+    /// All usable replicas have no room under the limits that they name, or want no requests now. The
+    /// first one has room after this time; [`Span::MAX`] if this host has no share of any.
     Limited(Span),
     /// No usable replica.
     Unavailable,
@@ -88,7 +88,14 @@
             let in_service = !self.closed.contains(&endpoint.replica.domain);
             let excluded =
                 tried.contains(&id) || allowed.is_some_and(|allowed| !allowed.contains(&id));
-            if excluded || !in_service || !endpoint.is_usable(now) {
+            if excluded || !in_service {
+                continue;
+            }
+            if let Some(wait) = endpoint.pause_left(now) {
+                limited = Some(limited.map_or(wait, |least: Span| least.min(wait)));
+                continue;
+            }
+            if !endpoint.is_usable(now) {
                 continue;
             }
             if endpoint.in_flight() >= connections || !self.has_cold_capacity(now, id, service) {
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -124,6 +124,10 @@
     cold_until: Time,
     /// Times of requests sent while the replica was cold.
     recent_cold: VecDeque<Time>,
+    /// Whether the replica said in an answer that it is leaving, whatever the list shows.
+    leaving: bool,
+    /// Until then the replica wants no requests from this host.
+    paused_until: Time,
     /// This host's share of the limit that the replica names; absent without a limit.
     pub(crate) bucket: Option<Bucket>,
 }
@@ -154,6 +158,8 @@
             half_open: false,
             cold_until,
             recent_cold: VecDeque::new(),
+            leaving: false,
+            paused_until: Time::default(),
             bucket: None,
         }
     }
@@ -208,18 +214,44 @@
         self.sent.len()
     }
 
-    /// Whether requests may be sent to the replica: it is listed as ready and is neither
+    /// Records that the replica is leaving. Returns whether this is new.
+    pub fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    /// Records that the replica wants no requests for this time. Returns whether it did not before.
+    pub fn record_pause(&mut self, now: Time, pause: Span) -> bool {
+        let is_new = !self.is_paused(now) && pause > Span::ZERO;
+        self.paused_until = self.paused_until.max(now.after(pause));
+        is_new
+    }
+
+    /// Whether the replica takes new work, as far as the list and its own answers tell.
+    fn is_ready(&self) -> bool {
+        self.listed && self.replica.state == State::Ready && !self.leaving
+    }
+
+    /// Whether the replica wants no requests from this host now.
+    fn is_paused(&self, now: Time) -> bool {
+        now < self.paused_until
+    }
+
+    /// Time for which a replica that takes work otherwise wants no requests; absent without one.
+    pub fn pause_left(&self, now: Time) -> Option<Span> {
+        let paused = self.is_ready() && self.is_paused(now);
+        paused.then(|| self.paused_until.since(now))
+    }
+
+    /// Whether requests may be sent to the replica: it is ready, wants requests, and is neither
     /// held back nor silent.
     pub fn is_usable(&self, now: Time) -> bool {
-        let ready = self.listed && self.replica.state == State::Ready;
         let held = now < self.retry_at || self.half_open && !self.sent.is_empty();
-        ready && !held && !self.is_silent(now)
+        self.is_ready() && !self.is_paused(now) && !held && !self.is_silent(now)
     }
 
-    /// Whether the replica is listed as ready but is held back or silent.
+    /// Whether the replica is ready but is held back or silent.
     pub fn is_held_back(&self, now: Time) -> bool {
-        let ready = self.listed && self.replica.state == State::Ready;
-        ready && !self.is_usable(now)
+        self.is_ready() && !self.is_paused(now) && !self.is_usable(now)
     }
 
     /// Whether an answer is so late that the replica counts as silent.
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -46,12 +46,12 @@
 use crate::flight::Stage;
 use crate::latency::Latency;
 use crate::name::Name;
+use crate::notice::Notice;
 use crate::plan::Plan;
 use crate::quarantine::Ledger;
 use crate::quarantine::Record;
 use crate::quota;
 use crate::quota::Rate;
-use crate::quota::Statement;
 use crate::suspect::Standing;
 use crate::throttle::Throttle;
 use crate::uplink;
@@ -173,8 +173,8 @@
     pub stamp: Option<Arc<str>>,
     /// Body of the answer; empty if the call was not answered.
     pub body: Bytes,
-    /// What the answer says about the replica's limit.
-    pub statement: Statement,
+    /// What the answer says of the replica itself.
+    pub notice: Notice,
 }
 
 /// Input of the state machine.
@@ -245,6 +245,10 @@
     Probe(SocketAddr),
     /// The state of this host's links to the servers changed.
     Links(uplink::State, Evidence),
+    /// A replica of this service said that it is leaving.
+    Leaving(Name, Name),
+    /// A replica of this service wants no requests from this host for this time.
+    Pause(Name, Name, Span),
     /// The limit that a replica of this service names changed; absent if it names none.
     Limit(Name, Name, Option<Rate>),
 }
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod merge;
 pub mod message;
 pub mod name;
+pub mod notice;
 pub mod owner;
 pub mod ownership;
 pub mod parse;
--- a/decision/src/throttle.rs
+++ b/decision/src/throttle.rs
@@ -1,6 +1,6 @@
 //! Keeps an entry host's calls within its share of the limits that replicas name.
 //!
-//! Load pattern: some replicas name limits below what callers ask for. What doesn't fit goes to
+//! Load pattern: some replicas name limits below what callers ask for, or want no requests for a time. What doesn't fit goes to
 //! other replicas; if none has room, the request is refused at once, the least urgent ones first,
 //! with the time after which there is room. See `quota` for how a limit is divided.
 
@@ -14,6 +14,7 @@
 use crate::catalog::Target;
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::endpoint::Endpoint;
 use crate::flight::Cause;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
@@ -21,6 +22,7 @@
 use crate::gateway::Action;
 use crate::gateway::Gateway;
 use crate::name::Name;
+use crate::notice::Notice;
 use crate::quota;
 use crate::quota::Demand;
 use crate::quota::Meter;
@@ -28,7 +30,6 @@
 use crate::quota::Rate;
 use crate::quota::Share;
 use crate::quota::Sharer;
-use crate::quota::Statement;
 
 /// Weight of a host without demand, relative to the mean of all hosts: its callers may come at
 /// any time.
@@ -57,6 +58,8 @@
     demands: BTreeMap<(SocketAddr, Name), f64>,
     /// Routes that send to each service.
     uses: HashMap<Name, Vec<Use>>,
+    /// When the last pause that a replica asked for ends.
+    paused_until: Time,
     /// Calls sent to replicas that name a limit, since [`Gateway::take_usage`].
     usage: BTreeMap<EndpointId, u32>,
 }
@@ -175,19 +178,34 @@
         known.collect()
     }
 
-    /// Records what an answer says about the limit of its replica.
-    pub(crate) fn record_statement(
+    /// Records what an answer says of its replica.
+    pub(crate) fn record_notice(
         &mut self,
         now: Time,
         id: EndpointId,
-        statement: Statement,
+        notice: Notice,
         actions: &mut Vec<Action>,
     ) {
-        let Some(endpoint) = self.endpoints.get(&id) else {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return;
         };
-        let instance = &endpoint.replica.instance;
-        if self.throttle.ledger.hear(now, instance, statement) {
+        let replica = endpoint.replica.clone();
+        let (service, name) = (replica.service.clone(), replica.instance.id.clone());
+        if notice.leaving && endpoint.record_leaving() {
+            actions.push(Action::CloseIdle(replica.address));
+            actions.push(Action::Leaving(service.clone(), name.clone()));
+        }
+        if let Some(pause) = notice.pause {
+            self.throttle.paused_until = self.throttle.paused_until.max(now.after(pause));
+            if endpoint.record_pause(now, pause) {
+                actions.push(Action::Pause(service, name, pause));
+            }
+        }
+        if self
+            .throttle
+            .ledger
+            .hear(now, &replica.instance, notice.limit)
+        {
             self.apply_limit(now, id, actions);
         }
     }
@@ -295,7 +313,7 @@
     /// Refusal of a request that did not run because too many of its parts have no replica with
     /// room for a call; absent if enough have one.
     pub(crate) fn limit_refusal(&mut self, now: Time, flight: &mut Flight) -> Option<Answer> {
-        if self.throttle.ledger.digest() == 0 {
+        if self.throttle.ledger.digest() == 0 && now >= self.throttle.paused_until {
             return None;
         }
         let priority = flight.route.priority;
@@ -355,7 +373,7 @@
     /// Whether a replica of a service has room for a first call of this priority.
     fn room(&self, now: Time, service: &Name, priority: u32) -> Room {
         let need = self.throttle.need(service, priority);
-        let mut limited = None;
+        let mut limited = self.pause_left(now, service);
         for id in self.usable_endpoints(now, service) {
             let Some(endpoint) = self.endpoints.get(&id) else {
                 continue;
@@ -387,16 +405,26 @@
         }
     }
 
-    /// Replicas of a service that may be used, apart from their limits.
-    fn usable_endpoints(&self, now: Time, service: &Name) -> Vec<EndpointId> {
+    /// Time until the first replica of a service that wants no requests takes them again; absent
+    /// without one.
+    fn pause_left(&self, now: Time, service: &Name) -> Option<Span> {
+        let endpoints = self.in_service(service);
+        let pauses = endpoints.filter_map(|(_, endpoint)| endpoint.pause_left(now));
+        pauses.min()
+    }
+
+    /// Replicas of a service whose failure domain is in service.
+    fn in_service(&self, service: &Name) -> impl Iterator<Item = (EndpointId, &Endpoint)> {
         let known = self.pools.get(service).into_iter();
         let known = known.flat_map(|pool| &pool.endpoints);
-        let usable = known.filter(|id| {
-            self.endpoints.get(id).is_some_and(|endpoint| {
-                let closed = self.closed.contains(&endpoint.replica.domain);
-                !closed && endpoint.is_usable(now)
-            })
-        });
-        usable.copied().collect()
+        let known = known.filter_map(|id| Some((*id, self.endpoints.get(id)?)));
+        known.filter(|(_, endpoint)| !self.closed.contains(&endpoint.replica.domain))
+    }
+
+    /// Replicas of a service that may be used, apart from their limits.
+    fn usable_endpoints(&self, now: Time, service: &Name) -> Vec<EndpointId> {
+        let endpoints = self.in_service(service);
+        let usable = endpoints.filter(|(_, endpoint)| endpoint.is_usable(now));
+        usable.map(|(id, _)| id).collect()
     }
 }
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -32,10 +32,10 @@
 use wagtailbeam_decision::gateway::Completion;
 use wagtailbeam_decision::gateway::Gateway;
 use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::notice::Notice;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::quarantine::Record;
-use wagtailbeam_decision::quota::Statement;
 
 use crate::model;
 
@@ -344,7 +344,7 @@
                     ending,
                     stamp: (ending == Ending::Answered).then(|| ticket.to_string().into()),
                     body: Bytes::from(vec![1; 16]),
-                    statement: Statement::Nothing,
+                    notice: Notice::default(),
                 };
                 self.step_gateway(host, gateway::Event::Completed(ticket, completion));
             }
@@ -468,6 +468,8 @@
                 gateway::Action::CloseIdle(_)
                 | gateway::Action::Extra(..)
                 | gateway::Action::Limit(..)
+                | gateway::Action::Leaving(..)
+                | gateway::Action::Pause(..)
                 | gateway::Action::Links(..)
                 | gateway::Action::Probe(_) => {}
             }
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -38,6 +38,7 @@
 use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::gateway::Settings;
 use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::notice::Notice;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::quota::Board;
@@ -429,7 +430,10 @@
                     ending,
                     stamp: answered.then(|| ticket.to_string().into()),
                     body: Bytes::from(vec![1; 16]),
-                    statement,
+                    notice: Notice {
+                        limit: statement,
+                        ..Notice::default()
+                    },
                 };
                 self.step(at, Event::Completed(ticket, completion));
             }
@@ -645,6 +649,8 @@
                 Action::CloseIdle(_)
                 | Action::Extra(..)
                 | Action::Limit(..)
+                | Action::Leaving(..)
+                | Action::Pause(..)
                 | Action::Links(..)
                 | Action::Standing(..) => {}
             }
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -13,6 +13,7 @@
 mod limited;
 mod merge;
 mod model;
+mod notice;
 mod records;
 mod rotation;
 mod state;
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -37,7 +37,7 @@
 use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::gateway::Settings;
 use wagtailbeam_decision::name::Name;
-use wagtailbeam_decision::quota::Statement;
+use wagtailbeam_decision::notice::Notice;
 
 /// Time for a message between the gateway and a replica, one way.
 const TRANSIT: Span = Span::from_ms(1);
@@ -77,6 +77,8 @@
 #[derive(Default)]
 struct Server {
     fault: Fault,
+    /// What its answers say of it; a pause only those of requests that it sheds.
+    notice: Notice,
     running: Vec<u64>,
     waiting: VecDeque<Call>,
     /// Until then the server refuses connections, because its process ended.
@@ -111,7 +113,11 @@
     pub fatal: HashSet<u64>,
     /// Servers that ended under a request: when, and under which one.
     pub ended: Vec<(Time, u64)>,
+    /// When calls arrived at each server.
+    pub arrivals: HashMap<SocketAddr, Vec<Time>>,
     servers: HashMap<SocketAddr, Server>,
+    /// What the answers that are on their way say of their servers.
+    notices: HashMap<u64, Notice>,
     started: HashMap<u64, Time>,
     /// Calls that replicas must not start any more.
     withdrawn_calls: Vec<u64>,
@@ -201,7 +207,9 @@
             withdrawn: 0,
             fatal: HashSet::new(),
             ended: Vec::new(),
+            arrivals: HashMap::new(),
             servers: servers.collect(),
+            notices: HashMap::new(),
             started: HashMap::new(),
             withdrawn_calls: Vec::new(),
             steps: BinaryHeap::new(),
@@ -222,6 +230,21 @@
         }
     }
 
+    /// Sets what the answers of a replica say of it; a pause only those of requests that it sheds.
+    pub fn set_notice(&mut self, shard: usize, index: u8, notice: Notice) {
+        let address = replica(&format!("shard-{shard}"), index, "").address;
+        if let Some(server) = self.servers.get_mut(&address) {
+            server.notice = notice;
+        }
+    }
+
+    /// When calls arrived at a replica from this time on.
+    pub fn arrivals_since(&self, shard: usize, index: u8, since: Time) -> Vec<Time> {
+        let address = replica(&format!("shard-{shard}"), index, "").address;
+        let all = self.arrivals.get(&address).into_iter().flatten();
+        all.filter(|at| **at >= since).copied().collect()
+    }
+
     /// Schedules a request after `wait`.
     pub fn request(&mut self, id: u64, route: &str, wait: Span) {
         let request = Request {
@@ -299,7 +322,7 @@
                     ending,
                     stamp: (ending == Ending::Answered).then(|| ticket.to_string().into()),
                     body: Bytes::from(vec![1; 16]),
-                    statement: Statement::Nothing,
+                    notice: self.notices.remove(&ticket).unwrap_or_default(),
                 };
                 self.handle(Event::Completed(ticket, completion));
             }
@@ -310,6 +333,8 @@
         let Some(server) = self.servers.get_mut(&call.address) else {
             return;
         };
+        let arrivals = self.arrivals.entry(call.address).or_default();
+        arrivals.push(self.now);
         if server.down_until > self.now {
             return self.schedule(TRANSIT, Step::Done(call.ticket, Ending::Unreachable));
         }
@@ -318,7 +343,10 @@
                 self.schedule(DIAL_TIMEOUT, Step::Done(call.ticket, Ending::Unreachable))
             }
             Fault::Refusing => self.schedule(TRANSIT, Step::Done(call.ticket, Ending::Unreachable)),
-            Fault::Sheds => self.schedule(TRANSIT, Step::Done(call.ticket, Ending::Shed)),
+            Fault::Sheds => {
+                self.notices.insert(call.ticket, server.notice);
+                self.schedule(TRANSIT, Step::Done(call.ticket, Ending::Shed));
+            }
             _ => {
                 server.waiting.push_back(call.clone());
                 self.start(call.address);
@@ -387,6 +415,11 @@
             Fault::Fails => Ending::Failed,
             _ => Ending::Answered,
         };
+        let notice = Notice {
+            pause: None,
+            ..server.notice
+        };
+        self.notices.insert(call.ticket, notice);
         self.schedule(TRANSIT, Step::Done(call.ticket, ending));
         self.start(call.address);
     }
@@ -412,6 +445,8 @@
                 Action::CloseIdle(_)
                 | Action::Extra(..)
                 | Action::Limit(..)
+                | Action::Leaving(..)
+                | Action::Pause(..)
                 | Action::Links(..)
                 | Action::Probe(_)
                 | Action::Reply(..)
