Hold the failure of a request that ended a server back until other daemons know of it

Callers saw: a job that crashes servers ended 3 of 2 allowed, in runs of all process tests side by side. Cause: the owner told the other daemons of the suspicion and the entry daemon of the failure at the same time. On a busy host the caller's repeat reached a third daemon before the suspicion did. Change: an owner holds failures of ended servers back until all live daemons have confirmed the suspicion, for 150 ms at most. A daemon confirms by sending back a suspicion that is new to it, so no message is new and older builds, which don't confirm, only cost the wait.

--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -42,10 +42,13 @@
 use crate::register::Value;
 use crate::request::Batch;
 use crate::request::Cause;
+use crate::request::Outcome;
 use crate::request::Ran;
 use crate::request::Request;
 use crate::roster::Member;
 use crate::roster::Roster;
+use crate::spread;
+use crate::spread::Spread;
 use crate::suspect::Arbiter;
 use crate::suspect::Ruling;
 use crate::suspect::Standing;
@@ -81,6 +84,8 @@
     /// Requests suspected of making servers fail, as far as reported to this daemon.
     pub(crate) standings: Table,
     pub(crate) arbiter: Arbiter,
+    /// Failures of suspected requests that wait until other daemons know of them.
+    pub(crate) spread: Spread,
     /// Live daemons.
     pub(crate) members: Vec<Member>,
     /// Live daemons that may own replicas.
@@ -133,6 +138,7 @@
             roster: Roster::new(now),
             standings: Table::default(),
             arbiter: Arbiter::default(),
+            spread: Spread::default(),
             members: Vec::new(),
             candidates: Vec::new(),
             handovers: History::default(),
@@ -274,7 +280,7 @@
                 self.assign_replicas(now, out);
             }
             Message::Standing(fingerprint, standing) => {
-                self.update_standing(now, fingerprint, standing, false, out);
+                self.on_standing(now, from, fingerprint, standing, out);
             }
             Message::CanaryRequest(query, fingerprint) => {
                 self.on_canary_request(now, fingerprint, (from, query), out);
@@ -459,22 +465,19 @@
                 owner::Action::CloseConnections(replica) => {
                     out.push(Action::CloseConnections(replica))
                 }
-                owner::Action::Reply {
-                    to,
-                    id,
-                    replica,
-                    outcome,
-                } if to == self.identity.host => {
-                    let actions = self.entry.on_outcome(now, id, Some(replica), outcome);
-                    self.entry_actions(now, actions, out);
-                }
                 owner::Action::Reply {
                     to,
                     id,
                     replica,
                     outcome,
                 } => {
-                    self.send(&to, Message::Outcome(id, replica, outcome), out);
+                    let reply = spread::Reply {
+                        to,
+                        id,
+                        replica,
+                        outcome,
+                    };
+                    self.reply_or_hold(now, reply, out);
                 }
                 owner::Action::Health(replica, health, boot, limit) => {
                     self.entry.router.set_limit(replica, limit);
@@ -490,6 +493,65 @@
         }
     }
 
+    /// Sends the outcome of a sub-request to its entry daemon. One whose server ended waits until
+    /// the other daemons know of the suspicion.
+    fn reply_or_hold(&mut self, now: Time, reply: spread::Reply, out: &mut Vec<Action>) {
+        let server_failed = matches!(
+            reply.outcome,
+            Outcome::Failed {
+                cause: Cause::ServerFailed,
+                ..
+            }
+        );
+        let reply = match server_failed {
+            true => self.spread.hold(reply),
+            false => Some(reply),
+        };
+        if let Some(reply) = reply {
+            self.send_reply(now, reply, out);
+        }
+    }
+
+    fn send_reply(&mut self, now: Time, reply: spread::Reply, out: &mut Vec<Action>) {
+        let spread::Reply {
+            to,
+            id,
+            replica,
+            outcome,
+        } = reply;
+        if to != self.identity.host {
+            return self.send(&to, Message::Outcome(id, replica, outcome), out);
+        }
+        let actions = self.entry.on_outcome(now, id, Some(replica), outcome);
+        self.entry_actions(now, actions, out);
+    }
+
+    /// Sends the outcomes that need not be held back any longer.
+    fn release_replies(&mut self, now: Time, out: &mut Vec<Action>) {
+        for reply in self.spread.release(now) {
+            self.send_reply(now, reply, out);
+        }
+    }
+
+    /// Adopts the standing that another daemon tells of. A suspicion that is new here is sent back,
+    /// which confirms it.
+    fn on_standing(
+        &mut self,
+        now: Time,
+        from: Name,
+        fingerprint: Digest,
+        standing: Standing,
+        out: &mut Vec<Action>,
+    ) {
+        self.spread.confirm(&fingerprint, &from);
+        let known = self.standings.standing(now, &fingerprint);
+        if standing == Standing::Suspect && known.is_none() {
+            self.send(&from, Message::Standing(fingerprint, standing), out);
+        }
+        self.update_standing(now, fingerprint, standing, false, out);
+        self.release_replies(now, out);
+    }
+
     /// Updates the standing of a request. With `observed_here`, this daemon saw the cause
     /// itself and broadcasts the change.
     fn update_standing(
@@ -503,6 +565,11 @@
         let changed = self.standings.update(now, fingerprint, standing);
         if changed && observed_here {
             self.broadcast(&Message::Standing(fingerprint, standing), out);
+            if standing == Standing::Suspect {
+                let members = self.members.iter().map(|member| member.host.clone());
+                let others = members.filter(|host| *host != self.identity.host);
+                self.spread.begin(now, fingerprint, others.collect());
+            }
             out.push(Action::Note(Note::Standing(fingerprint, standing)));
         }
         match standing {
@@ -637,6 +704,7 @@
             self.apply_membership(now, out);
         }
         self.check_links(now, out);
+        self.release_replies(now, out);
         let actions = self.owner.tick(now);
         self.owner_actions(now, actions, out);
         let actions = self.entry.tick(now);
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod route;
 mod scatter;
 mod seats;
+pub mod spread;
 pub mod suspect;
 mod throttle;
 pub mod tier;
--- /dev/null
+++ b/decision/src/spread.rs
@@ -0,0 +1,76 @@
+//! Holds failures back until the other daemons know which request is suspected.
+//!
+//! Load pattern: a request ends the server that runs it, and its caller repeats it at once, at
+//! another daemon of a busy group. If the failure reached the caller before the suspicion reached
+//! that daemon, the repeat would end one more server.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::name::Name;
+use crate::request::Outcome;
+
+/// Longest time for which a failure is held back. A daemon that is frozen, or of an older build,
+/// doesn't confirm.
+const HOLD_MAX: Span = Span::from_ms(150);
+
+/// A failure on its way to an entry daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// Host of the entry daemon.
+    pub to: Name,
+    /// Identifier of the sub-request at the entry daemon.
+    pub id: u64,
+    /// The replica that ended.
+    pub replica: SocketAddr,
+    /// Outcome of the sub-request.
+    pub outcome: Outcome,
+}
+
+/// Suspicions that other daemons have not confirmed, and the failures that wait for them.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    /// Hosts that have not confirmed a suspicion, and until when it is waited for.
+    unconfirmed: BTreeMap<Digest, (Time, BTreeSet<Name>)>,
+    held: Vec<Reply>,
+}
+
+impl Spread {
+    /// Records that the daemons on these hosts were told of a suspicion.
+    pub fn begin(&mut self, now: Time, fingerprint: Digest, hosts: BTreeSet<Name>) {
+        if !hosts.is_empty() {
+            let until = now.after(HOLD_MAX);
+            self.unconfirmed.insert(fingerprint, (until, hosts));
+        }
+    }
+
+    /// Holds a failure back if a suspicion isn't confirmed; otherwise gives it back.
+    pub fn hold(&mut self, reply: Reply) -> Option<Reply> {
+        if self.unconfirmed.is_empty() {
+            return Some(reply);
+        }
+        self.held.push(reply);
+        None
+    }
+
+    /// Records that the daemon on a host knows of a suspicion.
+    pub fn confirm(&mut self, fingerprint: &Digest, host: &Name) {
+        if let Some((_, hosts)) = self.unconfirmed.get_mut(fingerprint) {
+            hosts.remove(host);
+        }
+    }
+
+    /// Failures that need not be held back any longer.
+    pub fn release(&mut self, now: Time) -> Vec<Reply> {
+        self.unconfirmed
+            .retain(|_, (until, hosts)| *until > now && !hosts.is_empty());
+        match self.unconfirmed.is_empty() {
+            true => std::mem::take(&mut self.held),
+            false => Vec::new(),
+        }
+    }
+}
