Keep to what leaving and overloaded servers say, in groups with a settings file

Cause: an owner tried a draining server again every 5 s, forgot that it drains with each lost lease, and took a 503 with Retry-After for any other shed answer. Change: a server that says it is draining gets nothing until it has started again: seen by its boot identifier, or by trial connections that fail and then succeed, each 400 ms; after ten minutes without either it is tried. A 503 with Retry-After keeps requests, hedges and canaries away for that time. Both outlast lost and regained ownership, and late answers count too. Trial connections name their purpose.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::header;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
@@ -146,11 +147,15 @@
         content_type: text(header::CONTENT_TYPE.as_str()).map(str::to_owned),
         body: response.body.clone(),
     };
+    let overloaded = response.status == StatusCode::SERVICE_UNAVAILABLE;
     Exchange::Answered {
         answer,
         boot: text(http::BOOT).map(Name::from),
         draining: text(http::DRAINING).is_some(),
         shed: text(http::SHED).is_some(),
         limit: http::limit_statement(&response.headers, http::LIMIT),
+        pause: overloaded
+            .then(|| http::retry_after(&response.headers))
+            .flatten(),
     }
 }
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -30,6 +30,7 @@
 use wagtailbeam_decision::message::Event;
 use wagtailbeam_decision::message::Identity;
 use wagtailbeam_decision::message::Message;
+use wagtailbeam_decision::message::Purpose;
 use wagtailbeam_decision::query::Reply;
 use wagtailbeam_decision::register::Decision;
 use wagtailbeam_decision::request::Request;
@@ -159,7 +160,7 @@
 struct Sources {
     backends: mpsc::Receiver<backend::Report>,
     /// Results of trial connections to backend servers.
-    probes: mpsc::Receiver<bool>,
+    probes: mpsc::Receiver<(Purpose, SocketAddr, bool)>,
     peers: mpsc::Receiver<peer::Report<Message>>,
     callers: mpsc::Receiver<frontend::Report>,
     operators: mpsc::Receiver<admin::Command>,
@@ -181,7 +182,7 @@
     started: Instant,
     daemon: Daemon,
     backend: Backend,
-    probes: mpsc::Sender<bool>,
+    probes: mpsc::Sender<(Purpose, SocketAddr, bool)>,
     links: Links<Message>,
     datagrams: Arc<UdpSocket>,
     key: wire::Key,
@@ -345,7 +346,9 @@
                         self.step(event);
                     }
                 }
-                Some(reachable) = sources.probes.recv() => self.step(Event::Probed(reachable)),
+                Some((purpose, address, reachable)) = sources.probes.recv() => {
+                    self.step(Event::Probed(purpose, address, reachable));
+                }
                 Some(report) = sources.peers.recv() => self.handle_peer_report(report),
                 Some(report) = sources.callers.recv() => self.handle_caller_report(report),
                 Some(command) = sources.operators.recv() => self.handle_operator_command(command),
@@ -460,11 +463,11 @@
                 self.backend.call(&call, connections);
             }
             Action::Abort(ticket) => self.backend.abort(ticket),
-            Action::ProbeServer(address) => {
+            Action::Probe(purpose, address) => {
                 let probes = self.probes.clone();
                 tokio::spawn(async move {
                     let reachable = probe::accepts(address).await;
-                    if probes.send(reachable).await.is_err() {
+                    if probes.send((purpose, address, reachable)).await.is_err() {
                         tracing::debug!(%address, "result of a probe came after the stop");
                     }
                 });
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod harness;
 mod lifecycle;
 mod limited;
+mod notice;
 mod stranded;
--- a/decision/examples/slopes.rs
+++ b/decision/examples/slopes.rs
@@ -222,6 +222,7 @@
                         draining,
                         shed,
                         limit: Statement::Unlimited,
+                        pause: None,
                     };
                     drop(owner.on_exchange(Time::from_us(2), call.ticket, exchange));
                 }
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::message::Identity;
 use crate::message::Message;
 use crate::message::Note;
+use crate::message::Purpose;
 use crate::name::Name;
 use crate::owner;
 use crate::owner::Owner;
@@ -228,7 +229,12 @@
                 self.entry_actions(now, actions, &mut out);
             }
             Event::Stop => self.leaving = true,
-            Event::Probed(reachable) => self.uplink.record_probe(now, reachable),
+            Event::Probed(Purpose::Links, _, reachable) => {
+                self.uplink.record_probe(now, reachable);
+            }
+            Event::Probed(Purpose::Restart, replica, reachable) => {
+                self.owner.on_probe(now, replica, reachable);
+            }
             Event::Tick => self.on_tick(now, &mut out),
         }
         self.note_voter_mode(&mut out);
@@ -462,6 +468,9 @@
                         );
                     }
                 }
+                owner::Action::Probe(replica) => {
+                    out.push(Action::Probe(Purpose::Restart, replica));
+                }
                 owner::Action::CloseConnections(replica) => {
                     out.push(Action::CloseConnections(replica))
                 }
--- a/decision/src/exchange.rs
+++ b/decision/src/exchange.rs
@@ -40,6 +40,8 @@
         shed: bool,
         /// What the answer says about the server's limit.
         limit: Statement,
+        /// Time for which the server wants no requests from this daemon.
+        pause: Option<Span>,
     },
     /// No connection could be opened; no byte was sent.
     NotSent,
@@ -100,6 +102,14 @@
         }
     }
 
+    /// Time for which the server wants no requests from this daemon.
+    pub fn pause(&self) -> Option<Span> {
+        match self {
+            Exchange::Answered { pause, .. } => *pause,
+            _ => None,
+        }
+    }
+
     /// Outcome of the sub-request.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/decision/src/limiter.rs
+++ b/decision/src/limiter.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::exchange::Exchange;
 use crate::manifest::Limits;
 use crate::name::Name;
 use crate::quota::Bucket;
@@ -42,8 +43,11 @@
 /// Longest delay before a stalled or unreachable server is tried again.
 const BACKOFF_MAX: Span = Span::from_secs(8);
 
-/// Time for which a server that reported draining gets no new work.
-const DRAIN_RETRY_AFTER: Span = Span::from_secs(5);
+/// Time after which a server that reported draining, and whose end was not seen, is tried again.
+const DRAIN_MAX: Span = Span::from_secs(600);
+
+/// Time between two trial connections to a server that gets no requests because of what it said.
+const PROBE_EVERY: Span = Span::from_ms(400);
 
 /// Time after a shed answer in which the limit of a ready server does not grow.
 const SHED_GROWTH_PAUSE: Span = Span::from_ms(100);
@@ -123,6 +127,42 @@
     exclusive: bool,
 }
 
+/// What a server said that keeps requests away from it, to be kept while another daemon owns it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Silence {
+    /// Until when it gets none because it is draining; absent if it isn't.
+    draining_until: Option<Time>,
+    /// Until when it wants none.
+    paused_until: Time,
+    /// Boot identifier of the run that said so, if known.
+    boot: Option<Name>,
+}
+
+impl Silence {
+    /// Adds what a late answer says, after this daemon gave the server up.
+    pub fn record(&mut self, now: Time, exchange: &Exchange) {
+        let Exchange::Answered {
+            boot,
+            draining,
+            pause,
+            ..
+        } = exchange
+        else {
+            return;
+        };
+        if boot.is_some() && self.boot.is_some() && *boot != self.boot {
+            *self = Silence::default();
+        }
+        self.boot = boot.clone().or(self.boot.take());
+        if *draining && self.draining_until.is_none() {
+            self.draining_until = Some(now.after(DRAIN_MAX));
+        }
+        if let Some(pause) = pause {
+            self.paused_until = self.paused_until.max(now.after(*pause));
+        }
+    }
+}
+
 /// Admission state of one replica.
 #[derive(Clone, Debug)]
 pub struct Limiter {
@@ -151,6 +191,13 @@
     late_cancellations: u32,
     /// Whether a connection broke or was refused since the last slow start.
     connection_failed: bool,
+    /// Until then the server wants no requests.
+    paused_until: Time,
+    /// When the next trial connection is due that would show the end of a draining or paused server.
+    probe_at: Time,
+    /// Whether a trial connection to a draining or paused server failed, so that the next one to
+    /// succeed reaches a process that started since.
+    ended: bool,
     /// The limit that the server names, with what this daemon may send of it now; absent without
     /// a limit.
     named: Option<(Rate, Bucket)>,
@@ -183,6 +230,9 @@
             boot_inherited: false,
             late_cancellations: 0,
             connection_failed: false,
+            paused_until: Time::default(),
+            probe_at: now,
+            ended: false,
             named: None,
             senders: 1,
             running: BTreeMap::new(),
@@ -213,6 +263,35 @@
         self
     }
 
+    /// Restores what the server said when this daemon owned it before. It no longer holds if an owner
+    /// announced another run of the server since.
+    pub fn with_silence(mut self, silence: Option<Silence>) -> Limiter {
+        let Some(silence) = silence else {
+            return self;
+        };
+        if self.boot.is_some() && self.boot != silence.boot {
+            return self;
+        }
+        if let Some(until) = silence.draining_until {
+            self.health = Health::Draining;
+            self.retry_at = until;
+        }
+        self.paused_until = silence.paused_until;
+        self.boot = silence.boot.or(self.boot);
+        self
+    }
+
+    /// What the server said that keeps requests away from it; absent if nothing does.
+    pub fn silence(&self) -> Option<Silence> {
+        let draining = self.health == Health::Draining;
+        let silence = Silence {
+            draining_until: draining.then_some(self.retry_at),
+            paused_until: self.paused_until,
+            boot: self.boot.clone(),
+        };
+        (draining || self.paused_until > Time::default()).then_some(silence)
+    }
+
     /// Sets the limit that an earlier owner heard the server name.
     pub fn with_limit(mut self, now: Time, limit: Option<Rate>) -> Limiter {
         if let Some(rate) = limit {
@@ -250,6 +329,50 @@
         self.named.as_ref().map(|(rate, _)| *rate)
     }
 
+    /// Refuses all work for a time, since the server wants no requests.
+    pub fn pause(&mut self, now: Time, pause: Span) {
+        self.paused_until = self.paused_until.max(now.after(pause));
+        self.ended = false;
+    }
+
+    /// Whether the server wants no requests now.
+    pub fn is_paused(&self, now: Time) -> bool {
+        now < self.paused_until
+    }
+
+    /// Whether to open a trial connection now: to a server that gets no requests because it is
+    /// draining or paused, and whose restart would otherwise not be seen.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        let silenced = self.health == Health::Draining || self.is_paused(now);
+        let due = silenced && now >= self.probe_at;
+        if due {
+            self.probe_at = now.after(PROBE_EVERY);
+        }
+        due
+    }
+
+    /// Records the end of a trial connection. A server that can be reached again after it could not
+    /// be has started anew, and what it said before no longer holds.
+    pub fn record_probe(&mut self, now: Time, reachable: bool) {
+        let silenced = self.health == Health::Draining || self.is_paused(now);
+        if !silenced {
+            return;
+        }
+        if !reachable {
+            self.ended = true;
+        } else if self.ended {
+            self.restart(now);
+        }
+    }
+
+    /// Forgets what the server said before it started anew.
+    fn restart(&mut self, now: Time) {
+        self.ended = false;
+        self.paused_until = Time::default();
+        self.health = Health::Cold;
+        self.start_slow(now);
+    }
+
     /// Last known boot identifier of the server.
     pub fn boot(&self) -> Option<&Name> {
         self.boot.as_ref()
@@ -403,6 +526,7 @@
     /// Why the server gets no new work now; absent if it accepts work.
     fn refusal_cause(&self, now: Time) -> Option<Cause> {
         match self.health {
+            _ if self.is_paused(now) => Some(Cause::Overloaded),
             Health::Ready | Health::Cold => None,
             _ if now >= self.retry_at && self.running.is_empty() => None,
             Health::Draining => Some(Cause::Draining),
@@ -507,12 +631,17 @@
         let restarted = boot.is_some() && self.boot.is_some() && !same;
         self.boot = boot.or(self.boot.take());
         if draining {
+            if self.health != Health::Draining {
+                self.retry_at = now.after(DRAIN_MAX);
+                self.probe_at = now;
+                self.ended = false;
+            }
             self.health = Health::Draining;
-            self.retry_at = now.after(DRAIN_RETRY_AFTER);
             return;
         }
         match self.health {
-            _ if restarted => self.start_slow(now),
+            _ if restarted => self.restart(now),
+            Health::Draining if now < self.retry_at => {}
             Health::Cold if same && self.boot_inherited => self.restore_warm(),
             Health::Ready | Health::Cold => self.raise_limit(now),
             Health::Draining | Health::Stalled if same && !self.connection_failed => self.reopen(),
@@ -538,6 +667,9 @@
 
     /// Begins the slow start of a server that is or may be cold.
     pub fn start_slow(&mut self, now: Time) {
+        if self.health == Health::Draining && now < self.retry_at {
+            return;
+        }
         self.health = Health::Cold;
         self.limit = self.limits.cold_limit;
         self.connection_failed = false;
@@ -582,6 +714,9 @@
 
     /// Marks the server as stalled until the end of the backoff, and doubles the backoff.
     fn mark_stalled(&mut self, now: Time) {
+        if self.health == Health::Draining && now < self.retry_at {
+            return;
+        }
         self.health = Health::Stalled;
         self.retry_at = now.after(self.backoff);
         self.backoff = self.backoff.saturating_mul(2).min(BACKOFF_MAX);
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -122,6 +122,15 @@
     Confirm(Confirm),
 }
 
+/// What a trial connection to a backend server is to show.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// Whether this daemon's links to the servers work.
+    Links,
+    /// Whether a server that gets no requests has ended and started anew.
+    Restart,
+}
+
 /// An input of a daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -155,7 +164,7 @@
     /// A planned stop begins.
     Stop,
     /// A trial connection to a backend server ended; true if the server can be reached.
-    Probed(bool),
+    Probed(Purpose, SocketAddr, bool),
     /// Periodic tick; handles due timers.
     Tick,
 }
@@ -205,8 +214,9 @@
     Call(Call),
     /// Abort the call with this ticket.
     Abort(Ticket),
-    /// Try to open a connection to a backend server.
-    ProbeServer(SocketAddr),
+    /// Try to open a connection to a backend server, and report with [`Event::Probed`] whether the
+    /// server can be reached.
+    Probe(Purpose, SocketAddr),
     /// Close the connections to a backend server.
     CloseConnections(SocketAddr),
     /// Append the voter's record with this number and sync it.
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -20,6 +20,7 @@
 use crate::limiter::Health;
 use crate::limiter::Limiter;
 use crate::limiter::Observation;
+use crate::limiter::Silence;
 use crate::limiter::Ticket;
 use crate::limiter::Waiter;
 use crate::manifest::Hedge;
@@ -72,6 +73,8 @@
     CloseConnections(SocketAddr),
     /// Tell the replica's next owner that no sub-request of this daemon is left at it.
     ReplicaReleased(SocketAddr),
+    /// Try to open a connection to a replica, to see whether its process ended.
+    Probe(SocketAddr),
 }
 
 /// A sub-request that waits at a replica or was sent to it.
@@ -168,6 +171,8 @@
 pub struct Owner {
     /// Owned replicas by address.
     owned: BTreeMap<SocketAddr, Replica>,
+    /// What replicas said that keeps requests away from them, when this daemon gave them up.
+    silences: BTreeMap<SocketAddr, Silence>,
     /// Assigned replicas that earlier owners may still use, and until when.
     acquirable_from: BTreeMap<SocketAddr, Time>,
     /// Assigned replicas that get no work because their failure domain is out.
@@ -261,6 +266,7 @@
         let running = running.map(|(ticket, _)| *ticket);
         let limiter = Limiter::new(now, assignment.limits).with_running(now, running);
         let limiter = limiter.with_boot(assignment.boot.clone());
+        let limiter = limiter.with_silence(self.silences.remove(&assignment.replica));
         let mut limiter = limiter.with_limit(now, assignment.limit);
         limiter.set_senders(now, assignment.senders);
         let owned = Replica {
@@ -278,6 +284,9 @@
         let Some(mut owned) = self.owned.remove(&replica) else {
             return Vec::new();
         };
+        if let Some(silence) = owned.limiter.silence() {
+            self.silences.insert(replica, silence);
+        }
         let decisions = owned.limiter.reject_all(Cause::NotOwner);
         let mut actions = self.apply_decisions(Time::default(), decisions);
         actions.push(Action::CloseConnections(replica));
@@ -574,6 +583,12 @@
         let (replica, observation) = (subrequest.replica, exchange.observation());
         if let Some(owned) = self.owned.get_mut(&replica) {
             owned.limiter.set_limit(now, exchange.limit());
+            if let Some(pause) = exchange.pause() {
+                owned.limiter.pause(now, pause);
+            }
+        } else {
+            let silence = self.silences.entry(replica).or_default();
+            silence.record(now, &exchange);
         }
         actions.extend(self.reply_or_await_duplicate(now, subrequest, exchange));
         actions.extend(self.finish_call(now, replica, ticket, observation));
@@ -730,6 +745,13 @@
         actions
     }
 
+    /// Records whether a replica could be reached by a trial connection.
+    pub fn on_probe(&mut self, now: Time, replica: SocketAddr, reachable: bool) {
+        if let Some(owned) = self.owned.get_mut(&replica) {
+            owned.limiter.record_probe(now, reachable);
+        }
+    }
+
     /// Sends due hedges, ends late sub-requests and detects stalled servers.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.send_due_hedges(now);
@@ -747,10 +769,13 @@
             actions.extend(self.cancel_with_duplicate(now, ticket, &Observation::Timeout));
         }
         for replica in self.owned.keys().copied().collect::<Vec<_>>() {
-            let owned = self.owned.get_mut(&replica);
-            let decisions = owned
-                .map(|owned| owned.limiter.tick(now))
-                .unwrap_or_default();
+            let Some(owned) = self.owned.get_mut(&replica) else {
+                continue;
+            };
+            if owned.limiter.take_probe(now) {
+                actions.push(Action::Probe(replica));
+            }
+            let decisions = owned.limiter.tick(now);
             actions.extend(self.apply_decisions(now, decisions));
             actions.extend(self.announce_health(now, replica));
         }
--- a/decision/src/ownership.rs
+++ b/decision/src/ownership.rs
@@ -14,6 +14,7 @@
 use crate::message::Action;
 use crate::message::Dispatch;
 use crate::message::Note;
+use crate::message::Purpose;
 use crate::owner;
 use crate::placement::Candidate;
 use crate::placement::Spread;
@@ -50,7 +51,8 @@
         let quiet = self.owner.quiet_replicas(now, uplink::QUIET_MIN);
         let servers = self.entry.router.owners().map(|(server, _)| *server);
         let probes = self.uplink.check(now, quiet, servers);
-        out.extend(probes.into_iter().map(Action::ProbeServer));
+        let probes = probes.into_iter();
+        out.extend(probes.map(|server| Action::Probe(Purpose::Links, server)));
         let state = self.uplink.state();
         if state != self.links {
             self.links = state;
--- a/decision/tests/properties/owner.rs
+++ b/decision/tests/properties/owner.rs
@@ -28,6 +28,9 @@
 /// Replicas of the one shard.
 const REPLICAS: u16 = 3;
 
+/// Time for which a replica that sheds may want no requests.
+const PAUSE: Span = Span::from_ms(40);
+
 /// One step of a script: kind of event, and a number that picks the replica, call or
 /// time.
 type Step = (u8, u8);
@@ -43,6 +46,8 @@
     disowned: bool,
     warm: bool,
     boots: BTreeMap<SocketAddr, u32>,
+    /// Replicas that want no requests: their run, and until when; for good without a time.
+    silent: BTreeMap<SocketAddr, (u32, Option<Time>)>,
     violations: Vec<String>,
 }
 
@@ -139,7 +144,7 @@
             return;
         };
         self.calls.remove(&ticket);
-        let boot = self.boots.entry(replica).or_default();
+        let boot = *self.boots.entry(replica).or_default();
         let exchange = match kind % 8 {
             0 if pick.is_multiple_of(2) => Exchange::Ended,
             0 => Exchange::Broken,
@@ -155,12 +160,38 @@
                 draining: kind == 4 && pick.is_multiple_of(3),
                 shed: kind == 5 && pick.is_multiple_of(3),
                 limit: Statement::Unlimited,
+                pause: (kind == 5 && pick.is_multiple_of(6)).then_some(PAUSE),
             },
         };
+        if let Exchange::Answered {
+            draining, pause, ..
+        } = &exchange
+        {
+            self.record_silence(replica, boot, *draining, *pause);
+        }
         let actions = self.owner.on_exchange(self.now, ticket, exchange);
         self.apply(actions);
     }
 
+    /// Records what an answer says. A replica that is leaving stays so.
+    fn record_silence(&mut self, at: SocketAddr, boot: u32, draining: bool, pause: Option<Span>) {
+        let leaving = self.silent.get(&at) == Some(&(boot, None));
+        if draining || leaving {
+            self.silent.insert(at, (boot, None));
+        } else if let Some(pause) = pause {
+            self.silent.insert(at, (boot, Some(self.now.after(pause))));
+        }
+    }
+
+    /// Whether a replica gets a request although its present run wants none.
+    fn breaks_silence(&self, replica: &SocketAddr) -> bool {
+        let boot = self.boots.get(replica).copied().unwrap_or_default();
+        match self.silent.get(replica) {
+            Some((run, until)) => *run == boot && until.is_none_or(|until| self.now < until),
+            None => false,
+        }
+    }
+
     fn apply(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -169,6 +200,10 @@
                         self.violations
                             .push(format!("sent to {} which is out or given up", call.replica));
                     }
+                    if self.breaks_silence(&call.replica) {
+                        self.violations
+                            .push(format!("sent to {} which wants nothing", call.replica));
+                    }
                     self.calls.insert(call.ticket, call.replica);
                     self.check_limit(call.replica);
                 }
--- a/decision/tests/scenarios.rs
+++ b/decision/tests/scenarios.rs
@@ -164,6 +164,7 @@
                 draining: how == Some("draining"),
                 shed: how == Some("shed"),
                 limit: Statement::Unlimited,
+                pause: None,
             },
         };
         let tickets = list(case, "ticket");
@@ -224,6 +225,7 @@
                 ..
             } => format!("reply {id}: index mismatch"),
             Action::Health(replica, health, ..) => format!("health {} {health}", name(replica)),
+            Action::Probe(replica) => format!("probe {}", name(replica)),
             Action::Suspect(_) => "suspect".to_owned(),
             Action::ReplicaReleased(replica) => format!("released {}", name(replica)),
             Action::CloseConnections(replica) => format!("close connections to {}", name(replica)),
--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -80,6 +80,8 @@
     pub lose_answers: bool,
     /// Whether only half of the body is sent, under the `content-length` of all of it.
     pub truncate_body: bool,
+    /// Time that the server names in 503 answers, without running requests; absent if it serves.
+    pub retry_after: Option<Duration>,
     /// Processes whose connections are reset; new ones too.
     pub cut_off: Vec<u32>,
     /// Requests per second that answers name as the most that the server takes.
@@ -106,6 +108,7 @@
             wrong_request_id: false,
             lose_answers: false,
             truncate_body: false,
+            retry_after: None,
             cut_off: Vec::new(),
             limit: None,
         }
@@ -445,6 +448,15 @@
     );
 }
 
+/// The answer of a server that doesn't run a request and wants no others for this time.
+fn overloaded(wait: Duration) -> Response<Full<Bytes>> {
+    let response = Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .header(http::SHED, "yes")
+        .header("retry-after", wait.as_secs_f64().to_string());
+    response.body(Full::default()).unwrap_or_default()
+}
+
 /// Counts a request, simulates its latency and faults, and builds the answer.
 async fn respond(
     server: Arc<Server>,
@@ -464,6 +476,9 @@
         std::future::pending::<()>().await;
     }
     tokio::time::sleep(behavior.network_rtt / 2).await;
+    if let Some(wait) = behavior.retry_after {
+        return overloaded(wait);
+    }
     let slot = slots.acquire().await;
     if head.uri.to_string().contains(POISON_MARKER) {
         tokio::time::sleep(POISON_CRASH_DELAY).await;
