soak: replicas that leave or want no requests, in runs with one entry host

With one entry host the check is exact: nothing to a leaving replica after the stated 4 s, no more than two requests from 0.5 s after a 503 to the end of its time; a kill, stop or freeze of the host excuses.

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -76,3 +76,24 @@
         assert!(report.served > 0, "{report}");
     }
 }
+
+/// Time during which faults are injected in a run of notices.
+const NOTICE_TIME: Duration = Duration::from_secs(12);
+
+/// Guards against requests to replicas that said in answers that they leave or want no requests, in
+/// touch with the voters or not, while processes are killed, frozen and restarted.
+#[test]
+fn what_replicas_say_of_themselves_is_kept_under_injected_faults() {
+    for seed in [41, 42] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
+            duration: NOTICE_TIME,
+            entry_hosts: 1,
+            notices: true,
+            ..Options::default()
+        };
+        let report = run::run(&options, seed).expect("a run");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.served > 0, "{report}");
+    }
+}
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -35,6 +35,12 @@
 /// Requests that hosts may send in a window in addition.
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Time after an answer from which the replica must get no requests.
+const OVERLOADED_LAG: Duration = Duration::from_millis(500);
+
+/// Requests that may still reach it until the time that it named is over.
+const OVERLOADED_REQUESTS_MAX: u32 = 2;
+
 /// A time in which a replica had a limit.
 #[derive(Clone, Debug)]
 struct Limited {
@@ -46,6 +52,15 @@
     until: Option<Instant>,
 }
 
+/// What a replica said of itself in an answer to the only entry host.
+#[derive(Clone, Copy, Debug)]
+enum Said {
+    /// At this time, that it is leaving.
+    Leaving(Instant),
+    /// That it wants no requests from the first time to the second; this many came nevertheless.
+    Overloaded(Instant, Instant, u32),
+}
+
 /// A time in which some entry hosts were cut off from all replicas.
 #[derive(Clone, Debug)]
 struct LinksCut {
@@ -93,6 +108,8 @@
     ended: BTreeMap<String, Vec<String>>,
     /// Times in which replicas had limits, in order.
     limited: Vec<Limited>,
+    /// What replicas said since the only entry host started or froze, by replica id.
+    said: BTreeMap<String, Vec<Said>>,
     violations: Vec<String>,
 }
 
@@ -171,6 +188,7 @@
 
     /// Records the arrival of a request at a replica, and whether the replica began to run it.
     pub fn record_arrival(&mut self, service: &str, replica: &str, request: &str, ran: bool) {
+        self.check_said(replica);
         let arrival = Arrival {
             at: Instant::now(),
             service: service.to_owned(),
@@ -181,6 +199,53 @@
         arrivals.push(arrival);
     }
 
+    /// Records that a replica sends an answer which says that it is leaving. Like the next method, only
+    /// for runs with one entry host, as it isn't known which one gets the answer.
+    pub fn record_leaving(&mut self, replica: &str) {
+        let said = self.said.entry(replica.to_owned()).or_default();
+        if !said.iter().any(|said| matches!(said, Said::Leaving(_))) {
+            said.push(Said::Leaving(Instant::now()));
+        }
+    }
+
+    /// Records that a replica answers that it wants no requests for this time.
+    pub fn record_overloaded(&mut self, replica: &str, wait: Duration) {
+        let now = Instant::now();
+        let said = self.said.entry(replica.to_owned()).or_default();
+        said.push(Said::Overloaded(now + OVERLOADED_LAG, now + wait, 0));
+    }
+
+    /// Records that an entry host is killed, stopped, frozen or started: what replicas said before no
+    /// longer counts.
+    pub fn record_interrupted(&mut self) {
+        self.said.clear();
+    }
+
+    /// Checks a request that arrives now against what its replica said.
+    fn check_said(&mut self, replica: &str) {
+        let now = Instant::now();
+        let mut violations = Vec::new();
+        for said in self.said.get_mut(replica).into_iter().flatten() {
+            match said {
+                Said::Leaving(at) if now.duration_since(*at) > DRAIN_LAG_MAX => {
+                    let after = now.duration_since(*at).as_millis();
+                    violations.push(format!(
+                        "{replica}: a request {after} ms after it said that it is leaving"
+                    ));
+                }
+                Said::Overloaded(from, until, count) if (*from..*until).contains(&now) => {
+                    *count += 1;
+                    if *count > OVERLOADED_REQUESTS_MAX {
+                        violations
+                            .push(format!("{replica}: {count} requests while it wanted none"));
+                    }
+                }
+                Said::Leaving(_) | Said::Overloaded(..) => {}
+            }
+        }
+        self.violations.extend(violations);
+    }
+
     /// Records that a replica is listed as draining, or as ready again.
     pub fn record_draining(&mut self, replica: &str, draining: bool) {
         let now = Instant::now();
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -24,6 +24,8 @@
 use crate::fault::Target;
 use crate::limit;
 use crate::list;
+use crate::notice;
+use crate::notice::Notice;
 use crate::process;
 use crate::process::Process;
 use crate::process::Signal;
@@ -54,6 +56,7 @@
     replica_mode: watch::Sender<replica::Mode>,
     link_mode: watch::Sender<proxy::Mode>,
     limit: watch::Sender<Option<f64>>,
+    notice: watch::Sender<Notice>,
 }
 
 /// The daemon processes and fakes of a run, the faults in effect, and the record of faults
@@ -185,6 +188,7 @@
     /// Kills and restarts all entry hosts, one after the other, then all voters at once.
     pub(crate) async fn restart_all(&mut self) -> Result<()> {
         for entry in &mut self.entry_hosts {
+            self.checker.lock().record_interrupted();
             entry.kill()?;
             entry.start()?;
             tokio::time::sleep(RESTART_PAUSE).await;
@@ -236,6 +240,9 @@
             self.delay_windows
                 .push((now, now + duration + UPDATE_LAG_MAX));
         }
+        if let Fault::KillEntry(_) | Fault::PauseEntry(_) | Fault::StopEntry(_) = fault {
+            self.checker.lock().record_interrupted();
+        }
         if let Target::Entry(index) = fault.target() {
             let until = now + duration + ENTRY_RECOVERY_MAX;
             self.checker.lock().record_disturbed(index, until);
@@ -291,7 +298,10 @@
             }
             Fault::KillAllVoters => self.voters.iter_mut().try_for_each(Process::start),
             Fault::PauseVoter(index) => self.voters[index].signal(Signal::Cont),
-            Fault::KillEntry(index) | Fault::StopEntry(index) => self.entry_hosts[index].start(),
+            Fault::KillEntry(index) | Fault::StopEntry(index) => {
+                self.checker.lock().record_interrupted();
+                self.entry_hosts[index].start()
+            }
             Fault::PauseEntry(index) => self.entry_hosts[index].signal(Signal::Cont),
             Fault::ReloadEntry(_) => Ok(()),
             Fault::Replica(index, _) => {
@@ -369,6 +379,14 @@
         }
     }
 
+    /// The replica as the task sees it that makes replicas give notices.
+    pub(crate) fn announcing(&self) -> notice::Replica {
+        notice::Replica {
+            id: self.list_entry.id.clone(),
+            notice: self.notice.clone(),
+        }
+    }
+
     /// Starts a replica and the proxy in front of it; the list names the proxy's address.
     async fn start(
         deployment: &Deployment,
@@ -382,6 +400,7 @@
         let (down, down_updates) = watch::channel(false);
         let (service_name, checker) = (service.clone(), checker.clone());
         let (limit, limits) = watch::channel(None);
+        let (notice, notices) = watch::channel(Notice::None);
         let (target, replica_mode) = replica::start(
             id.clone(),
             service_name,
@@ -389,6 +408,7 @@
             checker,
             down,
             limits,
+            notices,
         )
         .await?;
         let (address, link_mode) = proxy::start(bind_address, target, down_updates, links).await?;
@@ -403,6 +423,7 @@
             replica_mode,
             link_mode,
             limit,
+            notice,
         })
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fault;
 pub mod limit;
 pub mod list;
+pub mod notice;
 pub mod operator;
 pub mod process;
 pub mod proxy;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,6 +36,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Cut entry hosts off from all replicas, in series"),
         )
+        .arg(
+            Arg::new("notices")
+                .long("notices")
+                .action(ArgAction::SetTrue)
+                .help("Make replicas say that they leave or want no requests; with --entries 1"),
+        )
         .arg(
             Arg::new("older")
                 .long("older")
@@ -63,6 +69,7 @@
         entry_hosts: number("entries") as usize,
         duration: Duration::from_secs(number("seconds")),
         cuts: matches.get_flag("cuts"),
+        notices: matches.get_flag("notices"),
     };
     let mut failed = false;
     for seed in number("seed")..number("seed") + number("runs") {
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
+use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -26,6 +27,7 @@
 
 use crate::checker;
 use crate::checker::Shared;
+use crate::notice::Notice;
 
 /// Processing time of a request, except in [`Mode::Slow`] and [`Mode::WrongRequest`].
 const PROCESSING_TIME: Duration = Duration::from_millis(4);
@@ -66,6 +68,8 @@
     mode: watch::Receiver<Mode>,
     /// Requests per second that it takes from all hosts together; absent without a limit.
     limit: watch::Receiver<Option<f64>>,
+    /// What it says of itself.
+    notice: watch::Receiver<Notice>,
     /// Whether the process has ended and is not back yet.
     down: watch::Sender<bool>,
     headers: Headers,
@@ -83,6 +87,7 @@
     checker: Shared,
     down: watch::Sender<bool>,
     limit: watch::Receiver<Option<f64>>,
+    notice: watch::Receiver<Notice>,
 ) -> Result<(SocketAddr, watch::Sender<Mode>)> {
     let listener = TcpListener::bind(bind_address).await?;
     let address = listener.local_addr()?;
@@ -92,6 +97,7 @@
         service,
         mode,
         limit,
+        notice,
         down,
         headers: Dialect::default().headers().clone(),
         checker,
@@ -142,7 +148,12 @@
             ));
         }
         let mode = *self.mode.borrow();
-        let runs = !matches!(mode, Mode::Unresponsive | Mode::Shedding);
+        let works = matches!(mode, Mode::Healthy | Mode::Slow);
+        let overloaded = match *self.notice.borrow() {
+            Notice::Overloaded(wait) if works => Some(wait),
+            _ => None,
+        };
+        let runs = !matches!(mode, Mode::Unresponsive | Mode::Shedding) && overloaded.is_none();
         self.checker
             .lock()
             .record_arrival(&self.service, &self.id, &id, runs);
@@ -150,6 +161,13 @@
             self.end_process(request.uri().path(), &id);
             return Err(Disconnect);
         }
+        if let Some(wait) = overloaded {
+            self.checker.lock().record_overloaded(&self.id, wait);
+            let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
+            set_header(&mut reply, &self.headers.not_run, "true");
+            set_header(&mut reply, &RETRY_AFTER, &wait.as_secs_f64().to_string());
+            return Ok(reply);
+        }
         match mode {
             Mode::Unresponsive => std::future::pending().await,
             Mode::Shedding => {
@@ -197,6 +215,10 @@
             &format!("{}/{id}", self.service),
         );
         self.name_limit(&mut reply);
+        if *self.notice.borrow() == Notice::Leaving {
+            set_header(&mut reply, &self.headers.leaving, "1");
+            self.checker.lock().record_leaving(&self.id);
+        }
         reply
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,6 +26,7 @@
 use crate::deployment::VOTERS;
 use crate::fault;
 use crate::limit;
+use crate::notice;
 use crate::operator::Operator;
 use crate::process::Process;
 
@@ -72,6 +73,9 @@
     pub duration: Duration,
     /// Whether entry hosts are cut off from all replicas, under a steady load beside the callers.
     pub cuts: bool,
+    /// Whether replicas say that they leave or want no requests. Meant for one entry host: with
+    /// more it isn't known which one a replica told.
+    pub notices: bool,
 }
 
 impl Default for Options {
@@ -82,6 +86,7 @@
             entry_hosts: ENTRY_HOSTS,
             duration: Duration::from_secs(20),
             cuts: false,
+            notices: false,
         }
     }
 }
@@ -169,8 +174,19 @@
         cluster.checker.clone(),
         stopped.clone(),
     ));
+    let notices = options.notices.then(|| {
+        let replicas = cluster.backends.iter().map(Backend::announcing);
+        tokio::spawn(notice::announce(
+            replicas.collect(),
+            ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ !seed),
+            stopped.clone(),
+        ))
+    });
     cluster.inject_faults(&mut rng, options).await?;
     stop.send_replace(true);
+    if let Some(notices) = notices {
+        notices.await.map_err(std::io::Error::other)?;
+    }
     limits.await.map_err(std::io::Error::other)?;
     for caller in callers {
         caller.await.map_err(std::io::Error::other)?;
