--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -30,7 +30,6 @@
 use wagtailbeam_decision::message::Event;
 use wagtailbeam_decision::message::Identity;
 use wagtailbeam_decision::message::Message;
-use wagtailbeam_decision::message::Purpose;
 use wagtailbeam_decision::query::Reply;
 use wagtailbeam_decision::register::Decision;
 use wagtailbeam_decision::request::Request;
@@ -160,7 +159,7 @@
 struct Sources {
     backends: mpsc::Receiver<backend::Report>,
     /// Results of trial connections to backend servers.
-    probes: mpsc::Receiver<(Purpose, SocketAddr, bool)>,
+    probes: mpsc::Receiver<Event>,
     peers: mpsc::Receiver<peer::Report<Message>>,
     callers: mpsc::Receiver<frontend::Report>,
     operators: mpsc::Receiver<admin::Command>,
@@ -182,7 +181,7 @@
     started: Instant,
     daemon: Daemon,
     backend: Backend,
-    probes: mpsc::Sender<(Purpose, SocketAddr, bool)>,
+    probes: mpsc::Sender<Event>,
     links: Links<Message>,
     datagrams: Arc<UdpSocket>,
     key: wire::Key,
@@ -346,9 +345,7 @@
                         self.step(event);
                     }
                 }
-                Some((purpose, address, reachable)) = sources.probes.recv() => {
-                    self.step(Event::Probed(purpose, address, reachable));
-                }
+                Some(event) = sources.probes.recv() => self.step(event),
                 Some(report) = sources.peers.recv() => self.handle_peer_report(report),
                 Some(report) = sources.callers.recv() => self.handle_caller_report(report),
                 Some(command) = sources.operators.recv() => self.handle_operator_command(command),
@@ -464,13 +461,8 @@
             }
             Action::Abort(ticket) => self.backend.abort(ticket),
             Action::Probe(purpose, address) => {
-                let probes = self.probes.clone();
-                tokio::spawn(async move {
-                    let reachable = probe::accepts(address).await;
-                    if probes.send((purpose, address, reachable)).await.is_err() {
-                        tracing::debug!(%address, "result of a probe came after the stop");
-                    }
-                });
+                let result = move |reachable| Event::Probed(purpose, address, reachable);
+                probe::start(address, self.probes.clone(), result);
             }
             Action::CloseConnections(replica) => self.backend.close_idle(&replica),
             Action::Persist(number, record) => {
--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -10,6 +10,7 @@
 
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 /// Time within which a server that runs accepts a connection; a call waits for the result.
@@ -82,6 +83,20 @@
     accepts_for(address, REACHABLE_MIN).await
 }
 
+/// Starts a task that finds out whether a server can be reached and sends what `result` makes of it.
+pub fn start<T: Send + 'static>(
+    address: SocketAddr,
+    results: mpsc::Sender<T>,
+    result: impl FnOnce(bool) -> T + Send + 'static,
+) {
+    tokio::spawn(async move {
+        let reachable = accepts(address).await;
+        if results.send(result(reachable)).await.is_err() {
+            tracing::debug!(%address, "result of a probe came after the stop");
+        }
+    });
+}
+
 /// Whether a server accepts a connection and keeps it open for this time.
 async fn accepts_for(address: SocketAddr, time: Duration) -> bool {
     match connect(address).await {
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -152,13 +152,7 @@
                     }
                 }
                 Action::Probe(address) => {
-                    let probes = self.probes.clone();
-                    tokio::spawn(async move {
-                        let accepted = probe::accepts(address).await;
-                        if probes.send(accepted).await.is_err() {
-                            tracing::debug!(%address, "result of a probe came after the stop");
-                        }
-                    });
+                    probe::start(address, self.probes.clone(), |accepted| accepted);
                 }
                 Action::Links(state, evidence) => logging::links_changed(state, evidence),
                 Action::Leaving(service, replica) => {
--- a/decision/src/limiter.rs
+++ b/decision/src/limiter.rs
@@ -13,7 +13,6 @@
 
 use crate::clock::Span;
 use crate::clock::Time;
-use crate::exchange::Exchange;
 use crate::manifest::Limits;
 use crate::name::Name;
 use crate::quota::Bucket;
@@ -22,6 +21,8 @@
 use crate::quota::Share;
 use crate::quota::Statement;
 use crate::request::Cause;
+use crate::silence::DRAIN_MAX;
+use crate::silence::Silence;
 
 /// Sub-requests that may wait, per slot of the current limit.
 const QUEUE_PER_SLOT: usize = 8;
@@ -43,9 +44,6 @@
 /// Longest delay before a stalled or unreachable server is tried again.
 const BACKOFF_MAX: Span = Span::from_secs(8);
 
-/// Time after which a server that reported draining, and whose end was not seen, is tried again.
-const DRAIN_MAX: Span = Span::from_secs(600);
-
 /// Time between two trial connections to a server that gets no requests because of what it said.
 const PROBE_EVERY: Span = Span::from_ms(400);
 
@@ -127,42 +125,6 @@
     exclusive: bool,
 }
 
-/// What a server said that keeps requests away from it, to be kept while another daemon owns it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Silence {
-    /// Until when it gets none because it is draining; absent if it isn't.
-    draining_until: Option<Time>,
-    /// Until when it wants none.
-    paused_until: Time,
-    /// Boot identifier of the run that said so, if known.
-    boot: Option<Name>,
-}
-
-impl Silence {
-    /// Adds what a late answer says, after this daemon gave the server up.
-    pub fn record(&mut self, now: Time, exchange: &Exchange) {
-        let Exchange::Answered {
-            boot,
-            draining,
-            pause,
-            ..
-        } = exchange
-        else {
-            return;
-        };
-        if boot.is_some() && self.boot.is_some() && *boot != self.boot {
-            *self = Silence::default();
-        }
-        self.boot = boot.clone().or(self.boot.take());
-        if *draining && self.draining_until.is_none() {
-            self.draining_until = Some(now.after(DRAIN_MAX));
-        }
-        if let Some(pause) = pause {
-            self.paused_until = self.paused_until.max(now.after(*pause));
-        }
-    }
-}
-
 /// Admission state of one replica.
 #[derive(Clone, Debug)]
 pub struct Limiter {
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -193,12 +193,12 @@
     /// The voter's mode changed.
     #[display("voter {_0}")]
     Voter(String),
-    /// The state of this daemon's links to the backend servers changed.
-    #[display("links to the servers {_0}")]
-    Links(uplink::State),
     /// The live daemons that may own replicas changed.
     #[display("members {_0}")]
     Members(String),
+    /// The state of this daemon's links to the backend servers changed.
+    #[display("links to the servers {_0}")]
+    Links(uplink::State),
 }
 
 /// An action that the adapter must carry out.
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -20,7 +20,6 @@
 use crate::limiter::Health;
 use crate::limiter::Limiter;
 use crate::limiter::Observation;
-use crate::limiter::Silence;
 use crate::limiter::Ticket;
 use crate::limiter::Waiter;
 use crate::manifest::Hedge;
@@ -33,6 +32,7 @@
 use crate::request::Index;
 use crate::request::Outcome;
 use crate::request::Request;
+use crate::silence::Silence;
 
 /// Priority of hedges and canaries, above that of all services: they take the next free
 /// slot.
