--- a/bins/tests/processes/harness.rs
+++ b/bins/tests/processes/harness.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use wagtailbeam_fakes::backend::Cluster;
 use wagtailbeam_fakes::caller;
 use wagtailbeam_fakes::caller::Answer;
 use wagtailbeam_fakes::caller::Request;
@@ -59,6 +60,24 @@
         }
     }
 
+    /// Starts five daemons, three of them voters, that serve the servers of `cluster` as shards of the
+    /// service `desk-gate` with this many replicas each, and waits until they do.
+    pub fn start_serving(cluster: &Cluster, replicas: usize, caller: &str) -> Harness {
+        let service = fleet::Service::of(
+            "desk-gate",
+            "slots = 2\nconnections = 25\nwarmup = 0s\ndeadline = 2s\n",
+            cluster,
+            replicas,
+        );
+        let file = fleet::manifest(1, &[service], &[caller], &[]);
+        let harness = Harness::start(5, 3);
+        let path = harness.write_file("first.ini", &file);
+        assert_eq!(harness.run_client(0, &["apply", &path]).code, 0);
+        let shards = cluster.servers.len() / replicas;
+        harness.wait_ready(caller, "/desk-gate/x", shards as u64);
+        harness
+    }
+
     /// Writes a file to the temporary folder and returns its path.
     pub fn write_file(&self, name: &str, text: &str) -> String {
         let path = self.folder.path().join(name);
