--- a/decision/src/arbitration.rs
+++ b/decision/src/arbitration.rs
@@ -29,7 +29,7 @@
             }
         );
         let reply = match server_failed {
-            true => self.spread.hold(reply),
+            true => self.spread.hold(now, reply),
             false => Some(reply),
         };
         if let Some(reply) = reply {
--- a/decision/src/spread.rs
+++ b/decision/src/spread.rs
@@ -36,7 +36,8 @@
 pub struct Spread {
     /// Hosts that have not confirmed a suspicion, and until when it is waited for.
     unconfirmed: BTreeMap<Digest, (Time, BTreeSet<Name>)>,
-    held: Vec<Reply>,
+    /// Failures that are held back, and until when at the latest.
+    held: Vec<(Time, Reply)>,
 }
 
 impl Spread {
@@ -49,11 +50,11 @@
     }
 
     /// Holds a failure back if a suspicion isn't confirmed; otherwise gives it back.
-    pub fn hold(&mut self, reply: Reply) -> Option<Reply> {
+    pub fn hold(&mut self, now: Time, reply: Reply) -> Option<Reply> {
         if self.unconfirmed.is_empty() {
             return Some(reply);
         }
-        self.held.push(reply);
+        self.held.push((now.after(HOLD_MAX), reply));
         None
     }
 
@@ -68,9 +69,9 @@
     pub fn release(&mut self, now: Time) -> Vec<Reply> {
         self.unconfirmed
             .retain(|_, (until, hosts)| *until > now && !hosts.is_empty());
-        match self.unconfirmed.is_empty() {
-            true => std::mem::take(&mut self.held),
-            false => Vec::new(),
-        }
+        let confirmed = self.unconfirmed.is_empty();
+        let due = |(until, _): &mut (Time, Reply)| confirmed || *until <= now;
+        let released = self.held.extract_if(.., due);
+        released.map(|(_, reply)| reply).collect()
     }
 }
--- a/decision/src/throttle.rs
+++ b/decision/src/throttle.rs
@@ -1,8 +1,9 @@
 //! Keeps an entry host's calls within its share of the limits that replicas name.
 //!
-//! Load pattern: some replicas name limits below what callers ask for, or want no requests for a time. What doesn't fit goes to
-//! other replicas; if none has room, the request is refused at once, the least urgent ones first,
-//! with the time after which there is room. See `quota` for how a limit is divided.
+//! Load pattern: some replicas name limits below what callers ask for, or want no requests for a
+//! time. What doesn't fit goes to other replicas; if none has room, the request is refused at once,
+//! the least urgent ones first, with the time after which there is room. See `quota` for how a limit
+//! is divided.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -267,12 +267,15 @@
         due
     }
 
-    /// When the links are to be judged next; absent while nothing is suspected.
+    /// When the links are to be judged next; absent while nothing is suspected, and until a probe
+    /// that is under way ends.
     pub fn next_timer(&self) -> Option<Time> {
+        let next_probe = self.probed_at.unwrap_or_default().after(PROBE_EVERY);
         match self.state {
+            _ if self.probing > 0 => None,
             State::Sound => None,
-            State::Lost => Some(self.probed_at.unwrap_or_default().after(PROBE_EVERY)),
-            State::Trial => Some(self.since.after(self.trial_time)),
+            State::Lost => Some(next_probe),
+            State::Trial => Some(next_probe.min(self.since.after(self.trial_time))),
         }
     }
 }
