soak: as many networks for the runs of one process as tests start runs

Cause: a run takes one of four networks by its number; with the fourth soak test more than four runs of one process may be under way or follow each other while an older one still goes on. Change: sixteen networks for each process; the process's part of the address has fewer values instead.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -68,7 +68,10 @@
 /// Port of entry hosts for readiness probes.
 const READY_PORT: u16 = 8_108;
 
-/// Number of runs of this process so far; selects one of four networks.
+/// Runs of one process that may be under way at the same time, each in a network of its own.
+const RUNS_AT_ONCE_MAX: u8 = 16;
+
+/// Number of runs of this process so far; selects one of its networks.
 static RUN_COUNTER: AtomicU8 = AtomicU8::new(0);
 
 /// The addresses and services of a run. All addresses are in one /24 network of the
@@ -98,7 +101,11 @@
     pub fn random(rng: &mut ChaCha8Rng, entry_hosts: usize) -> Deployment {
         let pid = std::process::id();
         let run = RUN_COUNTER.fetch_add(1, Ordering::Relaxed);
-        let network = [16 + (pid % 200) as u8, (pid / 200 % 64) as u8 * 4 + run % 4];
+        let of_process = (pid / 200 % 16) as u8;
+        let network = [
+            16 + (pid % 200) as u8,
+            of_process * RUNS_AT_ONCE_MAX + run % RUNS_AT_ONCE_MAX,
+        ];
         let count = SHARD_COUNTS[rng.random_range(0..SHARD_COUNTS.len())];
         let shards = (0..count).map(|index| Name::from(format!("shard-{index}")));
         Deployment {
