--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -215,8 +215,8 @@
         said.push(Said::Overloaded(now + OVERLOADED_LAG, now + wait, 0));
     }
 
-    /// Records that an entry host is killed, stopped, frozen or started: what replicas said before no
-    /// longer counts.
+    /// Records that an entry host is killed, frozen or started: what replicas said before no longer
+    /// counts. One that was told to stop keeps to it until it has ended.
     pub fn record_interrupted(&mut self) {
         self.said.clear();
     }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -240,7 +240,7 @@
             self.delay_windows
                 .push((now, now + duration + UPDATE_LAG_MAX));
         }
-        if let Fault::KillEntry(_) | Fault::PauseEntry(_) | Fault::StopEntry(_) = fault {
+        if let Fault::KillEntry(_) | Fault::PauseEntry(_) = fault {
             self.checker.lock().record_interrupted();
         }
         if let Target::Entry(index) = fault.target() {
