Client accounts: keys become the account's name at the host that the caller reached

Change: a configuration may declare accounts. A directory of key digests is part of the catalog; an unknown key is refused with 401 before anything is sent, with 503 while no configuration is confirmed. Servers and other hosts are told the account's name in place of the key. An account's priority goes before the route's. Without declared accounts requests pass as before.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -14,6 +14,7 @@
 use derive_more::From;
 use hyper::HeaderMap;
 use hyper::Method;
+use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
@@ -175,11 +176,14 @@
     /// Confirms an order of another host, then starts its branch.
     fn accept_order(&mut self, from: SocketAddr, order: branch::Order) {
         let request = match from_envelope(&order.envelope) {
-            Ok(request) => Arc::new(request),
+            Ok(request) => self.identify_forwarded(request),
             Err(fault) => {
                 return tracing::error!(event = 706, %from, %fault, "order not understood");
             }
         };
+        let Some(request) = request.map(Arc::new) else {
+            return tracing::warn!(event = 722, %from, "order of an older build with an unknown key");
+        };
         self.send_branch(from, branch::Message::Confirmed(order.id));
         let branch = gateway::Branch {
             order: order.id,
@@ -299,8 +303,11 @@
     let method = Method::from_bytes(&envelope.method)?;
     let target = PathAndQuery::try_from(&*envelope.target)?;
     let body = Bytes::copy_from_slice(&envelope.body);
+    let caller = headers.get(header::AUTHORIZATION);
+    let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
     Ok(Request {
-        fingerprint: ingress::fingerprint(&method, &envelope.host, &target, &headers, &body),
+        fingerprint: ingress::fingerprint(caller, &method, &envelope.host, &target, &body),
+        account: None,
         id: HeaderValue::from_bytes(&envelope.id)?,
         method,
         host: envelope.host.clone(),
--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -111,15 +111,19 @@
             return self.send_branch(from, branch::Message::RelayDeclined(relay));
         }
         let request = match from_envelope(envelope) {
-            Ok(request) => Request {
+            Ok(request) => self.identify_forwarded(Request {
                 time_left: Some(left),
                 ..request
-            },
+            }),
             Err(fault) => {
                 tracing::error!(event = 706, %from, %fault, "order not understood");
                 return self.send_branch(from, branch::Message::RelayDeclined(relay));
             }
         };
+        let Some(request) = request else {
+            tracing::warn!(event = 722, %from, "order of an older build with an unknown key");
+            return self.send_branch(from, branch::Message::RelayDeclined(relay));
+        };
         self.send_branch(from, branch::Message::RelayConfirmed(relay));
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let request = Arc::new(request);
@@ -142,7 +146,8 @@
             Reply::Merged { .. } => Relayed::Failed,
             Reply::Refused(Refusal::NotRun, wait) => Relayed::NotRun(wait),
             Reply::Refused(Refusal::Quarantined, wait) => Relayed::Quarantined(wait),
-            Reply::Refused(Refusal::NoRoute, _) => Relayed::NoRoute,
+            Reply::Refused(Refusal::OverQuota, wait) => Relayed::NotRun(wait),
+            Reply::Refused(Refusal::NoRoute | Refusal::UnknownKey, _) => Relayed::NoRoute,
             Reply::Refused(Refusal::Failed, _) => Relayed::Failed,
             Reply::Refused(Refusal::Timeout, _) => Relayed::Timeout,
         };
--- a/adapter/src/dialect.rs
+++ b/adapter/src/dialect.rs
@@ -13,6 +13,8 @@
 pub struct Headers {
     /// Identifier of a request, set by the caller.
     pub request: HeaderName,
+    /// Name of the client account that sent the request.
+    pub account: HeaderName,
     /// Time left to answer, in milliseconds.
     pub deadline: HeaderName,
     /// Identifier of the only replica that may run the request.
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -30,6 +30,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use wagtailbeam_decision::account::Account;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::catalog::Limits;
 use wagtailbeam_decision::clock::Span;
@@ -90,19 +91,21 @@
     pub first_on_connection: bool,
     /// Digest by which repeats of the request are recognized, see [`fingerprint`].
     pub fingerprint: Digest,
+    /// Client account that sent the request; absent until it is identified, and for anonymous
+    /// requests.
+    pub account: Option<Arc<Account>>,
 }
 
 /// Digest of caller, method, host, target and body. It is the same for each repeat of a
-/// request, whatever its identifier, on all hosts.
+/// request, whatever its identifier, on all hosts. `caller` is the account's name, or the value of
+/// `Authorization` where no accounts are declared.
 pub fn fingerprint(
+    caller: &[u8],
     method: &Method,
     host: &str,
     target: &hyper::http::uri::PathAndQuery,
-    headers: &HeaderMap,
     body: &[u8],
 ) -> Digest {
-    let caller = headers.get(header::AUTHORIZATION);
-    let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
     let method = method.as_str().as_bytes();
     let (host, target) = (host.as_bytes(), target.as_str().as_bytes());
     Digest::of_parts(&[caller, method, host, target, body])
@@ -130,7 +133,7 @@
 #[derive(Debug)]
 pub enum Event {
     /// A new request: its number, its content and where the answer goes.
-    Request(u64, Arc<Request>, oneshot::Sender<Reply>),
+    Request(u64, Box<Request>, oneshot::Sender<Reply>),
     /// The caller of the request with this number disconnected.
     Abandoned(u64),
 }
@@ -283,8 +286,11 @@
         let left = left.and_then(|text| text.trim().parse::<f64>().ok());
         let left = left.filter(|ms| ms.is_finite() && *ms > 0.0);
         let body = read_body(body, limits.body_max).await?;
+        let caller = head.headers.get(header::AUTHORIZATION);
+        let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
         Ok(Request {
-            fingerprint: fingerprint(&head.method, host, &target, &head.headers, &body),
+            fingerprint: fingerprint(caller, &head.method, host, &target, &body),
+            account: None,
             id,
             host: host.into(),
             method: head.method,
@@ -300,7 +306,7 @@
     async fn forward(&self, request: Request) -> http::Reply {
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let (answer, answered) = oneshot::channel();
-        let event = Event::Request(id, Arc::new(request), answer);
+        let event = Event::Request(id, Box::new(request), answer);
         if self.events.send(event).await.is_err() {
             return refusal_reply(Refusal::NotRun, None);
         }
@@ -410,6 +416,16 @@
             "no-route",
             "no route takes this host and path",
         ),
+        Refusal::UnknownKey => (
+            StatusCode::UNAUTHORIZED,
+            "unknown-key",
+            "the route needs a bearer key of an account",
+        ),
+        Refusal::OverQuota => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "over-quota",
+            "the request did not run: the account's quota is used up",
+        ),
         Refusal::NotRun => (
             StatusCode::SERVICE_UNAVAILABLE,
             "not-run",
@@ -432,6 +448,12 @@
         ),
     };
     let mut reply = problem_reply(status, title, detail);
+    if refusal == Refusal::UnknownKey {
+        let challenge = HeaderValue::from_static("Bearer");
+        reply
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, challenge);
+    }
     let seconds = retry_after.map(|wait| format!("{:.3}", wait.as_us() as f64 / 1e6));
     let seconds = seconds.and_then(|text| HeaderValue::try_from(text).ok());
     if let Some(seconds) = seconds {
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod frontend;
 pub mod host;
 pub mod http;
+mod identity;
 mod inbound;
 pub mod ingress;
 mod listener;
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -81,6 +81,12 @@
     /// Refused: servers ended under earlier requests of the same content.
     #[display("quarantined")]
     Quarantined,
+    /// Refused: the route needs a key that no account holds.
+    #[display("unknown-key")]
+    UnknownKey,
+    /// Refused: the quota of the account is used up.
+    #[display("over-quota")]
+    OverQuota,
 }
 
 impl Outcome {
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -132,6 +132,8 @@
             Answer::Refused(refusal, wait) => {
                 let outcome = match refusal {
                     Refusal::NoRoute => Outcome::NoRoute,
+                    Refusal::UnknownKey => Outcome::UnknownKey,
+                    Refusal::OverQuota => Outcome::OverQuota,
                     Refusal::NotRun => Outcome::NotRun,
                     Refusal::Failed => Outcome::Failed,
                     Refusal::Timeout => Outcome::Timeout,
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -3,6 +3,7 @@
 //! Requests from `ingress` go to the fanout or the gateway; the gateway's calls go to
 //! replicas through the connection pool, and the answers back to the callers.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use http_body_util::Full;
@@ -41,6 +42,8 @@
     pub(crate) fn handle_ingress(&mut self, event: ingress::Event) {
         match event {
             ingress::Event::Request(id, request, answer) => {
+                let (request, known) = self.identify(*request);
+                let request = Arc::new(request);
                 let pending = Pending {
                     request: request.clone(),
                     envelope: None,
@@ -48,7 +51,10 @@
                     received_at: Instant::now(),
                 };
                 self.pending.insert(id, pending);
-                self.serve(id, &request);
+                match known {
+                    true => self.serve(id, &request),
+                    false => self.refuse_unknown(id, &request),
+                }
             }
             ingress::Event::Abandoned(id) => {
                 if let Some(pending) = self.pending.remove(&id) {
@@ -80,6 +86,7 @@
         };
         let admitted = route.filter(|route| !self.gateway.is_quarantined(now, route, fingerprint));
         if let Some(route) = admitted {
+            let route = route.with_priority(request.priority());
             self.gateway.count_request(now, &route.name);
             let margin = match request.first_on_connection {
                 true => CALLER_MARGIN_FIRST,
@@ -111,6 +118,7 @@
             catalog_confirmed: self.feed_fresh,
             first_on_connection: request.first_on_connection,
             others_healthier: self.rotation.others_healthier(self.peers()),
+            priority: request.priority(),
         };
         self.step_gateway(Event::Request(id, gateway_request));
     }
--- a/decision/src/answer.rs
+++ b/decision/src/answer.rs
@@ -13,6 +13,10 @@
 pub enum Refusal {
     /// No route matches the host and path.
     NoRoute,
+    /// The route needs a key, and no account holds the one of the request.
+    UnknownKey,
+    /// The quota of the request's account is used up; the request did not run.
+    OverQuota,
     /// The request did not run and may be sent again.
     NotRun,
     /// A replica failed, or the request may have run without an answer.
--- a/decision/src/answering.rs
+++ b/decision/src/answering.rs
@@ -23,6 +23,7 @@
 use crate::gateway::RECHECK_AFTER;
 use crate::gateway::RequestId;
 use crate::merge;
+use crate::name::Name;
 
 /// Time for which an open call for an answered part may still run after the request is
 /// closed.
@@ -163,10 +164,10 @@
         }
     }
 
-    /// Report on a request that matches no route.
-    pub(crate) fn report_unrouted(&self, now: Time) -> Report {
+    /// Report on a request that is refused before any part of it is sent.
+    pub fn report_unsent(&self, now: Time, route: Option<Name>) -> Report {
         Report {
-            route: None,
+            route,
             version: self.catalog.version,
             fleet_age: now.since(self.fleet_read),
             took: Span::ZERO,
--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -187,6 +187,7 @@
             timeout: self.left,
             objective: self.objective,
             priority: *self.priority,
+            open: true,
             attempts_max: self.attempts_max,
             target: Target::Gather {
                 shards: self.shards.clone(),
--- a/decision/src/catalog.rs
+++ b/decision/src/catalog.rs
@@ -9,6 +9,8 @@
 
 use derive_more::Display;
 
+use crate::account;
+use crate::account::Directory;
 use crate::clock::Span;
 use crate::name::Name;
 
@@ -86,6 +88,8 @@
     pub objective: Span,
     /// Priority under load; zero is the most important.
     pub priority: u32,
+    /// Whether its requests need no key of an account.
+    pub open: bool,
     /// Most replicas of each shard on which a request may run.
     pub attempts_max: u32,
     /// Destination of the requests.
@@ -140,6 +144,8 @@
     pub services: BTreeMap<Name, Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Client accounts.
+    pub accounts: Directory,
     /// Indices into `routes` for each host, longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<usize>>,
 }
@@ -175,6 +181,8 @@
     /// A prefix doesn't begin and end with a slash.
     #[display("route {_0}: the prefix must begin and end with a slash")]
     BadPrefix(Name),
+    /// The accounts are inconsistent.
+    Accounts(account::Fault),
 }
 
 /// A checked value, or the first fault.
@@ -190,6 +198,17 @@
         weighted.iter().map(|(name, _)| name).chain(shards)
     }
 
+    /// The route with this priority in place of its own, if there is one.
+    pub fn with_priority(self: Arc<Route>, priority: Option<u32>) -> Arc<Route> {
+        match priority {
+            Some(priority) if priority != self.priority => Arc::new(Route {
+                priority,
+                ..Route::clone(&self)
+            }),
+            _ => self,
+        }
+    }
+
     fn check(&self, services: &BTreeMap<Name, Service>) -> Result<()> {
         let unknown = self.services().find(|name| !services.contains_key(*name));
         if let Some(service) = unknown {
@@ -240,6 +259,11 @@
         Ok(catalog)
     }
 
+    /// The catalog with these client accounts.
+    pub fn with_accounts(self, accounts: Directory) -> Catalog {
+        Catalog { accounts, ..self }
+    }
+
     fn insert(&mut self, route: Route) -> Result<()> {
         let indices = self.routes_by_host.entry(route.host.clone()).or_default();
         let duplicate = indices
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -142,6 +142,8 @@
     pub first_on_connection: bool,
     /// Whether this host fails most requests while the other entry hosts probably don't.
     pub others_healthier: bool,
+    /// Priority of the request's account in place of the route's one, if it has one.
+    pub priority: Option<u32>,
 }
 
 /// One request to one replica.
@@ -437,9 +439,10 @@
             } else {
                 Answer::Refused(Refusal::NoRoute, None)
             };
-            let report = self.report_unrouted(now);
+            let report = self.report_unsent(now, None);
             return actions.push(Action::Answer(id, refusal, report));
         };
+        let route = route.with_priority(request.priority);
         self.count_request(now, &route.name);
         let services = self.choose_services(&route);
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -4,6 +4,7 @@
 //! number. Time and seeds are arguments, and every effect is returned as data for the
 //! adapter to carry out.
 
+pub mod account;
 pub mod admission;
 pub mod allowance;
 pub mod answer;
--- a/decision/tests/tier/catalog.rs
+++ b/decision/tests/tier/catalog.rs
@@ -19,6 +19,7 @@
         timeout: Span::from_ms(800),
         objective: Span::from_ms(120),
         priority: 0,
+        open: false,
         attempts_max: 2,
         target,
     }
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -111,6 +111,7 @@
         catalog_confirmed: true,
         first_on_connection: false,
         others_healthier: true,
+        priority: None,
     };
     simulation.handle(Event::Request(99, request));
     let (answer, _) = &simulation.answers[&99];
@@ -214,6 +215,7 @@
         catalog_confirmed,
         first_on_connection: false,
         others_healthier: false,
+        priority: None,
     };
     simulation.handle(Event::Request(1, request(true)));
     simulation.handle(Event::Request(2, request(false)));
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -191,6 +191,7 @@
         timeout: Span::from_ms(1_200),
         objective: Span::from_ms(200),
         priority,
+        open: false,
         attempts_max: 2,
         target,
     }
@@ -481,6 +482,7 @@
             catalog_confirmed: true,
             first_on_connection: false,
             others_healthier: false,
+            priority: None,
         };
         self.step(at, Event::Request(id, request));
     }
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -153,6 +153,7 @@
         timeout: Span::from_ms(800),
         objective: Span::from_ms(120),
         priority: 0,
+        open: false,
         attempts_max: 2,
         target,
     }
@@ -255,6 +256,7 @@
             catalog_confirmed: true,
             first_on_connection: false,
             others_healthier: false,
+            priority: None,
         };
         self.schedule(wait, Step::Request(id, request));
     }
