Tests of accounts: lookup, priorities, keys in headers, decoded and faulty accounts

Cause: the accounts had no tests. Change: tests without a network; the parser of bearer tokens is shared with the settings-file groups, which now refuse a key with bytes beyond visible ASCII only where accounts are looked up.

--- a/adapter/src/http.rs
+++ b/adapter/src/http.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use hyper::header;
 use serde::Serialize;
+use wagtailbeam_decision::account::Credential;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::notice;
@@ -54,6 +55,9 @@
 /// Media type of problem details (RFC 9457).
 pub const PROBLEM_JSON: &str = "application/problem+json";
 
+/// Longest key of a client account, in bytes.
+const KEY_MAX_BYTES: usize = 4_096;
+
 /// A response with its complete body.
 pub type Reply = Response<Full<Bytes>>;
 
@@ -79,10 +83,34 @@
 /// The digest of the bearer key in the `Authorization` header; absent without such a header.
 pub fn bearer_digest(headers: &HeaderMap) -> Option<Digest> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let (scheme, key) = value.split_once(' ')?;
+    bearer_token(value.as_bytes()).map(Digest::of)
+}
+
+/// The key of a client account in the headers: the token of the only `Authorization` header. It
+/// must have 1 to 4,096 visible ASCII characters.
+pub fn credential(headers: &HeaderMap) -> Credential {
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Credential::Unusable;
+    };
+    let token = bearer_token(value.as_bytes());
+    let usable = |token: &&[u8]| {
+        let visible = token.iter().all(u8::is_ascii_graphic);
+        visible && (1..=KEY_MAX_BYTES).contains(&token.len())
+    };
+    let token = token.filter(usable);
+    token.map_or(Credential::Unusable, |token| {
+        Credential::Key(Digest::of(token))
+    })
+}
+
+/// The token in the value of an `Authorization` header of the bearer scheme.
+fn bearer_token(value: &[u8]) -> Option<&[u8]> {
+    let split = value.iter().position(|byte| *byte == b' ')?;
+    let (scheme, token) = value.split_at(split);
     scheme
-        .eq_ignore_ascii_case("bearer")
-        .then(|| Digest::of(key.trim().as_bytes()))
+        .eq_ignore_ascii_case(b"bearer")
+        .then(|| token.trim_ascii())
 }
 
 /// The value of a header; absent if the header is missing or not visible ASCII.
--- a/adapter/src/identity.rs
+++ b/adapter/src/identity.rs
@@ -5,25 +5,20 @@
 
 use std::sync::Arc;
 
-use hyper::HeaderMap;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use wagtailbeam_decision::account::Account;
-use wagtailbeam_decision::account::Credential;
 use wagtailbeam_decision::account::Identity;
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::clock::Span;
-use wagtailbeam_decision::digest::Digest;
 
 use crate::entry::Driver;
+use crate::http;
 use crate::ingress;
 use crate::ingress::Request;
 
-/// Longest key that is looked up, in bytes.
-const KEY_MAX_BYTES: usize = 4_096;
-
 /// `Retry-After` for an unknown key while the voters have not confirmed lately that no newer
 /// configuration declares it.
 const RETRY_AFTER_UNCONFIRMED: Span = Span::from_ms(500);
@@ -44,7 +39,8 @@
         if !catalog.accounts.is_required() {
             return (request, true);
         }
-        let credential = take_credential(&mut request.headers);
+        let credential = http::credential(&request.headers);
+        request.headers.remove(header::AUTHORIZATION);
         let route = catalog.route(&request.host, request.target.path());
         let identity = match route {
             Some(route) => catalog.accounts.identify(route.open, credential),
@@ -118,31 +114,3 @@
         self.fingerprint = ingress::fingerprint(caller, method, host, target, body);
     }
 }
-
-/// Takes the key out of the headers: the token of the only `Authorization` header, if that has the
-/// bearer scheme.
-pub(crate) fn take_credential(headers: &mut HeaderMap) -> Credential {
-    let mut values = headers.get_all(header::AUTHORIZATION).iter();
-    let credential = match (values.next(), values.next()) {
-        (Some(value), None) => parse_credential(value.as_bytes()),
-        _ => Credential::Unusable,
-    };
-    headers.remove(header::AUTHORIZATION);
-    credential
-}
-
-/// Parses the value of an `Authorization` header: the bearer scheme and a token of visible ASCII
-/// characters.
-fn parse_credential(value: &[u8]) -> Credential {
-    let Some(split) = value.iter().position(|byte| *byte == b' ') else {
-        return Credential::Unusable;
-    };
-    let (scheme, token) = value.split_at(split);
-    let token = token.trim_ascii();
-    let visible = token.iter().all(u8::is_ascii_graphic);
-    let usable = visible && (1..=KEY_MAX_BYTES).contains(&token.len());
-    match usable && scheme.eq_ignore_ascii_case(b"bearer") {
-        true => Credential::Key(Digest::of(token)),
-        false => Credential::Unusable,
-    }
-}
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -1,5 +1,6 @@
 //! Tests of tiers whose hosts are discovered.
 
+mod account;
 mod allowance;
 mod catalog;
 mod cluster;
