Count suspended time: leases, confirmations and lists of a resumed process are as old as they are

Cause, from reading: the standard library's clock stands still while a machine is suspended. A resumed voter or host would take a lease, a confirmation or a list for as fresh as before, in both kinds of group.

Change: time comes from the clock that counts suspended time, and timers are computed from the time that is left.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -38,6 +38,7 @@
 use wagtailbeam_decision::rotation::Rotation;
 use wagtailbeam_decision::uplink;
 
+use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::host::Settings;
 use crate::ingress;
@@ -107,8 +108,7 @@
     pub(crate) settings: Settings,
     pub(crate) settings_path: PathBuf,
     pub(crate) dialect: Arc<dyn Dialect>,
-    /// Zero point of [`Time`] in this process.
-    pub(crate) started: Instant,
+    pub(crate) clock: Clock,
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) relay: Relay,
@@ -174,7 +174,7 @@
     tokio::spawn(ingress::listen(callers, Arc::new(ingress)));
     tokio::spawn(readiness::listen(readiness, published, dialect.clone()));
     let (mesh, mesh_reports) = Mesh::open(settings.peer, peer);
-    let started = Instant::now();
+    let clock = Clock::start();
     let seed = rand::random();
     let gateway = Gateway::new(gateway::Settings {
         address: settings.peer,
@@ -223,7 +223,7 @@
         settings,
         settings_path,
         dialect,
-        started,
+        clock,
     };
     let sources = Sources {
         ingress: ingress_events,
@@ -239,7 +239,7 @@
 
 impl Driver {
     pub(crate) fn now(&self) -> Time {
-        Time::from_us(self.started.elapsed().as_micros() as u64)
+        self.clock.now()
     }
 
     /// Handles events and timers until the stop is finished.
@@ -302,7 +302,7 @@
         let next = next.chain(self.relay.next_timer());
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
-        let wake = self.started + Duration::from_micros(next.as_us());
+        let wake = self.clock.instant(next);
         match self.stopping_since {
             Some(_) => wake.min(Instant::now() + Duration::from_millis(20)),
             None => wake,
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod backend;
 pub mod cli;
 pub mod client;
+pub mod clock;
 mod detour;
 pub mod dialect;
 pub mod discovery;
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -39,6 +39,7 @@
 use crate::admin::Admin;
 use crate::backend;
 use crate::backend::Backend;
+use crate::clock::Clock;
 use crate::disk;
 use crate::disk::Command;
 use crate::disk::Policy;
@@ -178,7 +179,7 @@
 /// State of the daemon and handles to its tasks.
 struct Node {
     config: Config,
-    started: Instant,
+    clock: Clock,
     daemon: Daemon,
     backend: Backend,
     probes: mpsc::Sender<Event>,
@@ -217,7 +218,7 @@
         }
         None => (None, None),
     };
-    let started = Instant::now();
+    let clock = Clock::start();
     let identity = Identity {
         host: config.host.clone(),
         domain: config.domain.clone(),
@@ -280,7 +281,7 @@
         ledger: load_ledger(&config),
         metric: Metric::new().context(MeterSnafu)?,
         config,
-        started,
+        clock,
         daemon,
         datagrams,
         key,
@@ -288,7 +289,7 @@
         pending: BTreeMap::new(),
         pending_applies: BTreeMap::new(),
         view,
-        ledger_saved: started,
+        ledger_saved: Instant::now(),
         last_apply: 0,
         stopping_since: None,
         connection_limits: BTreeMap::new(),
@@ -315,7 +316,7 @@
 impl Node {
     /// Time since the start of the process.
     fn now(&self) -> Time {
-        Time::from_us(self.started.elapsed().as_micros() as u64)
+        self.clock.now()
     }
 
     /// Handles events until the planned stop has finished.
@@ -367,7 +368,7 @@
             self.daemon.owner.next_timer(),
         ];
         let next_timer = timers.into_iter().flatten().min();
-        let next_timer = next_timer.map(|time| self.started + Duration::from_micros(time.as_us()));
+        let next_timer = next_timer.map(|time| self.clock.instant(time));
         next_timer.map_or(next_tick, |timer| timer.min(next_tick))
     }
 
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -22,6 +22,7 @@
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::voter::Record;
 
+use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::discovery;
 use crate::disk;
@@ -65,7 +66,7 @@
     settings_path: PathBuf,
     dialect: Arc<dyn Dialect>,
     /// Zero point of [`Time`] in this process.
-    started: Instant,
+    clock: Clock,
     controller: Controller,
     mesh: Mesh,
     disk_commands: mpsc::UnboundedSender<Command>,
@@ -117,7 +118,7 @@
         meter: meter::Voter::new(&exporter),
         last_id: 0,
         stopping: false,
-        started: Instant::now(),
+        clock: Clock::start(),
         settings,
         settings_path,
         dialect,
@@ -166,7 +167,7 @@
 
 impl Driver {
     fn now(&self) -> Time {
-        Time::from_us(self.started.elapsed().as_micros() as u64)
+        self.clock.now()
     }
 
     /// Handles events and ticks until the voter stops.
@@ -179,7 +180,7 @@
                 () = tokio::time::sleep_until(next_tick.into()) => {
                     self.step_controller(Event::Tick);
                     let next = self.controller.next_timer(self.now());
-                    next_tick = self.started + Duration::from_micros(next.as_us());
+                    next_tick = self.clock.instant(next);
                 }
                 Some(report) = sources.disk.recv() => self.handle_disk(report),
                 Some(report) = sources.mesh.recv() => {
@@ -196,7 +197,7 @@
                 housekeeping_at = Instant::now() + HOUSEKEEPING_INTERVAL;
             }
             let next = self.controller.next_timer(self.now());
-            let next = self.started + Duration::from_micros(next.as_us());
+            let next = self.clock.instant(next);
             next_tick = next_tick.min(next);
         }
     }
