A voter that goes on after a freeze hands out neither an old list nor a partial one of hosts

A voter that had been frozen for 7.6 s told all hosts of 372 replicas instead of 898, and hosts that asked it of 18 entry hosts instead of 84, which also raised their shares of connection limits.

Cause, from the logs (events 712 and 717 right after the thaw): the result of a read of the list that had begun before the freeze was taken for that of the read that began after it, so the list looked 100 ms old. The voter had dropped the hosts that were silent to it, and told of those that it heard from first.

Change: the end of a read names its start. A changed list of hosts is told 300 ms after contact with a majority is regained, except to hosts that have none.

--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -56,7 +56,7 @@
     operators: mpsc::Receiver<operator::Submission>,
     mesh: mpsc::Receiver<mesh::Report>,
     disk: mpsc::Receiver<disk::Report>,
-    lists: mpsc::Receiver<Option<Fleet>>,
+    lists: mpsc::Receiver<(Time, Option<Fleet>)>,
     signals: mpsc::Receiver<Signal>,
 }
 
@@ -70,7 +70,7 @@
     controller: Controller,
     mesh: Mesh,
     disk_commands: mpsc::UnboundedSender<Command>,
-    list_results: mpsc::Sender<Option<Fleet>>,
+    list_results: mpsc::Sender<(Time, Option<Fleet>)>,
     /// Unanswered operators' commands, by number.
     waiting_operators: HashMap<u64, oneshot::Sender<Outcome>>,
     meter: meter::Voter,
@@ -188,7 +188,9 @@
                         self.step_controller(Event::Message(from, *message));
                     }
                 }
-                Some(fleet) = sources.lists.recv() => self.step_controller(Event::ListRead(fleet)),
+                Some((started, fleet)) = sources.lists.recv() => {
+                    self.step_controller(Event::ListRead(started, fleet));
+                }
                 Some(submission) = sources.operators.recv() => self.handle_operator(submission),
                 Some(signal) = sources.signals.recv() => self.handle_signal(signal),
             }
@@ -280,7 +282,7 @@
                 }
                 Action::Replace(records) => self.queue_write(Command::Replace(records)),
                 Action::Answer(id, outcome) => self.answer_operator(id, outcome),
-                Action::ReadList => self.fetch_list(),
+                Action::ReadList(started) => self.fetch_list(started),
                 Action::Note(note) => logging::voter_note(&note),
             }
         }
@@ -321,8 +323,9 @@
         self.controller.state().map_or(0, |state| state.revision)
     }
 
-    /// Reads the list of replicas in the background; `None` is sent if that fails.
-    fn fetch_list(&mut self) {
+    /// Reads the list of replicas in the background; `None` is sent if that fails. `started` is
+    /// the time of the start.
+    fn fetch_list(&mut self, started: Time) {
         let (address, dialect) = (self.settings.list, self.dialect.clone());
         let list_results = self.list_results.clone();
         self.meter.list_read("started");
@@ -339,7 +342,7 @@
                     None
                 }
             };
-            if list_results.send(fleet).await.is_err() {
+            if list_results.send((started, fleet)).await.is_err() {
                 tracing::debug!("event loop ended before the list was read");
             }
         });
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -112,8 +112,8 @@
     Synced(u64),
     /// An operator's command; its number returns with the answer.
     Command(u64, Command),
-    /// A read of the list ended; absent if it failed.
-    ListRead(Option<Fleet>),
+    /// The read of the list that began at this time ended; absent if it failed.
+    ListRead(Time, Option<Fleet>),
     /// The seeds changed in the settings.
     SeedsChanged(Vec<SocketAddr>),
     /// A timer fired.
@@ -162,8 +162,8 @@
     Replace(Vec<Record>),
     /// Answer the operator's command with this number.
     Answer(u64, Outcome),
-    /// Read the list of replicas, then report it with [`Event::ListRead`].
-    ReadList,
+    /// Read the list of replicas, then report it with [`Event::ListRead`] and this time.
+    ReadList(Time),
     /// Write a log event.
     Note(Note),
 }
@@ -267,6 +267,8 @@
     pub(crate) logged_mode: Option<Mode>,
     /// Whether this voter is in contact with a majority.
     pub(crate) quorum: bool,
+    /// When that last changed.
+    pub(crate) quorum_changed: Time,
     /// Voters' addresses as another process last reported them.
     pub(crate) reported_voters: Vec<SocketAddr>,
     /// Parts of requests under which servers ended, as the entry hosts reported them.
@@ -320,6 +322,7 @@
             unsettled_since: Some(now),
             logged_mode: None,
             quorum: false,
+            quorum_changed: now,
             reported_voters: Vec::new(),
             ledger: Ledger::default(),
             ledger_due: None,
@@ -377,7 +380,7 @@
                 self.voter_actions(now, actions.unwrap_or_default(), &mut out);
             }
             Event::Command(id, command) => self.handle_command(now, id, command, &mut out),
-            Event::ListRead(fleet) => self.finish_read(now, fleet, &mut out),
+            Event::ListRead(started, fleet) => self.finish_read(now, started, fleet, &mut out),
             Event::SeedsChanged(seeds) => self.settings.seeds = seeds,
             Event::Tick => self.tick(now, &mut out),
         }
@@ -583,7 +586,7 @@
         self.settle(now, out);
         if self.should_read(now) {
             self.read_started = Some(now);
-            out.push(Action::ReadList);
+            out.push(Action::ReadList(now));
         }
         if self
             .last_status
@@ -676,6 +679,7 @@
         let quorum = voting.count() >= majority && mode == Some(Mode::Voting);
         if quorum != self.quorum {
             self.quorum = quorum;
+            self.quorum_changed = now;
             out.push(Action::Note(Note::Quorum(quorum)));
         }
     }
--- a/decision/src/publisher.rs
+++ b/decision/src/publisher.rs
@@ -15,6 +15,7 @@
 use crate::controller::Note;
 use crate::controller::PEER_TIMEOUT;
 use crate::controller::Peer;
+use crate::digest::Digest;
 use crate::feed::Feed;
 use crate::feed::Heartbeat;
 use crate::feed::LinkReport;
@@ -31,6 +32,10 @@
 /// Time for which changes of the ledger are collected before others are told.
 const LEDGER_SPREAD_DELAY: Span = Span::from_ms(20);
 
+/// Time after contact with a majority is regained in which every live voter has told of its entry
+/// hosts. Before that, the list of them may lack many.
+const HOSTS_COLLECT_TIME: Span = Span::from_ms(300);
+
 /// Silence after which an entry host counts as dead.
 const ENTRY_TIMEOUT: Span = Span::from_ms(2_500);
 
@@ -114,7 +119,7 @@
             fleet_digest: digest,
             fleet: lacking.map(|listing| listing.fleet.clone()),
             hosts_digest: self.hosts_digest,
-            hosts: (self.hosts_digest != heartbeat.hosts_digest).then(|| self.hosts.clone()),
+            hosts: self.lacks_hosts(now, heartbeat).then(|| self.hosts.clone()),
             failing: self.failing_count(now),
             voters: self.voters(),
             ledger,
@@ -123,6 +128,14 @@
         }))
     }
 
+    /// Whether an entry host is to be told of the entry hosts: it has another list, and this one is
+    /// complete or better than none.
+    fn lacks_hosts(&self, now: Time, heartbeat: &Heartbeat) -> bool {
+        let has_none = heartbeat.hosts_digest == Digest::default();
+        let complete = now.since(self.quorum_changed) >= HOSTS_COLLECT_TIME;
+        self.hosts_digest != heartbeat.hosts_digest && (complete || has_none)
+    }
+
     /// Links of the entry hosts that send their heartbeats to this voter.
     fn own_links(&self) -> LinkReport {
         let links = |links: Links| {
--- a/decision/src/refresh.rs
+++ b/decision/src/refresh.rs
@@ -61,11 +61,19 @@
         self.push_feeds(now, out);
     }
 
-    /// Handles the end of a read, and shares the list with the other voters if it changed.
-    pub(crate) fn finish_read(&mut self, now: Time, fleet: Option<Fleet>, out: &mut Vec<Action>) {
-        let Some(started) = self.read_started.take() else {
-            return;
-        };
+    /// Handles the end of the read that began at `started`, and shares the list with the other
+    /// voters if it changed. A process that was frozen may get the result of an earlier read while a
+    /// later one runs.
+    pub(crate) fn finish_read(
+        &mut self,
+        now: Time,
+        started: Time,
+        fleet: Option<Fleet>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.read_started == Some(started) {
+            self.read_started = None;
+        }
         let Some(fleet) = fleet else {
             return out.push(Action::Note(Note::ListFailed));
         };
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -16,6 +16,7 @@
 use wagtailbeam_decision::feed::Feed;
 use wagtailbeam_decision::feed::Heartbeat;
 use wagtailbeam_decision::feed::Message;
+use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::voter::Mode;
 use wagtailbeam_decision::voter::Record;
@@ -41,6 +42,10 @@
     /// The last feed to each entry host.
     pub feeds: BTreeMap<SocketAddr, Feed>,
     isolated: BTreeSet<SocketAddr>,
+    /// Machines that don't run; their messages wait.
+    frozen: BTreeSet<SocketAddr>,
+    /// Reads of the list that were started, by machine and time.
+    pub reads: Vec<(SocketAddr, Time)>,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
     boots: u64,
@@ -62,6 +67,8 @@
             messages: Vec::new(),
             feeds: BTreeMap::new(),
             isolated: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            reads: Vec::new(),
             seeds: (0..3).map(address).collect(),
             boots: 0,
             last_command: 0,
@@ -147,6 +154,40 @@
         }
     }
 
+    /// Stops a machine where it stands, or lets it go on.
+    pub fn set_frozen(&mut self, at: usize, frozen: bool) {
+        match frozen {
+            true => self.frozen.insert(address(at)),
+            false => self.frozen.remove(&address(at)),
+        };
+    }
+
+    /// Ends a read of the list that a machine started at this time.
+    pub fn end_read(&mut self, at: usize, started: Time, fleet: Fleet) {
+        self.step(address(at), Event::ListRead(started, Some(fleet)));
+    }
+
+    /// Delivers the oldest message that waits for a machine. Returns whether there was one.
+    pub fn deliver_next(&mut self, at: usize) -> bool {
+        let waiting = |(_, to, _): &(_, SocketAddr, _)| *to == address(at);
+        let Some(index) = self.messages.iter().position(waiting) else {
+            return false;
+        };
+        let (from, to, message) = self.messages.remove(index);
+        self.step(to, Event::Message(from, message));
+        true
+    }
+
+    /// Delivers the feeds to entry hosts, and no other messages.
+    pub fn deliver_feeds(&mut self) {
+        for (from, to, message) in std::mem::take(&mut self.messages) {
+            match message {
+                Message::Feed(feed) => drop(self.feeds.insert(to, *feed)),
+                message => self.messages.push((from, to, message)),
+            }
+        }
+    }
+
     /// Delivers the heartbeat of an entry host to a machine.
     pub fn heartbeat(&mut self, at: usize, host: SocketAddr, heartbeat: Heartbeat) {
         let message = Message::Heartbeat(heartbeat);
@@ -204,7 +245,9 @@
 
     /// Ticks all machines.
     pub fn tick(&mut self) {
-        for address in self.machines.keys().copied().collect::<Vec<_>>() {
+        let running = self.machines.keys().copied();
+        let running = running.filter(|address| !self.frozen.contains(address));
+        for address in running.collect::<Vec<_>>() {
             self.step(address, Event::Tick);
         }
     }
@@ -233,6 +276,7 @@
                 continue;
             }
             match message {
+                message if self.frozen.contains(&to) => self.messages.push((from, to, message)),
                 Message::Feed(feed) => drop(self.feeds.insert(to, *feed)),
                 message => self.step(to, Event::Message(from, message)),
             }
@@ -269,7 +313,8 @@
                     machine.synced = records;
                 }
                 Action::Answer(id, outcome) => drop(self.answers.insert(id, outcome)),
-                Action::ReadList | Action::Note(_) => {}
+                Action::ReadList(started) => self.reads.push((at, started)),
+                Action::Note(_) => {}
             }
         }
         let surplus = self.messages.len().saturating_sub(MESSAGES_MAX);
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -8,6 +8,7 @@
 mod fanout;
 mod fatal;
 mod feed;
+mod frozen;
 mod gateway;
 mod group;
 mod hosts;
