encode: client accounts in the fake operators' configuration

Cause: tests on processes can't configure accounts or choose the size of a deployment. Change: `Configuration` has optional accounts, rendered as the platform names them; without them the document is the same as before. `Deployment::new` takes the number of shards.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -99,6 +99,12 @@
 impl Deployment {
     /// Creates the deployment of a run with a random number of shards.
     pub fn random(rng: &mut ChaCha8Rng, entry_hosts: usize) -> Deployment {
+        let count = SHARD_COUNTS[rng.random_range(0..SHARD_COUNTS.len())];
+        Deployment::new(count, entry_hosts)
+    }
+
+    /// Creates the deployment of a run with this many shards.
+    pub fn new(shards: usize, entry_hosts: usize) -> Deployment {
         let pid = std::process::id();
         let run = RUN_COUNTER.fetch_add(1, Ordering::Relaxed);
         let of_process = (pid / 200 % 16) as u8;
@@ -106,8 +112,7 @@
             16 + (pid % 200) as u8,
             of_process * RUNS_AT_ONCE_MAX + run % RUNS_AT_ONCE_MAX,
         ];
-        let count = SHARD_COUNTS[rng.random_range(0..SHARD_COUNTS.len())];
-        let shards = (0..count).map(|index| Name::from(format!("shard-{index}")));
+        let shards = (0..shards).map(|index| Name::from(format!("shard-{index}")));
         Deployment {
             network,
             entry_hosts: entry_hosts.min(ENTRY_HOSTS_MAX),
@@ -148,6 +153,7 @@
             top: TOP_RECORDS,
             attempts_max: ATTEMPTS_MAX,
             connections_max: 40,
+            accounts: None,
         }
     }
 
