Quotas of accounts: homes with token buckets admit requests over all hosts

Cause: an account's rate and burst were read but not enforced; a host by itself sees less than a request a second, so that equal shares refuse most of what is due. Change: one home of each account in each failure domain holds an equal part of its quota. The time waited counts against deadline and objective. Tests: a case for each rule, and a model with lost, repeated and delayed messages, hosts cut off, frozen, restarted and added, and voters without a majority.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -79,6 +79,8 @@
             }
             branch::Message::Relayed(id, answer) => self.finish_relayed(from, id, answer),
             branch::Message::RelayCancel(id) => self.cancel_relayed(from, id),
+            branch::Message::Token(request) => self.answer_token(from, &request),
+            branch::Message::TokenReply(reply) => self.finish_token(from, reply),
         }
     }
 
@@ -242,6 +244,7 @@
         }
         self.step_fanout(Event::HostLost(host));
         self.handle_lost_relays(host);
+        self.handle_lost_home(host);
     }
 
     /// Sends what a branch has gathered to the host that ordered the branch.
--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -43,7 +43,7 @@
 
 impl Driver {
     /// Sends a request for one replica to a host whose links work. Returns false if there is none.
-    pub(crate) fn start_relay(&mut self, id: u64, request: &Request) -> bool {
+    pub(crate) fn start_relay(&mut self, id: u64, request: &Request, waited: Span) -> bool {
         let path = request.target.path();
         let route = self.gateway.catalog().route(&request.host, path).cloned();
         let Some(route) = route.filter(|route| matches!(route.target, Target::Weighted(_))) else {
@@ -57,7 +57,8 @@
         let left = request
             .time_left
             .unwrap_or(route.timeout)
-            .min(route.timeout);
+            .min(route.timeout)
+            .saturating_sub(waited);
         let actions = self.relay.start(now, id, route.repeat, left);
         self.relay_actions(actions);
         true
@@ -135,7 +136,7 @@
         };
         self.pending.insert(id, pending);
         self.relayed.insert((from, relay), id);
-        self.serve_here(id, &request);
+        self.serve_here(id, &request, Span::ZERO);
     }
 
     /// Sends the answer to a relayed request back to the host that it came from.
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use wagtailbeam_decision::account::quota::Gate;
 use wagtailbeam_decision::branch::Envelope;
 use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::clock::Span;
@@ -38,6 +39,7 @@
 use wagtailbeam_decision::rotation::Rotation;
 use wagtailbeam_decision::uplink;
 
+use crate::admission;
 use crate::dialect::Dialect;
 use crate::host::Settings;
 use crate::ingress;
@@ -112,6 +114,7 @@
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) relay: Relay,
+    pub(crate) gate: Gate,
     /// Request number of each relayed request accepted, by the host that sent it.
     pub(crate) relayed: BTreeMap<(SocketAddr, RelayId), u64>,
     /// Request number of each order accepted, by the host that placed it.
@@ -194,6 +197,7 @@
     tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
     let mut driver = Driver {
         gateway,
+        gate: admission::gate(&settings, own.clone(), seed),
         fanout: Fanout::new(fanout::Settings { host: own, seed }),
         relay: Relay::new(seed),
         relayed: BTreeMap::new(),
@@ -274,6 +278,7 @@
     /// Whether any order placed or accepted by this host is unfinished.
     fn has_orders(&self) -> bool {
         let placed = self.fanout.active_requests() + self.relay.active_requests();
+        let placed = placed + self.gate.waiting_requests();
         placed > 0 || !self.branches.is_empty() || !self.relayed.is_empty()
     }
 
@@ -281,7 +286,8 @@
     fn is_request_timer_due(&self) -> bool {
         let now = self.now();
         let timers = [self.gateway.next_timer(), self.fanout.next_timer()];
-        let timers = timers.into_iter().chain([self.relay.next_timer()]);
+        let others = [self.relay.next_timer(), self.gate.next_timer()];
+        let timers = timers.into_iter().chain(others);
         timers.flatten().any(|at| at <= now)
     }
 
@@ -300,6 +306,7 @@
         let next = self.gateway.next_timer().into_iter();
         let next = next.chain(self.fanout.next_timer());
         let next = next.chain(self.relay.next_timer());
+        let next = next.chain(self.gate.next_timer());
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.started + Duration::from_micros(next.as_us());
@@ -335,6 +342,7 @@
             let actions = self.relay.tick(now);
             self.relay_actions(actions);
         }
+        self.tick_gate();
         let feed_fresh = self.subscriber.is_fresh(now);
         if feed_fresh != self.feed_fresh {
             self.feed_fresh = feed_fresh;
--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -24,7 +24,7 @@
 use crate::settings::Result;
 
 /// Sections allowed in the file.
-const SECTIONS: &str = "host, listen, voters, list, extra, cold, stop, log";
+const SECTIONS: &str = "host, listen, voters, list, extra, cold, quota, stop, log";
 
 /// Largest value of [`Settings::tolerated_losses`].
 const TOLERATED_LOSSES_MAX: u64 = 4;
@@ -82,6 +82,8 @@
     pub cold_overage: f64,
     /// Requests per second allowed to a cold replica on top of that rate.
     pub cold_slack: f64,
+    /// What may run beyond the quotas of accounts, for all entry hosts together.
+    pub quota: Limit,
     /// Time from a stop request until no more connections are accepted.
     pub drain: Span,
     /// Time after a stop request at which the process ends with requests still pending.
@@ -114,6 +116,11 @@
             extra: Limit::default(),
             cold_overage: 1.0,
             cold_slack: 0.0,
+            quota: Limit {
+                ratio: 0.0,
+                slack: 0.0,
+                window: Span::from_secs(5),
+            },
             drain: Span::from_ms(2_200),
             stop_max: Span::from_ms(5_500),
             log_filter: "info".to_owned(),
@@ -259,6 +266,27 @@
         self.cold_overage = overage.unwrap_or(self.cold_overage);
         self.cold_slack = slack.unwrap_or(self.cold_slack);
         document.reject_unknown_keys(section, "overage, slack");
+        self.read_quota(document);
+    }
+
+    fn read_quota(&mut self, document: &mut Document) {
+        let mut section = document.take_one("quota");
+        let overage = read_rendered(
+            document,
+            &mut section,
+            "overage",
+            AMOUNT_FORMAT,
+            parse_amount,
+        );
+        let slack = read_rendered(document, &mut section, "slack", AMOUNT_FORMAT, parse_amount);
+        let window = read_rendered(document, &mut section, "window", "a time such as 5s", span);
+        let base = self.quota;
+        self.quota = Limit {
+            ratio: overage.unwrap_or(base.ratio),
+            slack: slack.unwrap_or(base.slack),
+            window: window.unwrap_or(base.window),
+        };
+        document.reject_unknown_keys(section, "window, overage, slack");
     }
 
     fn read_stop_and_log(&mut self, document: &mut Document) {
@@ -294,6 +322,21 @@
         .unwrap_or(default)
 }
 
+/// Reads an optional key; an empty value, as templates render it, counts as absent.
+fn read_rendered<T>(
+    document: &mut Document,
+    section: &mut Section,
+    key: &str,
+    allowed: &str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let parse = |text: &str| match text.is_empty() {
+        true => Some(None),
+        false => parse(text).map(Some),
+    };
+    section.optional(document, key, allowed, parse).flatten()
+}
+
 fn parse_amount(text: &str) -> Option<f64> {
     from_str::<f64>(text).filter(|amount| amount.is_finite() && *amount >= 0.0)
 }
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -42,6 +42,9 @@
                         let actions = self.relay.decline(now, id);
                         self.relay_actions(actions);
                     }
+                    Message::Branch(branch::Message::Token(request)) => {
+                        self.token_unsent(request.id);
+                    }
                     _ => {}
                 }
             }
@@ -98,6 +101,9 @@
     /// Recomputes which entry hosts send to which services, and greets new targets of orders.
     fn update_plan(&mut self) {
         let catalog = self.gateway.catalog().clone();
+        let now = self.now();
+        self.gate
+            .configure(now, &catalog.accounts, &self.entry_hosts);
         let plan = Arc::new(Plan::new(&catalog, &self.entry_hosts));
         self.fanout.configure(catalog, plan.clone());
         self.step_gateway(Event::Plan(plan));
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -26,7 +26,8 @@
 //! [`host`] and a platform's [`dialect`]. A caller's request takes this path:
 //!
 //! 1. [`ingress`] accepts the connection, reads the request and sends it to [`entry`].
-//! 2. `serve` passes it to the gateway, or to the fanout if its route is divided among hosts.
+//! 2. `identity` finds its client account, and `admission` waits for a token of the account's
+//!    quota, if it has one. Then `serve` passes it to the gateway, or to the fanout if its route is divided among hosts.
 //!    For the fanout, `aggregate` orders branches from other entry hosts over [`mesh`], accepts
 //!    the orders of others, and passes the branches of this host to the gateway.
 //! 3. `serve` sends the gateway's calls to replicas over connections of [`pool`]; `response`
@@ -43,6 +44,7 @@
 //! [`wire`], [`pool`], [`http`], [`socket`] and [`signal`] are used in both modes.
 
 pub mod admin;
+mod admission;
 mod aggregate;
 pub mod backend;
 pub mod cli;
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -10,6 +10,7 @@
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
+use wagtailbeam_decision::account::quota::Cause;
 use wagtailbeam_decision::answer::Extra;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::branch::Reply;
@@ -275,6 +276,25 @@
         }
     }
 
+    /// Logs a request that was not admitted within the quota of its account, why and for how long.
+    pub fn quota_refused(&mut self, account: &str, cause: Cause, wait: Span) {
+        if self.admit(false) {
+            let wait_ms = wait.as_ms();
+            let home = match cause {
+                Cause::Empty(home) => Some(home.to_string()),
+                Cause::Silent | Cause::Crowded => None,
+            };
+            tracing::info!(event = 750, account, %cause, home, wait_ms, "request refused for quota");
+        }
+    }
+
+    /// Logs a home of accounts that did not answer a request for tokens.
+    pub fn home_silent(&mut self, home: SocketAddr) {
+        if self.admit(false) {
+            tracing::warn!(event = 751, %home, "home did not answer");
+        }
+    }
+
     /// Logs that a replica said in an answer that it is leaving.
     pub fn replica_leaves(&mut self, service: &str, replica: &str) {
         if self.admit(true) {
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -21,6 +21,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
+use wagtailbeam_decision::account;
 use wagtailbeam_decision::answer::Extra;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::endpoint::Ending;
@@ -120,6 +121,8 @@
     connections: Gauge<u64>,
     limited: Gauge<u64>,
     relayed: Counter<u64>,
+    quota: Counter<u64>,
+    tokens: Counter<u64>,
 }
 
 impl Entry {
@@ -146,6 +149,8 @@
             connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
             limited: meter.u64_gauge("wagtailbeam_limited_replicas").build(),
             relayed: meter.u64_counter("wagtailbeam_requests_relayed").build(),
+            quota: meter.u64_counter("wagtailbeam_quota_requests").build(),
+            tokens: meter.u64_counter("wagtailbeam_token_requests").build(),
         }
     }
 
@@ -185,6 +190,17 @@
         self.relayed.add(1, &[KeyValue::new("served", served)]);
     }
 
+    /// Counts a request of an account with a quota by whether it was admitted.
+    pub fn quota_decided(&self, result: &'static str) {
+        self.quota.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a request for tokens to another host by how it ended.
+    pub fn token_request_ended(&self, ending: account::quota::Ending) {
+        self.tokens
+            .add(1, &[KeyValue::new("result", ending.to_string())]);
+    }
+
     /// Sets the number of replicas that name a limit.
     pub fn set_limited_replicas(&self, replicas: usize) {
         self.limited.record(replicas as u64, &[]);
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -52,7 +52,7 @@
                 };
                 self.pending.insert(id, pending);
                 match known {
-                    true => self.serve(id, &request),
+                    true => self.admit(id, &request),
                     false => self.refuse_unknown(id, &request),
                 }
             }
@@ -61,6 +61,7 @@
                     let id = log_id(&pending.request);
                     self.logger.caller_left(id, pending.received_at.elapsed());
                 }
+                self.gate.abandon(id);
                 self.step_gateway(Event::Abandoned(id));
                 self.step_fanout(fanout::Event::Abandoned(id));
                 if let Some((host, relay)) = self.relay.end(id) {
@@ -71,8 +72,9 @@
     }
 
     /// Passes a request to the fanout if its route is divided among hosts, else to the
-    /// gateway, which also refuses the quarantined ones.
-    fn serve(&mut self, id: u64, request: &Request) {
+    /// gateway, which also refuses the quarantined ones. `waited` is the time that it waited for
+    /// its admission.
+    pub(crate) fn serve(&mut self, id: u64, request: &Request, waited: Span) {
         let path = request.target.path();
         let (now, fingerprint) = (self.now(), request.fingerprint);
         let split = self.fanout.split_route(&request.host, path);
@@ -97,17 +99,18 @@
                 left: request.time_left,
                 margin: margin + MERGE_MARGIN,
                 others_only,
+                waited,
             };
             return self.step_fanout(fanout::Event::Request(id, fanout_request));
         }
-        if others_only && self.start_relay(id, request) {
+        if others_only && self.start_relay(id, request, waited) {
             return;
         }
-        self.serve_here(id, request);
+        self.serve_here(id, request, waited);
     }
 
-    /// Passes a request to the gateway.
-    pub(crate) fn serve_here(&mut self, id: u64, request: &Request) {
+    /// Passes a request that has waited this long to the gateway.
+    pub(crate) fn serve_here(&mut self, id: u64, request: &Request, waited: Span) {
         let path = request.target.path();
         let fingerprint = request.fingerprint;
         let gateway_request = gateway::Request {
@@ -119,6 +122,7 @@
             first_on_connection: request.first_on_connection,
             others_healthier: self.rotation.others_healthier(self.peers()),
             priority: request.priority(),
+            waited,
         };
         self.step_gateway(Event::Request(id, gateway_request));
     }
--- a/adapter/tests/hosts.rs
+++ b/adapter/tests/hosts.rs
@@ -28,3 +28,16 @@
 fn all_faults_are_reported_with_their_lines() {
     insta::assert_debug_snapshot!(faults(include_str!("data/host-faulty.ini")));
 }
+
+/// Guards against an entry host that doesn't start where a template renders values as empty.
+#[test]
+fn empty_values_of_the_quota_section_count_as_absent() {
+    let text = include_str!("data/host-entry.ini");
+    let empty = text.replace("overage = 0.1\nslack = 20", "window =\noverage =\nslack = ");
+    let absent = text.replace("[quota]\noverage = 0.1\nslack = 20", "");
+    let [empty, absent] = [empty, absent].map(|text| Settings::parse(&text).ok());
+    assert!(empty.is_some());
+    assert_eq!(empty, absent);
+    let faulty = text.replace("overage = 0.1", "overage = much");
+    assert_eq!(faults(&faulty).len(), 1);
+}
--- /dev/null
+++ b/decision/src/account/home.rs
@@ -0,0 +1,198 @@
+//! Homes of accounts: the hosts that hold the token buckets of their quotas.
+//!
+//! Load pattern: an account may send all its requests through any host, and move them to others
+//! within a second, while a host by itself sees less than a request per second. A quota is
+//! therefore kept by few hosts: one home in each failure domain, each with an equal part of it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::account::Account;
+use crate::account::Quota;
+use crate::account::token::Outcome;
+use crate::account::token::Wait;
+use crate::clock::Span;
+use crate::clock::Time;
+use crate::digest::Digest;
+use crate::name::Name;
+use crate::plan::Host;
+use crate::quota::Bucket;
+use crate::quota::Need;
+use crate::quota::Share;
+
+/// Share of the tolerated slack that a new bucket holds: its predecessor may have granted its whole
+/// burst just before.
+const START_SLACK: f64 = 0.1;
+
+/// Most tokens in a new bucket.
+const START_MAX: f64 = 2.0;
+
+/// Time without a call after which the process was suspended. The voters replace a silent home
+/// after 2.5 s; what accrued meanwhile was granted by its successor.
+const SUSPENDED_MIN: Span = Span::from_secs(2);
+
+/// What the deployment tolerates beyond quotas.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// Failure domains that have homes; if empty, all with live hosts.
+    pub domains: Vec<Name>,
+    /// Tolerated requests for each request within a quota.
+    pub overage: f64,
+    /// Tolerated requests in addition, in each window.
+    pub slack: f64,
+}
+
+impl Terms {
+    /// Part of a quota that one of `count` homes holds.
+    fn share(&self, quota: Quota, count: usize) -> Share {
+        let count = count.max(1) as f64;
+        Share {
+            rate: quota.rate * (1.0 + self.overage / 2.0) / count,
+            burst: ((quota.burst + self.slack / 2.0) / count).max(1.0),
+        }
+    }
+
+    /// Tokens in a new bucket.
+    fn start(&self) -> f64 {
+        (self.slack * START_SLACK).min(START_MAX)
+    }
+}
+
+/// Which hosts are homes.
+#[derive(Clone, Debug, Default)]
+pub struct Map {
+    /// Hosts that may be homes, with the text by which they are ranked, by domain.
+    hosts: BTreeMap<Name, Vec<(SocketAddr, String)>>,
+    /// Number of parts into which each quota is divided.
+    count: usize,
+}
+
+impl Map {
+    /// The map for these live hosts.
+    pub fn new(terms: &Terms, live: &[Host]) -> Map {
+        let mut hosts = BTreeMap::<Name, Vec<_>>::new();
+        let declared = |host: &&Host| {
+            let domains = &terms.domains;
+            domains.is_empty() || domains.contains(&host.domain)
+        };
+        for host in live.iter().filter(declared) {
+            let ranked = (host.address, host.address.to_string());
+            hosts.entry(host.domain.clone()).or_default().push(ranked);
+        }
+        let count = match terms.domains.len() {
+            0 => hosts.len(),
+            declared => declared,
+        };
+        Map { hosts, count }
+    }
+
+    /// Number of parts into which each quota is divided.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Number of homes of each account.
+    pub fn homes(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Home of an account in a failure domain.
+    pub fn home(&self, account: &Name, domain: &Name) -> Option<SocketAddr> {
+        let rank = |text: &String| Digest::of_parts(&[account.as_bytes(), text.as_bytes()]).rank();
+        let hosts = self.hosts.get(domain)?.iter();
+        let ranked = hosts.map(|(address, text)| (rank(text), *address));
+        ranked.max().map(|(_, address)| address)
+    }
+
+    /// Homes of an account in all failure domains but this one.
+    pub fn others(&self, account: &Name, domain: &Name) -> Vec<SocketAddr> {
+        let domains = self.hosts.keys().filter(|other| *other != domain);
+        domains
+            .filter_map(|domain| self.home(account, domain))
+            .collect()
+    }
+}
+
+/// Buckets of the accounts of which a host is a home.
+#[derive(Debug)]
+pub struct Buckets {
+    terms: Terms,
+    /// Number of homes of each account.
+    homes: usize,
+    buckets: BTreeMap<Name, (Share, Bucket)>,
+    /// Time of the last call.
+    called_at: Time,
+}
+
+impl Buckets {
+    /// No buckets.
+    pub fn new(terms: Terms) -> Buckets {
+        Buckets {
+            terms,
+            homes: 1,
+            buckets: BTreeMap::new(),
+            called_at: Time::default(),
+        }
+    }
+
+    /// Sets the accounts of which the host is a home. A bucket is kept while it remains one.
+    pub fn configure<'a>(
+        &mut self,
+        now: Time,
+        map: &Map,
+        accounts: impl Iterator<Item = &'a Account>,
+    ) {
+        self.notice_suspension(now);
+        self.homes = map.homes();
+        let mut earlier = std::mem::take(&mut self.buckets);
+        for account in accounts {
+            let Some(quota) = account.quota else {
+                continue;
+            };
+            let share = self.terms.share(quota, map.count());
+            let bucket = match earlier.remove(&account.name) {
+                Some((_, mut bucket)) => {
+                    bucket.set_share(now, share);
+                    bucket
+                }
+                None => Bucket::holding(now, share, self.terms.start()),
+            };
+            self.buckets.insert(account.name.clone(), (share, bucket));
+        }
+    }
+
+    /// Takes up to this many tokens of an account.
+    pub fn take(&mut self, now: Time, account: &Name, wanted: u32) -> Outcome {
+        self.notice_suspension(now);
+        let Some((_, bucket)) = self.buckets.get_mut(account) else {
+            return Outcome::Unknown;
+        };
+        let mut granted = 0;
+        while granted < wanted && bucket.allows(now, Need::Urgent) {
+            bucket.take(now);
+            granted += 1;
+        }
+        if granted > 0 {
+            return Outcome::Granted(granted);
+        }
+        let wait = Wait {
+            turn: bucket.wait(now, Need::Urgent),
+            next: bucket.wait_behind(now, 0),
+        };
+        // A refused caller asked all homes, and comes back once.
+        bucket.promise(now, 1.0 / self.homes.max(1) as f64);
+        Outcome::Empty(wait)
+    }
+
+    /// Starts all buckets anew if the process was suspended since the last call. Must be called
+    /// at least once a second.
+    pub fn notice_suspension(&mut self, now: Time) {
+        if now.since(self.called_at) >= SUSPENDED_MIN {
+            let start = self.terms.start();
+            for (share, bucket) in self.buckets.values_mut() {
+                *bucket = Bucket::holding(now, *share, start);
+            }
+        }
+        self.called_at = now;
+    }
+}
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -4,6 +4,11 @@
 //! in its [`Directory`]; other hosts and the backend servers are told the account's name only. Keys
 //! are kept as digests.
 
+pub mod home;
+pub mod quota;
+mod shortage;
+pub mod token;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -21,6 +21,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::token;
 use crate::appended::Appended;
 use crate::catalog::Repeat;
 use crate::catalog::Route;
@@ -150,6 +151,10 @@
     Relayed(RelayId, Relayed),
     /// Cancels a relayed request.
     RelayCancel(RelayId),
+    /// Asks the receiver for tokens of an account's quota.
+    Token(token::Request),
+    /// Answers a request for tokens.
+    TokenReply(token::Reply),
 }
 
 /// The answer to a relayed request.
--- a/decision/src/clock.rs
+++ b/decision/src/clock.rs
@@ -141,6 +141,11 @@
         Span(self.0.saturating_sub(earlier.0))
     }
 
+    /// The point that lies `span` before this one; the origin if there is none.
+    pub const fn before(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+
     /// The point that lies `span` after this one; the last point on overflow.
     pub const fn after(self, span: Span) -> Time {
         Time(self.0.saturating_add(span.0))
--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -86,6 +86,8 @@
     /// Whether this host must not gather a branch itself, because its links to the servers are
     /// lost.
     pub others_only: bool,
+    /// Time for which the request has waited at this host.
+    pub waited: Span,
 }
 
 /// Input of the state machine.
@@ -293,10 +295,11 @@
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
         let objective = route.objective.saturating_sub(request.margin);
         let count = branches.len();
+        let arrived = now.before(request.waited);
         let flight = Flight {
-            started: now,
-            settle_at: now.after(objective.min(left)),
-            deadline: now.after(left),
+            started: arrived,
+            settle_at: arrived.after(objective.min(left)),
+            deadline: arrived.after(left),
             branches,
             others_only: request.others_only,
             recheck_at: Time::default(),
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -144,6 +144,8 @@
     pub others_healthier: bool,
     /// Priority of the request's account in place of the route's one, if it has one.
     pub priority: Option<u32>,
+    /// Time for which the request has waited at this host.
+    pub waited: Span,
 }
 
 /// One request to one replica.
@@ -453,7 +455,7 @@
         let mut flight = Flight {
             others_healthier: request.others_healthier,
             fingerprint: request.fingerprint,
-            ..Flight::new(now, route, services, left, margin)
+            ..Flight::new(now.before(request.waited), route, services, left, margin)
         };
         if flight.others_healthier && self.reachable(now, &flight) < flight.needed() {
             self.flights.insert(id, flight);
--- a/decision/src/quota.rs
+++ b/decision/src/quota.rs
@@ -358,6 +358,14 @@
         }
     }
 
+    /// A bucket that holds this many tokens, at most its burst.
+    pub fn holding(now: Time, share: Share, tokens: f64) -> Bucket {
+        Bucket {
+            tokens: tokens.min(share.burst),
+            ..Bucket::new(now, share)
+        }
+    }
+
     /// Changes the share from now on.
     pub fn set_share(&mut self, now: Time, share: Share) {
         self.refill(now);
@@ -426,10 +434,10 @@
         }
     }
 
-    /// Counts a caller that is told to come back.
-    pub fn promise(&mut self, now: Time) {
+    /// Counts callers that are told to come back, or the part of them that this bucket serves.
+    pub fn promise(&mut self, now: Time, callers: f64) {
         self.refill(now);
-        self.promised += 1.0;
+        self.promised += callers;
     }
 }
 
--- a/decision/src/throttle.rs
+++ b/decision/src/throttle.rs
@@ -402,7 +402,7 @@
         let first = waits.min().map(|(_, id)| id);
         let endpoint = first.and_then(|id| self.endpoints.get_mut(&id));
         if let Some(bucket) = endpoint.and_then(|endpoint| endpoint.bucket.as_mut()) {
-            bucket.promise(now);
+            bucket.promise(now, 1.0);
         }
     }
 
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -331,6 +331,7 @@
                     left: None,
                     others_only: false,
                     margin: Span::from_ms(11),
+                    waited: Span::ZERO,
                 };
                 self.step_fanout(host, fanout::Event::Request(id, request));
             }
--- a/decision/tests/tier/fanout.rs
+++ b/decision/tests/tier/fanout.rs
@@ -164,6 +164,7 @@
         left: None,
         others_only: false,
         margin: Span::from_ms(11),
+        waited: Span::ZERO,
     };
     let actions = fanout.step(now, fanout::Event::Request(7, request));
     let orders = actions.iter().filter_map(|action| match action {
@@ -183,6 +184,41 @@
     assert_eq!(refusal, Some(Refusal::Failed));
 }
 
+/// Guards against requests that take the whole of their time again after they have waited for their
+/// admission.
+#[test]
+fn the_time_waited_counts_against_deadline_and_objective() {
+    let now = Time::default().after(Span::from_secs(1));
+    let (catalog, _) = cluster::deployment(SHARDS);
+    let catalog = Arc::new(catalog);
+    let plan = Arc::new(Plan::new(&catalog, &hosts(HOSTS)[1..]));
+    let order = |waited| {
+        let mut fanout = Fanout::new(fanout::Settings {
+            host: cluster::host(0),
+            seed: 1,
+        });
+        fanout.configure(catalog.clone(), plan.clone());
+        let route = fanout.split_route("desk.example", "/all/x");
+        let request = fanout::Request {
+            route: route.expect("a route"),
+            left: Some(Span::from_ms(400)),
+            others_only: false,
+            margin: Span::from_ms(11),
+            waited,
+        };
+        let actions = fanout.step(now, fanout::Event::Request(7, request));
+        let order = actions.into_iter().find_map(|action| match action {
+            fanout::Action::Order(order) => Some(order),
+            _ => None,
+        });
+        order.expect("an order")
+    };
+    let (prompt, late) = (order(Span::ZERO), order(Span::from_ms(30)));
+    assert_eq!(prompt.left, Span::from_ms(400));
+    assert_eq!(late.left, Span::from_ms(370));
+    assert_eq!(prompt.settle.saturating_sub(late.settle), Span::from_ms(30));
+}
+
 fn hosts(count: usize) -> Vec<Host> {
     (0..count).map(cluster::host).collect()
 }
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -112,6 +112,7 @@
         first_on_connection: false,
         others_healthier: true,
         priority: None,
+        waited: Span::ZERO,
     };
     simulation.handle(Event::Request(99, request));
     let (answer, _) = &simulation.answers[&99];
@@ -119,6 +120,34 @@
     assert_eq!(simulation.sent, sent);
 }
 
+/// Guards against requests that take the whole of their time again after they have waited for their
+/// admission.
+#[test]
+fn the_time_waited_counts_against_the_deadline() {
+    let mut simulation = warmed_up(8);
+    for shard in 0..8 {
+        simulation.set_fault(shard, 0, Fault::Unresponsive);
+        simulation.set_fault(shard, 1, Fault::Unresponsive);
+    }
+    let request = wagtailbeam_decision::gateway::Request {
+        host: "desk.example".into(),
+        path: "/all/x".into(),
+        fingerprint: Digest::default(),
+        left: Some(Span::from_ms(300)),
+        catalog_confirmed: true,
+        first_on_connection: false,
+        others_healthier: false,
+        priority: None,
+        waited: Span::from_ms(100),
+    };
+    simulation.handle(Event::Request(99, request));
+    simulation.run(Span::from_ms(199));
+    assert!(!simulation.answers.contains_key(&99));
+    simulation.run(Span::from_ms(2));
+    assert!(simulation.answers.contains_key(&99));
+    assert!(simulation.reports[&99].took >= Span::from_ms(300));
+}
+
 /// Pattern: a route still names a service whose replicas have all left the list. This
 /// must not count as a sign that this host is cut off.
 #[test]
@@ -216,6 +245,7 @@
         first_on_connection: false,
         others_healthier: false,
         priority: None,
+        waited: Span::ZERO,
     };
     simulation.handle(Event::Request(1, request(true)));
     simulation.handle(Event::Request(2, request(false)));
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -461,6 +461,7 @@
                 left: None,
                 margin: Span::from_ms(11),
                 others_only: true,
+                waited: Span::ZERO,
             };
             return self.step_fanout(at, fanout::Event::Request(id, request));
         }
@@ -483,6 +484,7 @@
             first_on_connection: false,
             others_healthier: false,
             priority: None,
+            waited: Span::ZERO,
         };
         self.step(at, Event::Request(id, request));
     }
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -14,6 +14,7 @@
 mod merge;
 mod model;
 mod notice;
+mod quota;
 mod records;
 mod rotation;
 mod state;
