tests: a quota on six entry hosts, one of them frozen, and lowered

Change: a test on processes sends three times the quota of an account through all hosts. It checks the bound, the share served and the refusals while a host is frozen for 8 s, after it runs again and after the quota is lowered. An account without a quota is served, an unknown path is 404.

--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -7,4 +7,5 @@
 mod lifecycle;
 mod limited;
 mod notice;
+mod quota;
 mod stranded;
