--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -16,6 +16,7 @@
 mod merge;
 mod model;
 mod notice;
+mod quota;
 mod records;
 mod rotation;
 mod state;
