Requests wait for a starting host's first configuration and list

Change: such requests wait, for half of the time that their callers have left and for a second at most, 256 of them. The decision is a module of its own with a replay of that load.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -32,6 +32,7 @@
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::load::backlog::Backlog;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::relay::Relay;
 use wagtailbeam_decision::relay::RelayId;
@@ -114,6 +115,7 @@
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) relay: Relay,
+    pub(crate) backlog: Backlog,
     pub(crate) gate: Gate,
     /// Request number of each relayed request accepted, by the host that sent it.
     pub(crate) relayed: BTreeMap<(SocketAddr, RelayId), u64>,
@@ -197,6 +199,7 @@
     tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
     let mut driver = Driver {
         gateway,
+        backlog: Backlog::default(),
         gate: admission::gate(&settings, own.clone(), seed),
         fanout: Fanout::new(fanout::Settings { host: own, seed }),
         relay: Relay::new(seed),
@@ -307,6 +310,7 @@
         let next = next.chain(self.fanout.next_timer());
         let next = next.chain(self.relay.next_timer());
         let next = next.chain(self.gate.next_timer());
+        let next = next.chain(self.backlog.next_timer());
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.clock.instant(next);
@@ -343,6 +347,7 @@
             self.relay_actions(actions);
         }
         self.tick_gate();
+        self.tick_backlog();
         let feed_fresh = self.subscriber.is_fresh(now);
         if feed_fresh != self.feed_fresh {
             self.feed_fresh = feed_fresh;
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod settings;
 pub mod signal;
 pub mod socket;
+mod startup;
 pub mod status;
 pub mod store;
 pub mod voter;
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod lease;
 pub mod limiter;
 mod listing;
+pub mod load;
 pub mod manifest;
 pub mod merge;
 pub mod message;
--- /dev/null
+++ b/decision/src/load/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions under load.
+
+pub mod backlog;
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod allowance;
+mod backlog;
 mod catalog;
 mod cluster;
 mod endpoint;
