tests: a failed process test keeps its folder with the daemons' logs

Change: the harness keeps the folder of a test that panics and prints its path; daemons under test log the adapter's debug lines. No check is changed.

--- a/bins/tests/processes/harness.rs
+++ b/bins/tests/processes/harness.rs
@@ -24,6 +24,9 @@
 /// Time between two readiness checks of the load balancer.
 const BALANCER_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Section of the settings files that makes daemons log the ends of calls whose connections broke.
+const LOG_SECTION: &str = "\n[log]\nfilter = info,wagtailbeam_adapter=debug\n";
+
 /// Exit code and output of the operators' client. The code is -1 if a signal ended it.
 pub struct Output {
     pub code: i32,
@@ -51,12 +54,22 @@
     }
 }
 
+/// Keeps the folder of a failed test with the daemons' logs, and prints its path.
+impl Drop for Harness {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.processes.folder.disable_cleanup(true);
+            eprintln!("logs: {}", self.processes.folder.path().display());
+        }
+    }
+}
+
 impl Harness {
     /// Starts `count` daemons, the first `voters` of them as voters.
     pub fn start(count: usize, voters: usize) -> Harness {
         let program = env!("CARGO_BIN_EXE_wagtailbeamd").into();
         Harness {
-            processes: Processes::start(program, count, voters, "").unwrap(),
+            processes: Processes::start(program, count, voters, LOG_SECTION).unwrap(),
         }
     }
 
