Probe a server again if a connection to it was reset while its port closed

Callers saw: requests and jobs that end servers ended one more than allowed: 3 of 2, 10 of 9. Cause: a call whose connection broke connects to the server once more. If the port closes between the steps of that connection, it fails as reset, not as refused; if the process still accepts it, it is closed, and the next one may meet the same. Both were taken for a server that goes on running, within 2 ms, so nothing was suspected or a canary was inconclusive. A server that closed three accepted connections counts as running, as do links that reset all. Result: tests with scripted connections; without the branch for resets the first fails.

--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -7,7 +7,9 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
+use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -20,6 +22,14 @@
 /// way may accept connections and reset them a moment later.
 const REACHABLE_MIN: Duration = Duration::from_millis(100);
 
+/// Connections that a server may accept and close before it counts as running. A process that ends
+/// rarely accepts more than one, while a cut link may close all of them.
+const CLOSED_MAX: u32 = 3;
+
+/// Time between the first two connections to a server whose port may be closing; it doubles each time,
+/// so that a server behind a cut link gets few.
+const RETRY_DELAY: Duration = Duration::from_millis(1);
+
 /// How long a call waits for the end of a process whose port still accepts connections. A process
 /// that is ending may accept some after its open ones broke, for longer on a busy host.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -45,13 +55,43 @@
 /// an answer nothing is known of it, and it counts as running. If there are no others, the links
 /// count as sound.
 pub async fn has_ended(address: SocketAddr, others: &[SocketAddr], patience: Patience) -> bool {
-    let refused = match connect(address).await {
-        Ok(stream) => {
-            !stays_open(stream, patience.duration()).await && is_refused(connect(address).await)
+    let started = Instant::now();
+    let closed = closes_within(patience.duration(), || connect(address)).await;
+    let ended = closed && are_links_sound(others).await;
+    let took_ms = started.elapsed().as_millis();
+    tracing::debug!(%address, ended, took_ms, "looked whether a server ended");
+    ended
+}
+
+/// Whether new connections are refused within this time. One that is reset or closed may have met
+/// a port that was just closing, so another is tried.
+pub async fn closes_within<S, F>(time: Duration, connect: impl Fn() -> F) -> bool
+where
+    S: AsyncRead + Unpin,
+    F: Future<Output = std::io::Result<S>>,
+{
+    let started = Instant::now();
+    let mut delay = RETRY_DELAY;
+    let mut closed = 0;
+    loop {
+        let left = time.saturating_sub(started.elapsed());
+        match connect().await.map_err(|error| error.kind()) {
+            Err(ErrorKind::ConnectionRefused) => return true,
+            Err(ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => {}
+            Err(_) => return false,
+            Ok(stream) => {
+                closed += 1;
+                if stays_open(stream, left).await || closed == CLOSED_MAX {
+                    return false;
+                }
+            }
         }
-        refused => is_refused(refused),
-    };
-    refused && are_links_sound(others).await
+        if left.is_zero() {
+            return false;
+        }
+        tokio::time::sleep(delay.min(left)).await;
+        delay *= 2;
+    }
 }
 
 /// Whether one of these servers accepts a connection, or there are none.
@@ -68,12 +108,8 @@
     timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
 }
 
-fn is_refused(connected: std::io::Result<TcpStream>) -> bool {
-    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
-}
-
 /// Whether the server keeps a connection open for this time.
-async fn stays_open(mut stream: TcpStream, time: Duration) -> bool {
+async fn stays_open<S: AsyncRead + Unpin>(mut stream: S, time: Duration) -> bool {
     let mut byte = [0];
     timeout(time, stream.read(&mut byte)).await.is_err()
 }
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -2,7 +2,11 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step is a failed test")]
 
+use std::cell::Cell;
+use std::io::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -103,3 +107,52 @@
     });
     assert!(!probe::accepts(address).await);
 }
+
+/// Whether a port counts as closed whose connections end like these, one after the other; later ones
+/// end like the last.
+async fn closes(ends: &[Option<ErrorKind>]) -> bool {
+    let last = ends.len() - 1;
+    let tries = Cell::new(0);
+    let connect = || {
+        let end = ends[tries.get().min(last)];
+        tries.set(tries.get() + 1);
+        std::future::ready(match end {
+            Some(kind) => Err(Error::from(kind)),
+            None => Ok(tokio::io::duplex(1).0),
+        })
+    };
+    probe::closes_within(Duration::from_millis(20), connect).await
+}
+
+/// Guards against a server that is taken for running because its port closed between two steps of a
+/// connection, which is then reset and not refused.
+#[tokio::test]
+async fn a_port_that_resets_a_connection_while_it_closes_is_closed() {
+    assert!(
+        closes(&[
+            Some(ErrorKind::ConnectionReset),
+            Some(ErrorKind::ConnectionRefused)
+        ])
+        .await
+    );
+}
+
+/// Guards against the same where the process that ends still accepts two connections and closes them.
+#[tokio::test]
+async fn a_port_that_closes_connections_and_then_refuses_them_is_closed() {
+    assert!(closes(&[None, None, Some(ErrorKind::ConnectionRefused)]).await);
+}
+
+/// Guards against cut links that are taken for servers that ended.
+#[tokio::test]
+async fn a_port_that_resets_all_connections_is_not_closed() {
+    assert!(!closes(&[Some(ErrorKind::ConnectionReset)]).await);
+    assert!(!closes(&[None]).await);
+    assert!(
+        !closes(&[
+            Some(ErrorKind::TimedOut),
+            Some(ErrorKind::ConnectionRefused)
+        ])
+        .await
+    );
+}
