A canary waits until calls withdrawn from its server are over

Callers saw: a harmless request sent beside one that ends servers was refused as quarantined (422) for an hour. Cause: all requests that ran at the server that ended are suspected, and their other calls are withdrawn. A withdrawn call goes on at its server. The harmless request's canary was sent to such a server at once, which then ended under the withdrawn call; the canary took the blame. Change: a canary is admitted 100 ms after the last call was withdrawn from its server or timed out; the owner prefers a replica of the shard at which nothing runs. Other calls wait behind the canary as before. Why it works: a request that ends servers within 100 ms has done so before the canary begins. One that takes longer may still put the blame on another.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -75,3 +75,4 @@
 pub mod trace;
 pub mod uplink;
 pub mod voter;
+pub mod withdrawn;
--- a/decision/src/limiter.rs
+++ b/decision/src/limiter.rs
@@ -23,6 +23,7 @@
 use crate::request::Cause;
 use crate::silence::DRAIN_MAX;
 use crate::silence::Silence;
+use crate::withdrawn::Withdrawn;
 
 /// Sub-requests that may wait, per slot of the current limit.
 const QUEUE_PER_SLOT: usize = 8;
@@ -165,6 +166,7 @@
     named: Option<(Rate, Bucket)>,
     /// Number of daemons that send to the server.
     senders: u32,
+    withdrawn: Withdrawn,
     /// Sub-requests running at the server.
     running: BTreeMap<Ticket, Running>,
     /// Waiting sub-requests, in order of arrival.
@@ -197,6 +199,7 @@
             ended: false,
             named: None,
             senders: 1,
+            withdrawn: Withdrawn::default(),
             running: BTreeMap::new(),
             queue: Vec::new(),
             admitted: BTreeMap::new(),
@@ -503,7 +506,7 @@
         while self.has_capacity(now) && self.refusal_cause(now).is_none() {
             let next = (0..self.queue.len()).min_by_key(|at| self.queue_order(&self.queue[*at]));
             let Some(at) = next else { break };
-            if self.queue[at].exclusive && !self.running.is_empty() {
+            if self.queue[at].exclusive && !self.is_alone(now) {
                 break;
             }
             let waiter = self.queue.remove(at);
@@ -521,6 +524,11 @@
         decisions
     }
 
+    /// Whether nothing runs at the server, withdrawn sub-requests included.
+    pub fn is_alone(&self, now: Time) -> bool {
+        self.running.is_empty() && self.withdrawn.are_over(now)
+    }
+
     /// Counts an admission for its caller. A caller that was idle starts at the lowest
     /// count of the waiting callers.
     fn count_admission(&mut self, caller: &Name) {
@@ -688,6 +696,7 @@
     /// [`LATE_CANCELLATIONS_MAX`] of them without an answer in between show a stalled
     /// server, as does one cancelled probe of a stalled server.
     fn on_cancelled(&mut self, now: Time, took: Span) {
+        self.withdrawn.record(now);
         let probe = self.health == Health::Stalled;
         if took < self.typical_latency.saturating_mul(2) && !probe {
             return;
@@ -701,6 +710,7 @@
 
     /// Marks the server as stalled if it answered nothing while the late sub-request ran.
     fn on_timeout(&mut self, now: Time, took: Span) {
+        self.withdrawn.record(now);
         let silent = now.since(self.last_success) >= took;
         if silent && self.health != Health::Stalled {
             self.mark_stalled(now);
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -406,8 +406,8 @@
     }
 
     /// The owned replica at which the sub-request should run, or the cause if there is
-    /// none. Prefers, in this order, a replica that accepts work, one with capacity, a
-    /// ready one (or one that is not ready, see [`COLD_TURN_INTERVAL`]), and the lowest
+    /// none. Prefers, in this order, a replica that accepts work, for a canary one at which
+    /// nothing runs, one with capacity, a ready one (or one that is not ready, see [`COLD_TURN_INTERVAL`]), and the lowest
     /// load.
     fn choose_replica(&self, now: Time, subrequest: &Subrequest) -> Result<SocketAddr, Cause> {
         let all = std::iter::once(&subrequest.replica).chain(&subrequest.alternatives);
@@ -420,6 +420,7 @@
                 / limiter.limit().max(1);
             (
                 !limiter.is_accepting(now),
+                subrequest.exclusive && !limiter.is_alone(now),
                 !limiter.has_capacity(now),
                 (limiter.health() == Health::Ready) == prefer_cold,
                 load,
--- a/decision/tests/scenarios.rs
+++ b/decision/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //! actions printed after each directive with the expected ones.
 //!
 //! Directives: `assign` sets the owned replicas, `batch` sends a batch of sub-requests,
-//! `done` ends calls, `disown-all` gives up all replicas, `wait` lets time pass, `state`
+//! `done` ends calls, `cancel` withdraws a sub-request, `disown-all` gives up all replicas, `wait` lets time pass, `state`
 //! prints the limiters.
 
 use std::collections::BTreeMap;
@@ -71,6 +71,9 @@
             "assign" => self.assign(case),
             "batch" => self.send_batch(case),
             "done" => self.end_calls(case),
+            "cancel" => self
+                .owner
+                .cancel(self.now, &"entry".into(), number(case, "id", 0)),
             "disown-all" => self.owner.disown_all(),
             "wait" => self.wait(number(case, "ms", 0)),
             "state" => return self.state(),
