Each owner that sees servers end waits until all daemons know of the suspicion

Callers saw: failures held back for the longest time, 150 ms, although all daemons knew of the suspicion. Cause: a daemon confirmed a suspicion only to the first daemon that told it. Where two owners saw servers end under one request, each waited for confirmations that went to the other. An owner that had heard of the suspicion before held nothing back, so its failure could overtake the other owner's messages. Evidence: the first part is in a log: entry-1 and entry-2 told of the same request at 30.555, entry-4 and entry-5 confirmed to entry-2 only, entry-3 to entry-1 only; both owners replied at 30.706 and 30.709. The second part was read, no log shows it. Change: daemons keep for each suspicion whom they told and who told them. Each that tells is told the standing in return once, and an owner waits for all that have not told it, whoever told them first. Older builds confirm as before and only cost the wait.

--- a/decision/src/arbitration.rs
+++ b/decision/src/arbitration.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Adopts the standing that another daemon tells of. A suspicion that is new here is sent back,
-    /// which confirms it.
+    /// Adopts the standing that another daemon tells of. Each daemon that tells of a suspicion is told
+    /// the standing here in return, once, which confirms it.
     pub(crate) fn on_standing(
         &mut self,
         now: Time,
@@ -69,11 +69,13 @@
         out: &mut Vec<Action>,
     ) {
         self.spread.confirm(&fingerprint, &from);
-        let known = self.standings.standing(now, &fingerprint);
-        if standing == Standing::Suspect && known.is_none() {
-            self.send(&from, Message::Standing(fingerprint, standing), out);
-        }
+        let untold = standing == Standing::Suspect && self.spread.hear(now, fingerprint, &from);
         self.update_standing(now, fingerprint, standing, false, out);
+        if untold {
+            let known = self.standings.standing(now, &fingerprint);
+            let known = known.unwrap_or(standing);
+            self.send(&from, Message::Standing(fingerprint, known), out);
+        }
         self.release_replies(now, out);
     }
 
@@ -88,15 +90,18 @@
         out: &mut Vec<Action>,
     ) {
         let changed = self.standings.update(now, fingerprint, standing);
-        if changed && observed_here {
+        let suspect = self.standings.standing(now, &fingerprint) == Some(Standing::Suspect);
+        if observed_here && suspect {
+            self.spread_suspicion(now, fingerprint, out);
+        } else if observed_here && changed {
             self.broadcast(&Message::Standing(fingerprint, standing), out);
-            if standing == Standing::Suspect {
-                let members = self.members.iter().map(|member| member.host.clone());
-                let others = members.filter(|host| *host != self.identity.host);
-                self.spread.begin(now, fingerprint, others.collect());
-            }
+        }
+        if observed_here && changed {
             out.push(Action::Note(Note::Standing(fingerprint, standing)));
         }
+        if !suspect {
+            self.spread.forget(&fingerprint);
+        }
         match standing {
             Standing::Suspect if changed => {
                 let actions = self.entry.on_suspected(now, &fingerprint);
@@ -108,6 +113,16 @@
         }
     }
 
+    /// Tells the other daemons of a suspicion, unless they know of it or were told.
+    fn spread_suspicion(&mut self, now: Time, fingerprint: Digest, out: &mut Vec<Action>) {
+        let members = self.members.iter().map(|member| member.host.clone());
+        let others = members.filter(|host| *host != self.identity.host);
+        for host in self.spread.begin(now, fingerprint, others.collect()) {
+            let message = Message::Standing(fingerprint, Standing::Suspect);
+            self.send(&host, message, out);
+        }
+    }
+
     /// Ends the canary of a request and rules on the queries that waited for it.
     pub(crate) fn end_canary(
         &mut self,
--- a/decision/src/spread.rs
+++ b/decision/src/spread.rs
@@ -13,6 +13,7 @@
 use crate::digest::Digest;
 use crate::name::Name;
 use crate::request::Outcome;
+use crate::suspect::STANDING_TTL;
 
 /// Longest time for which a failure is held back. A daemon that is frozen, or of an older build,
 /// doesn't confirm.
@@ -31,22 +32,69 @@
     pub outcome: Outcome,
 }
 
+/// What this daemon and others told each other of one suspicion.
+#[derive(Clone, Debug)]
+struct Exchange {
+    expires_at: Time,
+    /// Hosts that this daemon told.
+    told: BTreeSet<Name>,
+    /// Hosts that told this daemon.
+    heard: BTreeSet<Name>,
+}
+
 /// Suspicions that other daemons have not confirmed, and the failures that wait for them.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     /// Hosts that have not confirmed a suspicion, and until when it is waited for.
     unconfirmed: BTreeMap<Digest, (Time, BTreeSet<Name>)>,
+    /// What was told of each suspicion.
+    exchanges: BTreeMap<Digest, Exchange>,
     /// Failures that are held back, and until when at the latest.
     held: Vec<(Time, Reply)>,
 }
 
 impl Spread {
-    /// Records that the daemons on these hosts were told of a suspicion.
-    pub fn begin(&mut self, now: Time, fingerprint: Digest, hosts: BTreeSet<Name>) {
-        if !hosts.is_empty() {
+    /// Records that the daemons on these hosts must know of a suspicion, since this daemon saw a
+    /// server end. Returns those that are still to be told. Those that told this daemon know of it.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        fingerprint: Digest,
+        hosts: BTreeSet<Name>,
+    ) -> BTreeSet<Name> {
+        let exchange = self.exchange(now, fingerprint);
+        let unaware = &hosts - &exchange.heard;
+        let untold = &unaware - &exchange.told;
+        exchange.told.extend(untold.iter().cloned());
+        if !unaware.is_empty() {
             let until = now.after(HOLD_MAX);
-            self.unconfirmed.insert(fingerprint, (until, hosts));
+            self.unconfirmed.insert(fingerprint, (until, unaware));
         }
+        untold
+    }
+
+    /// Records that the daemon on a host told of a suspicion. Returns whether it
+    /// must be told in return, since it may wait for that.
+    pub fn hear(&mut self, now: Time, fingerprint: Digest, host: &Name) -> bool {
+        let exchange = self.exchange(now, fingerprint);
+        exchange.heard.insert(host.clone());
+        exchange.told.insert(host.clone())
+    }
+
+    /// Forgets a suspicion that was cleared or has become a quarantine.
+    pub fn forget(&mut self, fingerprint: &Digest) {
+        self.exchanges.remove(fingerprint);
+    }
+
+    fn exchange(&mut self, now: Time, fingerprint: Digest) -> &mut Exchange {
+        self.exchanges
+            .retain(|_, exchange| exchange.expires_at > now);
+        let exchange = self.exchanges.entry(fingerprint);
+        exchange.or_insert_with(|| Exchange {
+            expires_at: now.after(STANDING_TTL),
+            told: BTreeSet::new(),
+            heard: BTreeSet::new(),
+        })
     }
 
     /// Holds a failure back if a suspicion isn't confirmed; otherwise gives it back.
