Store: write no batch that is not read back

Operators would have seen: a voter that lost what it had acknowledged, without an error, after a restart. Cause: up to 256 records were written as one batch, but a batch of more than 16 MiB is taken for an incomplete write when it is read, and discarded. Change: records that are too long for one batch together are written as several; a single one that is too long is refused with Error::TooLong, so it is not acknowledged. Stores written before are read as before. Result: five records of 4 MiB in one append are read back, and a record of 17 MiB is refused; both tests fail with the store as it was.

--- a/adapter/src/store.rs
+++ b/adapter/src/store.rs
@@ -6,10 +6,8 @@
 //! batch of the log is therefore taken for an append that was never acknowledged, and is
 //! discarded, while an invalid batch before a valid one means damage and is an error.
 //!
-//! Known limit: a batch whose payload is longer than 16 MiB counts as invalid when it is read.
-//! Writing doesn't check the length, so such a batch is written, synced and acknowledged, but not
-//! read back. At the end of the log it is discarded; before a valid batch, or in the snapshot,
-//! opening the store fails with [`Error::Damaged`].
+//! A batch whose payload is longer than 16 MiB counts as invalid when it is read, so records are
+//! written in batches of at most that length. A single record that is longer is refused.
 //!
 //! [`crate::disk`] writes to the store on its own thread.
 
@@ -29,7 +27,7 @@
 /// Size of a batch header (4 bytes of length, 4 bytes of checksum), in bytes.
 const BATCH_HEADER_BYTES: usize = 8;
 
-/// Largest payload of a batch that is read back, in bytes. Not checked when writing.
+/// Largest payload of a batch, in bytes.
 const BATCH_MAX_BYTES: usize = 16 * 1024 * 1024;
 
 /// Most records in one batch.
@@ -76,6 +74,12 @@
         /// Byte offset at which the damaged batch begins.
         offset: usize,
     },
+    /// A record is longer than a batch may be, and could not be read back.
+    #[snafu(display("a record of {size} bytes is too long for the store"))]
+    TooLong {
+        /// Length of the encoded record in bytes.
+        size: usize,
+    },
     /// A record can't be encoded.
     #[snafu(display("codec: {source}"))]
     Codec {
@@ -290,19 +294,33 @@
     file.sync_all().context(IoSnafu { path: folder })
 }
 
-/// Encodes records as consecutive batches. The size of a payload isn't limited here; one over
-/// [`BATCH_MAX_BYTES`] can't be read back.
+/// Encodes records as consecutive batches.
 fn encode_batches(records: &[Record]) -> Result<Vec<u8>> {
     let mut bytes = Vec::new();
     for batch in records.chunks(BATCH_MAX_RECORDS) {
-        let payload = postcard::to_stdvec(batch).context(CodecSnafu)?;
-        bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-        bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-        bytes.extend_from_slice(&payload);
+        encode_batch(batch, &mut bytes)?;
     }
     Ok(bytes)
 }
 
+/// Appends records as one batch, or as several if they are too long for one.
+fn encode_batch(records: &[Record], bytes: &mut Vec<u8>) -> Result<()> {
+    let payload = postcard::to_stdvec(records).context(CodecSnafu)?;
+    let size = payload.len();
+    if size > BATCH_MAX_BYTES && records.len() <= 1 {
+        return TooLongSnafu { size }.fail();
+    }
+    if size > BATCH_MAX_BYTES {
+        let (first, rest) = records.split_at(records.len() / 2);
+        encode_batch(first, bytes)?;
+        return encode_batch(rest, bytes);
+    }
+    bytes.extend_from_slice(&(size as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    Ok(())
+}
+
 /// Reads the batches of a file up to the first invalid one. Returns their records and their size
 /// in bytes. A missing file counts as empty. A valid batch after an invalid one is an error.
 fn read_records(path: &Path) -> Result<(Vec<Record>, u64)> {
--- a/adapter/tests/store.rs
+++ b/adapter/tests/store.rs
@@ -21,7 +21,12 @@
 
 /// An accepted operators' file with this version.
 fn record(version: u64) -> Record {
-    let text = format!("{version}:{}", "x".repeat(TEXT_BYTES));
+    long_record(version, TEXT_BYTES)
+}
+
+/// The same with a text of this length in bytes.
+fn long_record(version: u64, bytes: usize) -> Record {
+    let text = format!("{version}:{}", "x".repeat(bytes));
     let digest = wagtailbeam_decision::digest::Digest::of(text.as_bytes());
     let file = File {
         version,
@@ -158,3 +163,31 @@
         .sum::<u64>();
     assert!(bytes < 3 * 1_024 * 1_024, "{bytes} bytes on disk");
 }
+
+/// Guards against records that are acknowledged and then gone after a restart, because together they
+/// are longer than a batch that is read back.
+#[test]
+fn long_records_of_one_append_are_all_read_back() {
+    let folder = formatted_folder();
+    let (mut store, first) = Store::open(folder.path()).unwrap();
+    let records = (1..=5).map(|version| long_record(version, 4 * 1024 * 1024));
+    store.append(&records.collect::<Vec<_>>()).unwrap();
+    drop(store);
+    let (_, records) = Store::open(folder.path()).unwrap();
+    assert_eq!(records.len(), first.len() + 5);
+}
+
+/// Guards against the same for a single record: it is refused, and the store goes on.
+#[test]
+fn a_record_that_cannot_be_read_back_is_refused() {
+    let folder = formatted_folder();
+    let (mut store, first) = Store::open(folder.path()).unwrap();
+    let error = store
+        .append(&[long_record(1, 17 * 1024 * 1024)])
+        .unwrap_err();
+    assert!(matches!(error, Error::TooLong { .. }), "{error}");
+    store.append(&[record(2)]).unwrap();
+    drop(store);
+    let (_, records) = Store::open(folder.path()).unwrap();
+    assert_eq!(records.len(), first.len() + 1);
+}
