--- a/adapter/src/store.rs
+++ b/adapter/src/store.rs
@@ -100,6 +100,10 @@
     snapshot_bytes: u64,
     /// Whether the latest append failed and may have left part of a batch in the log.
     has_partial_batch: bool,
+    /// Whether a new snapshot was renamed into place and the folder has not been synced since.
+    is_folder_unsynced: bool,
+    /// Syncs the folder.
+    sync: fn(&Path) -> Result<()>,
     _lock: File,
 }
 
@@ -157,11 +161,19 @@
             log_bytes: valid_bytes,
             snapshot_bytes,
             has_partial_batch: false,
+            is_folder_unsynced: false,
+            sync: sync_folder,
             _lock: lock,
         };
         Ok((store, records))
     }
 
+    /// Replaces the function that syncs the folder, to inject its failure.
+    pub fn with_sync(mut self, sync: fn(&Path) -> Result<()>) -> Store {
+        self.sync = sync;
+        self
+    }
+
     /// Writes the initial state of a new voter into an empty folder.
     ///
     /// # Errors
@@ -180,6 +192,7 @@
     /// the same call may be tried again: the next append first cuts off the partial batch.
     pub fn append(&mut self, records: &[Record]) -> Result<()> {
         let bytes = encode_batches(records)?;
+        self.sync_snapshot()?;
         let path = self.folder.join(log_name(self.generation));
         if std::mem::replace(&mut self.has_partial_batch, true) {
             self.log
@@ -210,7 +223,8 @@
 
     /// Replaces snapshot and log by a new snapshot of `records`, which must yield the same state
     /// as all records appended so far. Until the new snapshot is renamed into place, the old
-    /// generation stays valid.
+    /// generation stays valid. From then on it may be what the next start reads, so records are
+    /// appended to the new log only, after the folder was synced.
     pub fn compact(&mut self, records: &[Record]) -> Result<()> {
         let bytes = encode_batches(records)?;
         let generation = self.generation + 1;
@@ -224,13 +238,22 @@
         file.sync_all().context(IoSnafu { path: &new_path })?;
         let target = self.folder.join(snapshot_name(generation));
         std::fs::rename(&new_path, &target).context(IoSnafu { path: &target })?;
-        sync_folder(&self.folder)?;
         self.generation = generation;
         self.log = log;
         self.log_bytes = 0;
         self.has_partial_batch = false;
         self.snapshot_bytes = bytes.len() as u64;
-        remove_other_generations(&self.folder, generation);
+        self.is_folder_unsynced = true;
+        self.sync_snapshot()
+    }
+
+    /// Makes the rename of a new snapshot durable, if that is due, and removes the old generation.
+    fn sync_snapshot(&mut self) -> Result<()> {
+        if self.is_folder_unsynced {
+            (self.sync)(&self.folder)?;
+            self.is_folder_unsynced = false;
+            remove_other_generations(&self.folder, self.generation);
+        }
         Ok(())
     }
 }
--- a/adapter/tests/store.rs
+++ b/adapter/tests/store.rs
@@ -191,3 +191,25 @@
     let (_, records) = Store::open(folder.path()).unwrap();
     assert_eq!(records.len(), first.len() + 1);
 }
+
+/// Guards against records that are acknowledged and then gone after a restart, because they were
+/// appended to the old log after a new snapshot was in place whose folder could not be synced.
+#[test]
+fn records_appended_after_a_failed_sync_of_the_folder_are_read_back() {
+    let folder = formatted_folder();
+    let (store, first) = Store::open(folder.path()).unwrap();
+    let fail = |path: &Path| {
+        let (path, source) = (path.to_owned(), std::io::Error::other("sync failed"));
+        Err(Error::Io { path, source })
+    };
+    let mut store = store.with_sync(fail);
+    store.append(&[record(1)]).unwrap();
+    let snapshot = [first.as_slice(), &[record(1)]].concat();
+    assert!(store.compact(&snapshot).is_err());
+    assert!(store.append(&[record(2)]).is_err());
+    let mut store = store.with_sync(|_| Ok(()));
+    store.append(&[record(2)]).unwrap();
+    drop(store);
+    let (_, records) = Store::open(folder.path()).unwrap();
+    assert_eq!(records.len(), first.len() + 2);
+}
