--- a/adapter/src/clock.rs
+++ b/adapter/src/clock.rs
@@ -30,6 +30,12 @@
         Time::from_us(since_boot_us().saturating_sub(self.start_us))
     }
 
+    /// Time at an earlier instant, if the machine was not suspended since.
+    pub fn time_of(&self, earlier: Instant) -> Time {
+        let age = earlier.elapsed().as_micros() as u64;
+        Time::from_us(self.now().as_us().saturating_sub(age))
+    }
+
     /// When a timer for this time fires; at once if it has passed.
     pub fn instant(&self, at: Time) -> Instant {
         Instant::now() + Duration::from_micros(at.since(self.now()).as_us())
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -531,7 +531,9 @@
         match report {
             peer::Report::Message(host, message) => self.step(Event::Message(host, message)),
             peer::Report::Connected(host) => self.step(Event::PeerJoined(host)),
-            peer::Report::Refused(host) => self.step(Event::PeerEnded(host)),
+            peer::Report::Refused(host, dialed) => {
+                self.step(Event::PeerEnded(host, self.clock.time_of(dialed)));
+            }
             peer::Report::Lost(host) => self.step(Event::PeerLost(host)),
             peer::Report::Unsent(host, message) => self.step(Event::Unsent(host, message)),
             peer::Report::Closed(host, address) => self.links.remove_closed(&host, address),
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -76,3 +76,4 @@
 pub mod trace;
 pub mod uplink;
 pub mod voter;
+pub mod withdrawn;
