Rollouts of new versions, decided by the voters from the evidence of all hosts

Cause: an operator had no way to move a service's traffic to replicas of a new version.

Change: a rollout is part of the replicated state, stored so that older builds read the state and keep it. Entry hosts get orders in feeds, divide their calls by version and report sums by route; the voter with the lowest id in contact takes steps on them. Versions of replicas come from the platform's list. Operators request a rollout and read its state at any voter.

Not tested on real processes yet.

--- a/adapter/src/dialect.rs
+++ b/adapter/src/dialect.rs
@@ -7,6 +7,10 @@
 use wagtailbeam_decision::catalog;
 use wagtailbeam_decision::catalog::Catalog;
 use wagtailbeam_decision::fleet::Replica;
+use wagtailbeam_decision::fleet::Versions;
+use wagtailbeam_decision::rollout::Record;
+
+use crate::rollout::Order;
 
 /// Names of the headers exchanged with callers and backend servers.
 #[derive(Clone, Debug)]
@@ -41,6 +45,8 @@
     pub replicas: Vec<Replica>,
     /// Number of entries that could not be read.
     pub skipped: usize,
+    /// Versions of replicas, as far as their entries tell them.
+    pub versions: Versions,
     /// Token of the next page; absent on the last one.
     pub next: Option<String>,
 }
@@ -56,6 +62,10 @@
     Close(String),
     /// Put the failure domain of this name back into service.
     Open(String),
+    /// Begin a rollout.
+    Rollout,
+    /// Read the state of this service's last rollout.
+    ReadRollout(String),
 }
 
 /// Translation of the platform's names and formats.
@@ -76,6 +86,16 @@
     /// The configuration is malformed or inconsistent.
     fn catalog(&self, document: &[u8]) -> catalog::Result<Catalog>;
 
+    /// Parses and checks the request of a rollout.
+    ///
+    /// # Errors
+    ///
+    /// A description of the fault.
+    fn rollout(&self, body: &[u8]) -> std::result::Result<Order, String>;
+
+    /// The state of a rollout, for an operator.
+    fn rollout_state(&self, record: &Record) -> Vec<u8>;
+
     /// Path and query of the page of the list with this token; without one, the first page.
     fn list_path(&self, token: Option<&str>) -> String;
 
--- a/adapter/src/discovery.rs
+++ b/adapter/src/discovery.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::fleet::Versions;
 
 use crate::dialect::Dialect;
 use crate::socket;
@@ -91,6 +92,7 @@
         }
     });
     let mut replicas = Vec::new();
+    let mut versions = Versions::new();
     let mut skipped = 0;
     let mut token = None;
     for _ in 0..PAGES_MAX {
@@ -115,10 +117,11 @@
             .page(&body.to_bytes())
             .map_err(|cause| Error::Page { cause })?;
         replicas.extend(page.replicas);
+        versions.extend(page.versions);
         skipped += page.skipped;
         token = page.next;
         if token.is_none() {
-            return Ok((Fleet::new(replicas), skipped));
+            return Ok((Fleet::new(replicas).with_versions(versions), skipped));
         }
     }
     let cause = format!("more than {PAGES_MAX} pages");
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -318,6 +318,7 @@
             heartbeat.ledger = self.gateway.ledger().summary(now, known).into();
             let known = self.subscriber.voter_limits();
             heartbeat.limits = self.gateway.limit_report(now, known).into();
+            heartbeat.rollouts = Box::new(self.gateway.rollout_report()).into();
             heartbeat.links = match self.gateway.links() {
                 uplink::State::Sound => Links::Sound,
                 uplink::State::Lost | uplink::State::Trial => Links::Lost,
--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -18,13 +18,14 @@
 use wagtailbeam_decision::ini::in_range;
 use wagtailbeam_decision::ini::span;
 use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::rollout;
 
 use crate::settings::Error;
 use crate::settings::ReadSnafu;
 use crate::settings::Result;
 
 /// Sections allowed in the file.
-const SECTIONS: &str = "host, listen, voters, list, extra, cold, stop, log";
+const SECTIONS: &str = "host, listen, voters, list, extra, cold, rollout, stop, log";
 
 /// Largest value of [`Settings::tolerated_losses`].
 const TOLERATED_LOSSES_MAX: u64 = 4;
@@ -82,6 +83,8 @@
     pub cold_overage: f64,
     /// Requests per second allowed to a cold replica on top of that rate.
     pub cold_slack: f64,
+    /// Limits on the exposure to new versions in rollouts.
+    pub rollout: rollout::Settings,
     /// Time from a stop request until no more connections are accepted.
     pub drain: Span,
     /// Time after a stop request at which the process ends with requests still pending.
@@ -114,6 +117,7 @@
             extra: Limit::default(),
             cold_overage: 1.0,
             cold_slack: 0.0,
+            rollout: rollout::Settings::default(),
             drain: Span::from_ms(2_200),
             stop_max: Span::from_ms(5_500),
             log_filter: "info".to_owned(),
@@ -148,6 +152,7 @@
         settings.read_voters(&mut document);
         settings.read_list(&mut document);
         settings.read_limits(&mut document);
+        settings.read_rollout(&mut document);
         settings.read_stop_and_log(&mut document);
         document.finish(Some(settings), SECTIONS)
     }
@@ -261,6 +266,22 @@
         document.reject_unknown_keys(section, "overage, slack");
     }
 
+    fn read_rollout(&mut self, document: &mut Document) {
+        let mut section = document.take_one("rollout");
+        let share = section.optional(document, "share", "0 to 1", |text| {
+            parse_amount(text).filter(|share| *share <= 1.0)
+        });
+        let slack = section.optional(document, "slack", AMOUNT_FORMAT, parse_amount);
+        let rollback = section.optional(document, "rollback", "a time such as 5s", span);
+        let base = self.rollout;
+        self.rollout = rollout::Settings {
+            canary_share: share.unwrap_or(base.canary_share),
+            canary_slack: slack.unwrap_or(base.canary_slack),
+            rollback: rollback.unwrap_or(base.rollback),
+        };
+        document.reject_unknown_keys(section, "share, slack, rollback");
+    }
+
     fn read_stop_and_log(&mut self, document: &mut Document) {
         let mut section = document.take_one("stop");
         let drain = section.optional(document, "drain", "a time such as 2s", span);
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -11,8 +11,10 @@
 use wagtailbeam_decision::feed::Update;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::plan::Plan;
+use wagtailbeam_decision::rollout::order::Orders;
 
 use crate::entry::Driver;
+use crate::logging;
 use crate::mesh;
 
 impl Driver {
@@ -55,6 +57,11 @@
             self.step_gateway(Event::Records(update.records));
         }
         self.step_gateway(Event::Limits(update.limits));
+        // Orders come before the list, so that replicas of a new version get no requests beyond the
+        // share when they are listed.
+        if let Some(orders) = update.rollouts {
+            self.follow_rollouts(orders);
+        }
         if let Some((version, document)) = update.document {
             match self.dialect.catalog(&document) {
                 Ok(catalog) => {
@@ -95,6 +102,14 @@
         }
     }
 
+    /// Follows a voter's orders of rollouts and logs changed ones.
+    fn follow_rollouts(&mut self, orders: Orders) {
+        for order in orders.orders.iter().flatten() {
+            logging::rollout_order(order);
+        }
+        self.step_gateway(Event::Rollouts(orders));
+    }
+
     /// Recomputes which entry hosts send to which services, and greets new targets of orders.
     fn update_plan(&mut self) {
         let catalog = self.gateway.catalog().clone();
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -73,6 +73,7 @@
 mod readiness;
 pub mod report;
 mod response;
+pub mod rollout;
 mod serve;
 pub mod settings;
 pub mod signal;
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -1,6 +1,8 @@
 //! Metrics of a tier with discovered hosts, recorded through opentelemetry and served in
 //! the Prometheus text format. [`crate::metric`] has those of a group with a settings file.
 
+use std::collections::BTreeMap;
+
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +26,9 @@
 use wagtailbeam_decision::answer::Extra;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::endpoint::Ending;
+use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::rollout::Phase;
+use wagtailbeam_decision::rollout::Record;
 use wagtailbeam_decision::suspect::Standing;
 
 use crate::http;
@@ -215,6 +220,7 @@
     quorum: Gauge<u64>,
     list_age: Gauge<f64>,
     hosts: Gauge<u64>,
+    rollout_share: Gauge<f64>,
 }
 
 impl Voter {
@@ -233,6 +239,7 @@
                 .with_unit("s")
                 .build(),
             hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
+            rollout_share: meter.f64_gauge("wagtailbeam_rollout_share").build(),
         }
     }
 
@@ -264,4 +271,17 @@
         self.list_age.record(list_age_s, &[]);
         self.hosts.record(hosts as u64, &[]);
     }
+    /// Sets the gauge of the share of a service's requests that its last rollout gives to the new
+    /// version.
+    pub fn set_rollouts(&self, rollouts: &BTreeMap<Name, Record>) {
+        for (service, record) in rollouts {
+            let share = match record.phase {
+                Phase::InProgress => f64::from(record.share) / 1_000.0,
+                Phase::Completed => 1.0,
+                Phase::RolledBack => 0.0,
+            };
+            let service = KeyValue::new("service", service.to_string());
+            self.rollout_share.record(share, &[service]);
+        }
+    }
 }
--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -1,5 +1,5 @@
-//! The operators' HTTP API of a voter: reads and changes the configuration, and takes
-//! failure domains out of service and back.
+//! The operators' HTTP API of a voter: reads and changes the configuration, takes failure domains
+//! out of service and back, and begins rollouts.
 //!
 //! Commands are checked here and submitted to the loop in `voter`, which decides them.
 
@@ -32,7 +32,7 @@
 const CONFIGURATION_MAX_BYTES: usize = 16 * 1024 * 1024;
 
 /// Time limit for reading a request's head, and for reading its body.
-const READ_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// An operator's command, submitted to the voter's loop.
 #[derive(Debug)]
@@ -54,9 +54,9 @@
 }
 
 /// The answer to a command that was refused before it was submitted.
-type Refused = Box<http::Reply>;
+pub(crate) type Refused = Box<http::Reply>;
 
-fn refuse(status: StatusCode, detail: &str) -> Refused {
+pub(crate) fn refuse(status: StatusCode, detail: &str) -> Refused {
     Box::new(http::text(status, detail))
 }
 
@@ -106,6 +106,10 @@
                 .parse_domain(&domain)
                 .map(Change::Open)
                 .map(Command::Change),
+            Some(dialect::Command::Rollout) => return self.begin_rollout(request).await,
+            Some(dialect::Command::ReadRollout(service)) => {
+                return self.read_rollout(&service).await;
+            }
             None => Err(refuse(StatusCode::NOT_FOUND, "no such call\n")),
         };
         match command {
@@ -147,14 +151,18 @@
         }
     }
 
-    /// Submits a command and answers with its outcome.
-    async fn submit(&self, command: Command) -> http::Reply {
+    /// Submits a command and returns its outcome.
+    pub(crate) async fn decide(&self, command: Command) -> Outcome {
         let (answer, outcome) = oneshot::channel();
-        let outcome = match self.submissions.send(Submission { command, answer }).await {
+        match self.submissions.send(Submission { command, answer }).await {
             Ok(()) => outcome.await.unwrap_or(Outcome::Unknown),
             Err(_) => Outcome::Unknown,
-        };
-        match outcome {
+        }
+    }
+
+    /// Submits a command and answers with its outcome.
+    async fn submit(&self, command: Command) -> http::Reply {
+        match self.decide(command).await {
             Outcome::State(state) if state.version > 0 => {
                 http::reply(StatusCode::OK, "application/json", state.document.to_vec())
             }
@@ -163,10 +171,13 @@
                 http::text(StatusCode::SERVICE_UNAVAILABLE, detail)
             }
             Outcome::Done(_) => http::reply(StatusCode::OK, "application/json", "{}"),
-            Outcome::Unknown => {
-                let detail = "no majority of the voters answered in time\n";
-                http::text(StatusCode::SERVICE_UNAVAILABLE, detail)
-            }
+            Outcome::Unknown => unknown(),
         }
     }
 }
+
+/// The answer if no majority of the voters decided in time.
+pub(crate) fn unknown() -> http::Reply {
+    let detail = "no majority of the voters answered in time\n";
+    http::text(StatusCode::SERVICE_UNAVAILABLE, detail)
+}
--- /dev/null
+++ b/adapter/src/rollout.rs
@@ -0,0 +1,114 @@
+//! The operators' calls for rollouts: requests one, and reads its state.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::controller::Command;
+use wagtailbeam_decision::controller::Outcome;
+use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::tier::Change;
+use wagtailbeam_decision::tier::State;
+use wagtailbeam_decision::tier::Verdict;
+
+use crate::http;
+use crate::operator::Api;
+use crate::operator::READ_TIMEOUT;
+use crate::operator::Refused;
+use crate::operator::refuse;
+use crate::operator::unknown;
+
+/// Largest request of a rollout, in bytes.
+const REQUEST_MAX_BYTES: usize = 64 * 1024;
+
+/// An operator's request of a rollout.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The service.
+    pub service: Name,
+    /// Version that its traffic moves to.
+    pub target: Name,
+    /// Time within which that is to be completed.
+    pub duration: Span,
+}
+
+impl Api {
+    /// Begins a rollout.
+    pub(crate) async fn begin_rollout(&self, request: Request<Incoming>) -> http::Reply {
+        match self.try_begin(request).await {
+            Ok(reply) => reply,
+            Err(refused) => *refused,
+        }
+    }
+
+    async fn try_begin(&self, request: Request<Incoming>) -> Result<http::Reply, Refused> {
+        let body = read_body(request).await?;
+        let order = self.dialect.rollout(&body).map_err(|cause| {
+            let detail = format!("{cause}\n");
+            refuse(StatusCode::BAD_REQUEST, &detail)
+        })?;
+        self.check_service(&order.service).await?;
+        let change = Change::Rollout {
+            service: order.service,
+            target: order.target,
+            duration: order.duration,
+        };
+        let reply = match self.decide(Command::Change(change)).await {
+            Outcome::Done(Verdict::Conflict) => {
+                let detail = "a rollout of the service to another version is in progress\n";
+                http::text(StatusCode::CONFLICT, detail)
+            }
+            Outcome::Done(_) => http::reply(StatusCode::OK, "application/json", "{}"),
+            Outcome::State(_) | Outcome::Unknown => unknown(),
+        };
+        Ok(reply)
+    }
+
+    /// Refuses a service that the newest configuration does not contain.
+    async fn check_service(&self, service: &Name) -> Result<(), Refused> {
+        let Outcome::State(state) = self.decide(Command::Read).await else {
+            return Err(Box::new(unknown()));
+        };
+        match self.knows(&state, service) {
+            true => Ok(()),
+            false => Err(refuse(StatusCode::NOT_FOUND, "no such service\n")),
+        }
+    }
+
+    fn knows(&self, state: &State, service: &Name) -> bool {
+        let catalog = self.dialect.catalog(&state.document);
+        catalog.is_ok_and(|catalog| catalog.services.contains_key(service))
+    }
+
+    /// Answers with the state of a service's last rollout.
+    pub(crate) async fn read_rollout(&self, service: &str) -> http::Reply {
+        match self.decide(Command::Read).await {
+            Outcome::State(state) => match state.rollouts.get(service) {
+                Some(record) => {
+                    let body = self.dialect.rollout_state(record);
+                    http::reply(StatusCode::OK, "application/json", body)
+                }
+                None => http::text(StatusCode::NOT_FOUND, "no rollout of this service\n"),
+            },
+            Outcome::Done(_) | Outcome::Unknown => unknown(),
+        }
+    }
+}
+
+async fn read_body(request: Request<Incoming>) -> Result<Bytes, Refused> {
+    let body = Limited::new(request.into_body(), REQUEST_MAX_BYTES).collect();
+    match tokio::time::timeout(READ_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => {
+            let detail = format!("the body can't be read: {error}\n");
+            Err(refuse(StatusCode::BAD_REQUEST, &detail))
+        }
+        Err(_) => Err(refuse(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body took too long\n",
+        )),
+    }
+}
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -143,6 +143,7 @@
         voters: settings.voter_count(),
         read_every: settings.list_interval,
         nonce: rand::random(),
+        rollout: settings.rollout,
     }
 }
 
@@ -219,6 +220,9 @@
         let quorum = self.controller.has_quorum();
         self.meter
             .set_gauges(revision, quorum, age_s, self.controller.host_count());
+        if let Some(state) = self.controller.state() {
+            self.meter.set_rollouts(&state.rollouts);
+        }
         self.reload();
     }
 
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -58,9 +58,9 @@
         let allowed = self.allowed_replicas(flight, part);
         let need = self.throttle.need(&service, flight.route.priority);
         let left = flight.deadline.since(now);
-        let mut pick = self.pick(now, &service, &tried, allowed.as_ref(), need);
+        let mut pick = self.pick_version(now, &service, &tried, allowed.as_ref(), need);
         if matches!(pick, Pick::Unavailable) && !tried.is_empty() {
-            pick = self.pick(now, &service, &BTreeSet::new(), allowed.as_ref(), need);
+            pick = self.pick_version(now, &service, &BTreeSet::new(), allowed.as_ref(), need);
         }
         match pick {
             Pick::Endpoint(endpoint) => self.send(now, id, index, endpoint, actions),
@@ -196,6 +196,7 @@
             avoid_stale: route.repeat == Repeat::Once,
         };
         self.count_call(now, endpoint);
+        self.count_version_send(now, &service, endpoint, &route.name);
         let connections = self.connections(&service);
         actions.push(Action::Send(Call {
             connections,
@@ -278,6 +279,8 @@
         let known = self.catalog.services.get(&service);
         let warmup = known.map_or(Span::ZERO, |service| service.warmup);
         let took = endpoint.record_end(now, ticket, ending, expected, warmup);
+        let route = &call.route.name;
+        self.count_version_end(now, call.endpoint, route, ending, took, expected);
         if let Some(took) = took.filter(|_| ending == Ending::Answered)
             && let Some(latency) = self.latencies.get_mut(&call.route.name)
         {
@@ -412,7 +415,7 @@
         let allowed = self.allowed_replicas(flight, part);
         let (service, tried) = (part.service.clone(), part.tried.clone());
         let Pick::Endpoint(endpoint) =
-            self.pick(now, &service, &tried, allowed.as_ref(), Need::Spare)
+            self.pick_version(now, &service, &tried, allowed.as_ref(), Need::Spare)
         else {
             return;
         };
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -19,11 +19,14 @@
 use crate::plan::Host;
 use crate::quarantine::Ledger;
 use crate::quota;
+use crate::register;
 use crate::register::Change;
-use crate::register::Decision;
 use crate::register::Key;
 use crate::register::Value;
 use crate::repair::Timing;
+use crate::rollout;
+use crate::rollout::steering::Decision;
+use crate::rollout::steering::Steering;
 use crate::tier;
 use crate::tier::State;
 use crate::tier::Verdict;
@@ -81,6 +84,8 @@
     pub read_every: Span,
     /// Random number that identifies this run of the process.
     pub nonce: u64,
+    /// Limits on the exposure to new versions.
+    pub rollout: rollout::Settings,
 }
 
 /// Command of an operator.
@@ -149,6 +154,8 @@
     Seated(Id),
     /// The live entry hosts changed; their number now.
     Entries(usize),
+    /// This voter proposes a step of a rollout.
+    Rollout(Box<Decision>),
 }
 
 /// Effect that the loop must carry out.
@@ -213,6 +220,8 @@
     Settle,
     /// Seat request of the process at this address.
     SeatRequest(SocketAddr),
+    /// Step of a rollout.
+    Rollout(Box<Decision>),
 }
 
 /// The newest list of replicas with its digest, and when its read began, on this process's
@@ -275,6 +284,8 @@
     pub(crate) ledger_due: Option<Time>,
     /// Limits that replicas name and the demand for them, as the entry hosts reported them.
     pub(crate) limits: quota::Board,
+    /// Evidence on rollouts in progress.
+    pub(crate) steering: Steering,
 }
 
 impl Controller {
@@ -324,6 +335,7 @@
             ledger: Ledger::default(),
             ledger_due: None,
             limits: quota::Board::default(),
+            steering: Steering::default(),
         };
         (controller, out)
     }
@@ -409,12 +421,13 @@
             Message::Chosen(state) => self.learn_chosen(now, state, out),
             Message::WantFleet => {
                 let fleet = self.listing.iter().map(|listing| {
-                    let age = now.since(listing.read_at);
-                    Action::Send(from, Message::Fleet(listing.fleet.clone(), age))
+                    Action::Send(from, self.fleet_message(listing, listing.read_at, now))
                 });
                 out.extend(fleet);
             }
-            Message::Fleet(fleet, age) => {
+            Message::Fleet(fleet, age, versions) => {
+                let fleet = Arc::unwrap_or_clone(fleet).with_versions(versions.0);
+                let fleet = Arc::new(fleet);
                 let read = Time::from_us(now.as_us().saturating_sub(age.as_us()));
                 self.learn_fleet(now, fleet, read, out);
             }
@@ -498,7 +511,7 @@
         self.pending.insert(id, pending);
         let actions = match &mut self.voter {
             Some(voter) => voter.propose(now, id, Key::Tier, change),
-            None => vec![voter::Action::Decided(id, Decision::Unknown)],
+            None => vec![voter::Action::Decided(id, register::Decision::Unknown)],
         };
         self.voter_actions(now, actions, out);
     }
@@ -534,15 +547,16 @@
         &mut self,
         now: Time,
         id: u64,
-        decision: Decision,
+        decision: register::Decision,
         out: &mut Vec<Action>,
     ) {
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
         let state = match &decision {
-            Decision::Tier(state, _) | Decision::Value(Some(Value::Tier(state))) => state.clone(),
-            Decision::Value(None) => Arc::default(),
+            register::Decision::Tier(state, _)
+            | register::Decision::Value(Some(Value::Tier(state))) => state.clone(),
+            register::Decision::Value(None) => Arc::default(),
             _ => return self.answer_unknown(pending, out),
         };
         let is_newer = self.chosen.as_ref().map(|known| known.revision) < Some(state.revision);
@@ -551,7 +565,7 @@
             self.broadcast(&Message::Chosen(state.clone()), out);
         }
         let verdict = match decision {
-            Decision::Tier(_, verdict) => Some(verdict),
+            register::Decision::Tier(_, verdict) => Some(verdict),
             _ => None,
         };
         match (pending, verdict) {
@@ -564,7 +578,7 @@
             (Pending::SeatRequest(address), Some(Verdict::Seated(seat))) => {
                 out.push(Action::Send(address, Message::Seated(seat)));
             }
-            (Pending::SeatRequest(_) | Pending::Settle, _) => {}
+            (Pending::SeatRequest(_) | Pending::Settle | Pending::Rollout(_), _) => {}
         }
     }
 
@@ -594,6 +608,7 @@
             self.send_status(now, out);
         }
         self.request_seat(now, out);
+        self.steer_rollouts(now, out);
     }
 
     /// Answers operators' commands that timed out.
@@ -608,7 +623,7 @@
                 };
                 now.since(*started) >= limit
             }
-            Pending::Settle | Pending::SeatRequest(_) => false,
+            Pending::Settle | Pending::SeatRequest(_) | Pending::Rollout(_) => false,
         };
         let due = self.pending.iter().filter(|(_, pending)| is_late(pending));
         for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -18,11 +18,14 @@
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::fleet::Fleet;
+use crate::fleet::Versions;
 use crate::name::Name;
 use crate::plan::Host;
 use crate::quarantine::Record;
 use crate::quarantine::Summary;
 use crate::quota;
+use crate::rollout::evidence;
+use crate::rollout::order::Orders;
 use crate::tier::State;
 use crate::voter;
 use crate::voter::Seat;
@@ -64,8 +67,8 @@
     Chosen(Arc<State>),
     /// Asks for the list of replicas.
     WantFleet,
-    /// The list of replicas and the time since it was read.
-    Fleet(Arc<Fleet>, Span),
+    /// The list of replicas, the time since it was read, and the replicas' versions.
+    Fleet(Arc<Fleet>, Span, Appended<Versions>),
     /// Asks for a voter's seat, with the random number of the process's run.
     #[serde(rename = "Join")]
     RequestSeat(u64),
@@ -100,6 +103,8 @@
     pub limits: Appended<quota::Report>,
     /// State of the host's links to the servers.
     pub links: Appended<Links>,
+    /// What the host reports of rollouts.
+    pub rollouts: Appended<Box<evidence::Report>>,
 }
 
 /// State of an entry host's links to the servers, as it reports it.
@@ -160,6 +165,8 @@
     pub limits: Appended<quota::Report>,
     /// Links of all entry hosts.
     pub links: Appended<LinkReport>,
+    /// Orders of rollouts.
+    pub rollouts: Appended<Orders>,
 }
 
 /// Status of a voter, sent to the other voters at intervals.
@@ -183,6 +190,8 @@
     pub limits: Appended<quota::Report>,
     /// Links of the entry hosts that send their heartbeats to the sender.
     pub links: Appended<LinkReport>,
+    /// What these hosts report of rollouts.
+    pub rollouts: Appended<Box<evidence::Reports>>,
 }
 
 /// Computes the digest of a list of entry hosts.
@@ -239,6 +248,8 @@
     pub limits: quota::Report,
     /// Links of all entry hosts, in a fresh feed.
     pub links: Option<LinkReport>,
+    /// Orders of rollouts, in a fresh feed of a state that is not older.
+    pub rollouts: Option<Orders>,
 }
 
 impl Subscriber {
@@ -419,6 +430,7 @@
         update.links = Some(feed.links.0);
         if feed.revision >= self.revision {
             self.confirmed_at = Some(now);
+            update.rollouts = Some(feed.rollouts.0);
             if feed.revision > self.revision {
                 update.closed = Some(feed.closed);
             }
--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -54,19 +54,32 @@
 pub struct Fleet {
     /// Replicas by run.
     pub replicas: BTreeMap<Instance, Arc<Replica>>,
+    /// Versions of the replicas' software, as far as the list tells them. Messages carry them in an
+    /// appended field.
+    #[serde(skip)]
+    pub versions: Versions,
 }
 
+/// Versions of the software of replicas.
+pub type Versions = BTreeMap<Instance, Name>;
+
 impl Fleet {
     /// A fleet of these replicas. If a run is listed twice, the last entry counts.
     pub fn new(replicas: impl IntoIterator<Item = Replica>) -> Fleet {
         let by_run = |replica: Replica| (replica.instance.clone(), Arc::new(replica));
         Fleet {
             replicas: replicas.into_iter().map(by_run).collect(),
+            versions: Versions::new(),
         }
     }
 
+    /// The fleet with these versions.
+    pub fn with_versions(self, versions: Versions) -> Fleet {
+        Fleet { versions, ..self }
+    }
+
     /// Digest that changes when the fleet must be handled differently. It covers whether
-    /// a replica is cold, but not for how long.
+    /// a replica is cold, but not for how long, and the versions that are known.
     pub fn digest(&self) -> Digest {
         let mut text = String::new();
         for replica in self.replicas.values() {
@@ -75,6 +88,9 @@
             let (service, domain) = (&replica.service, &replica.domain);
             let (address, slots, state) = (replica.address, replica.slots, replica.state);
             text += &format!("{id} {born} {service} {domain} {address} {slots} {state:?} {cold}\n");
+            if let Some(version) = self.versions.get(&replica.instance) {
+                text += &format!("{version}\n");
+            }
         }
         Digest::of(text.as_bytes())
     }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -52,6 +52,8 @@
 use crate::quarantine::Record;
 use crate::quota;
 use crate::quota::Rate;
+use crate::rollout::order::Orders;
+use crate::rollout::traffic::Traffic;
 use crate::suspect::Standing;
 use crate::throttle::Throttle;
 use crate::uplink;
@@ -202,6 +204,8 @@
     Limits(quota::Report),
     /// The replica list changed; read at this time.
     Fleet(Arc<Fleet>, Time),
+    /// A voter's orders of rollouts, or its confirmation of those that the host has.
+    Rollouts(Orders),
     /// The replica list was read again at this time and is unchanged.
     FleetUnchanged(Time),
     /// The failure domains out of service changed to these.
@@ -310,6 +314,8 @@
     pub(crate) last_endpoint: EndpointId,
     pub(crate) last_ticket: Ticket,
     pub(crate) random: ChaCha8Rng,
+    /// Rollouts that this host follows.
+    pub(crate) rollouts: Traffic,
 }
 
 impl Gateway {
@@ -317,6 +323,7 @@
     pub fn new(settings: Settings) -> Gateway {
         Gateway {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
+            rollouts: Traffic::new(settings.seed),
             settings,
             catalog: Arc::default(),
             closed: BTreeSet::new(),
@@ -410,6 +417,7 @@
                 self.update_shares(now);
             }
             Event::Fleet(fleet, read) => self.update_fleet(now, &fleet, read, &mut actions),
+            Event::Rollouts(orders) => self.update_rollouts(now, orders),
             Event::FleetUnchanged(read) => self.fleet_read = self.fleet_read.max(read),
             Event::DomainsClosed(closed) => self.update_closed(now, closed),
             Event::Plan(plan) => {
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod relay;
 pub mod repair;
 pub mod request;
+pub mod rollout;
 pub mod roster;
 pub mod rotation;
 pub mod route;
--- a/decision/src/publisher.rs
+++ b/decision/src/publisher.rs
@@ -51,6 +51,7 @@
         self.merge_records(now, records);
         let limits = heartbeat.limits.0.clone();
         self.limits.merge(now, from, limits);
+        self.steering.board.merge(now, from, &heartbeat.rollouts);
         if !known {
             self.update_hosts(now, out);
         }
@@ -120,6 +121,7 @@
             ledger,
             limits,
             links: self.all_links(now).into(),
+            rollouts: self.rollout_orders(heartbeat.rollouts.digest).into(),
         }))
     }
 
@@ -182,9 +184,11 @@
         let version = self.chosen.as_ref().map_or(0, |state| state.version);
         let fleet = self.listing.as_ref().map(|listing| listing.digest);
         let ledger = self.ledger.digest();
+        let orders = self.rollout_orders(0).digest;
         if let Some((heartbeat, _)) = self.entries.get_mut(&entry) {
             heartbeat.ledger.0.digest = ledger;
             heartbeat.limits.0.digest = self.limits.digest();
+            heartbeat.rollouts.0.digest = orders;
             heartbeat.version = version;
             heartbeat.fleet_digest = fleet.unwrap_or_default();
             heartbeat.hosts_digest = self.hosts_digest;
@@ -228,6 +232,9 @@
             peer.links = status.links.0;
         }
         self.limits.merge(now, from, status.limits.0);
+        for (host, report) in &status.rollouts.0.0 {
+            self.steering.board.merge(now, *host, report);
+        }
         self.merge_records(now, status.ledger.0.records);
         let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
         if status.revision > revision {
@@ -283,6 +290,7 @@
             ledger,
             limits,
             links: self.own_links().into(),
+            rollouts: Box::new(self.rollout_reports(now)).into(),
         };
         self.broadcast(&Message::Status(status), out);
     }
--- a/decision/src/refresh.rs
+++ b/decision/src/refresh.rs
@@ -74,11 +74,17 @@
         self.was_last_reader = true;
         let changed = self.listing.as_ref().map(|listing| listing.digest) != before;
         if changed && let Some(listing) = &self.listing {
-            let message = Message::Fleet(listing.fleet.clone(), now.since(started));
+            let message = self.fleet_message(listing, started, now);
             self.broadcast(&message, out);
         }
     }
 
+    /// Message with the list, which was read at `read_at`.
+    pub(crate) fn fleet_message(&self, listing: &Listing, read_at: Time, now: Time) -> Message {
+        let versions = listing.fleet.versions.clone();
+        Message::Fleet(listing.fleet.clone(), now.since(read_at), versions.into())
+    }
+
     /// Whether this process should read the list now. The last reader reads it at each
     /// interval. The others wait longer, by [`READ_GRACE`] and a step for each lower id, so that
     /// one of them takes over if the last reader falls behind. While no list is known, the
--- a/decision/src/tier.rs
+++ b/decision/src/tier.rs
@@ -3,6 +3,7 @@
 //!
 //! The register keeps the state under one key and applies changes with [`State::decide`].
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,13 +11,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::Span;
 use crate::name::Name;
+use crate::rollout;
+use crate::rollout::Begin;
+use crate::rollout::Phase;
+use crate::rollout::Record;
+use crate::rollout::stored::Stored;
 use crate::voter::Id;
 use crate::voter::Incarnation;
 use crate::voter::Seat;
 
 /// The replicated state; each change creates its next revision.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "Stored", into = "Stored")]
 pub struct State {
     /// Number of changes so far.
     pub revision: u64,
@@ -29,6 +37,8 @@
     /// Incarnations assigned by this state, indexed by voter id; empty before the first seat
     /// is assigned.
     pub seats: Vec<Incarnation>,
+    /// The last rollout of each service that had one.
+    pub rollouts: BTreeMap<Name, Record>,
 }
 
 /// A change of the state.
@@ -47,6 +57,26 @@
     Open(Name),
     /// Assigns a voter's seat to a process without state.
     Seat(Claim),
+    /// Begins a rollout.
+    Rollout {
+        /// The service.
+        service: Name,
+        /// Version that its traffic moves to.
+        target: Name,
+        /// Time within which that is to be completed.
+        duration: Span,
+    },
+    /// Takes a step of a rollout in progress, unless another one was taken since.
+    Step {
+        /// The service.
+        service: Name,
+        /// Identifies the rollout.
+        id: u64,
+        /// Number of steps taken before.
+        serial: u64,
+        /// The step.
+        step: rollout::Step,
+    },
 }
 
 /// Request of a process without state for a voter's seat.
@@ -75,6 +105,8 @@
     Seated(Seat),
     /// No seat is free.
     Full,
+    /// A rollout of the service to another version is in progress; nothing changed.
+    Conflict,
 }
 
 impl State {
@@ -106,9 +138,60 @@
                 (Some(next), Verdict::Done)
             }
             Change::Seat(claim) => self.seat(claim),
+            Change::Rollout {
+                service,
+                target,
+                duration,
+            } => self.begin_rollout(service, target, *duration),
+            Change::Step {
+                service,
+                id,
+                serial,
+                step,
+            } => self.step_rollout(service, *id, *serial, *step),
+        }
+    }
+
+    /// Begins a rollout, unless one to the same target is known or another one is in progress.
+    fn begin_rollout(
+        &self,
+        service: &Name,
+        target: &Name,
+        duration: Span,
+    ) -> (Option<State>, Verdict) {
+        let last = self.rollouts.get(service);
+        match Record::assess(last, target) {
+            Begin::Known => (None, Verdict::Done),
+            Begin::Conflict => (None, Verdict::Conflict),
+            Begin::New => {
+                let mut next = self.next();
+                let record = Record::begin(last, next.revision, target.clone(), duration);
+                next.rollouts.insert(service.clone(), record);
+                (Some(next), Verdict::Done)
+            }
         }
     }
 
+    /// Takes a step of a rollout, unless it ended or another step was taken meanwhile.
+    fn step_rollout(
+        &self,
+        service: &Name,
+        id: u64,
+        serial: u64,
+        step: rollout::Step,
+    ) -> (Option<State>, Verdict) {
+        let current = self.rollouts.get(service).filter(|record| {
+            let in_progress = record.phase == Phase::InProgress;
+            in_progress && record.id == id && record.serial == serial
+        });
+        let Some(record) = current.map(|record| record.after(step)) else {
+            return (None, Verdict::Superseded);
+        };
+        let mut next = self.next();
+        next.rollouts.insert(service.clone(), record);
+        (Some(next), Verdict::Done)
+    }
+
     /// Copy of the state under the next revision.
     fn next(&self) -> State {
         State {
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -16,6 +16,8 @@
 use wagtailbeam_decision::feed::Feed;
 use wagtailbeam_decision::feed::Heartbeat;
 use wagtailbeam_decision::feed::Message;
+use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::rollout;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::voter::Mode;
 use wagtailbeam_decision::voter::Record;
@@ -41,6 +43,8 @@
     /// The last feed to each entry host.
     pub feeds: BTreeMap<SocketAddr, Feed>,
     isolated: BTreeSet<SocketAddr>,
+    /// The list of replicas; reads of it are not answered without one.
+    pub fleet: Option<Fleet>,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
     boots: u64,
@@ -62,6 +66,7 @@
             messages: Vec::new(),
             feeds: BTreeMap::new(),
             isolated: BTreeSet::new(),
+            fleet: None,
             seeds: (0..3).map(address).collect(),
             boots: 0,
             last_command: 0,
@@ -104,6 +109,7 @@
             voters: 5,
             read_every: Span::from_secs(1),
             nonce: 1_000 + boots,
+            rollout: rollout::Settings::default(),
         };
         let (controller, actions) = Controller::new(now, settings, machine.synced.clone());
         machine.controller = Some(controller);
@@ -257,6 +263,7 @@
     }
 
     fn apply(&mut self, at: SocketAddr, actions: Vec<Action>) {
+        let mut reads = 0;
         for action in actions {
             let Some(machine) = self.machines.get_mut(&at) else {
                 return;
@@ -269,10 +276,14 @@
                     machine.synced = records;
                 }
                 Action::Answer(id, outcome) => drop(self.answers.insert(id, outcome)),
-                Action::ReadList | Action::Note(_) => {}
+                Action::ReadList => reads += 1,
+                Action::Note(_) => {}
             }
         }
         let surplus = self.messages.len().saturating_sub(MESSAGES_MAX);
         self.messages.drain(..surplus);
+        if reads > 0 && self.fleet.is_some() {
+            self.step(at, Event::ListRead(self.fleet.clone()));
+        }
     }
 }
