--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -17,6 +17,7 @@
 use wagtailbeam_decision::feed::Heartbeat;
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::rollout;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::voter::Mode;
 use wagtailbeam_decision::voter::Record;
@@ -46,6 +47,8 @@
     frozen: BTreeSet<SocketAddr>,
     /// Reads of the list that were started, by machine and time.
     pub reads: Vec<(SocketAddr, Time)>,
+    /// The list of replicas; reads of it are not answered without one.
+    pub fleet: Option<Fleet>,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
     boots: u64,
@@ -69,6 +72,7 @@
             isolated: BTreeSet::new(),
             frozen: BTreeSet::new(),
             reads: Vec::new(),
+            fleet: None,
             seeds: (0..3).map(address).collect(),
             boots: 0,
             last_command: 0,
@@ -111,6 +115,7 @@
             voters: 5,
             read_every: Span::from_secs(1),
             nonce: 1_000 + boots,
+            rollout: rollout::Settings::default(),
         };
         let (controller, actions) = Controller::new(now, settings, machine.synced.clone());
         machine.controller = Some(controller);
@@ -301,6 +306,7 @@
     }
 
     fn apply(&mut self, at: SocketAddr, actions: Vec<Action>) {
+        let mut read = None;
         for action in actions {
             let Some(machine) = self.machines.get_mut(&at) else {
                 return;
@@ -313,11 +319,17 @@
                     machine.synced = records;
                 }
                 Action::Answer(id, outcome) => drop(self.answers.insert(id, outcome)),
-                Action::ReadList(started) => self.reads.push((at, started)),
+                Action::ReadList(started) => {
+                    self.reads.push((at, started));
+                    read = Some(started);
+                }
                 Action::Note(_) => {}
             }
         }
         let surplus = self.messages.len().saturating_sub(MESSAGES_MAX);
         self.messages.drain(..surplus);
+        if let Some(started) = read.filter(|_| self.fleet.is_some()) {
+            self.step(at, Event::ListRead(started, self.fleet.clone()));
+        }
     }
 }
