--- a/decision/tests/tier/quota/bound.rs
+++ b/decision/tests/tier/quota/bound.rs
@@ -256,3 +256,31 @@
         "seed {seed}: beyond the bound: {failed:?}"
     );
 }
+
+/// Guards against a domain whose hosts know lists of different age, and so several homes of an
+/// account, while the voters can't tell them: a cut-off domain comes back just before the majority
+/// is lost.
+#[test]
+fn no_window_holds_more_than_the_bound_after_a_cut_domain_returns_before_the_majority_is_lost() {
+    let mut beyond = Vec::new();
+    for seed in 1..=6 {
+        let demand = busy("even", Spread::Even, 70.0);
+        let mut model = Model::new(36, 36, vec![demand], seed);
+        model.run(Span::from_secs(5));
+        let domain = (0..model.hosts()).filter(|index| index % DOMAINS.len() == 0);
+        model.cut(&domain.collect());
+        model.run(Span::from_secs(4));
+        model.cut(&BTreeSet::new());
+        model.run(Span::from_ms(270));
+        model.majority = false;
+        model.run(Span::from_secs(12));
+        let demand = &model.demands[0];
+        let quota = demand.account.quota.expect("a quota");
+        let (most, allowed) = worst(&demand.ran, &[(Time::default(), quota)]);
+        println!("seed {seed}: largest sum {most} of {allowed}");
+        if most as f64 > allowed {
+            beyond.push((seed, most));
+        }
+    }
+    assert_eq!(beyond, []);
+}
