--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::endpoint::Ending;
+use crate::endpoint::Expected;
 use crate::endpoint::Ticket;
 use crate::flight::Attempt;
 use crate::flight::Cause;
@@ -259,6 +260,7 @@
         ending: Ending,
     ) {
         let expected = self.expected_latency(&call.route);
+        let norm = self.service_norm(call);
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else {
             return;
         };
@@ -277,11 +279,13 @@
         }
         let known = self.catalog.services.get(&service);
         let warmup = known.map_or(Span::ZERO, |service| service.warmup);
+        let expected = norm.map_or(expected, |median| Expected { median, ..expected });
         let took = endpoint.record_end(now, ticket, ending, expected, warmup);
         if let Some(took) = took.filter(|_| ending == Ending::Answered)
             && let Some(latency) = self.latencies.get_mut(&call.route.name)
         {
             latency.record(took);
+            self.record_service_latency(call, service, took);
         }
     }
 
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -111,11 +111,13 @@
                 limited = Some(limited.map_or(wait, |least: Span| least.min(wait)));
                 continue;
             }
-            let jitter = 1.0 + f64::from(self.random.next_u32() % 256) / 2_560.0;
+            let random = self.random.next_u32();
+            let jitter = 1.0 + f64::from(random % 256) / 2_560.0;
+            let draw = f64::from(random >> 16) / 65_536.0;
             let endpoint = &self.endpoints[&id];
             let local = endpoint.replica.domain == self.settings.domain;
             let distance_factor = if local { 1.0 } else { REMOTE_COST };
-            let cost = endpoint.cost(now) * jitter * distance_factor;
+            let cost = endpoint.cost_by_draw(now, draw) * jitter * distance_factor;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -10,25 +10,15 @@
 use crate::clock::Time;
 use crate::fleet::Replica;
 use crate::fleet::State;
+use crate::load::capacity::Capacity;
+use crate::load::capacity::Estimator;
+use crate::load::capacity::Sample;
 use crate::quota::Bucket;
 use crate::quota::Share;
 
-/// Weight of a new sample in the moving averages.
-const SAMPLE_WEIGHT: f64 = 0.2;
-
-/// Time in which the slowdown falls halfway back to 1 and the failure rate to half, in
-/// microseconds.
-const SLOWDOWN_HALF_LIFE_US: f64 = 2_500_000.0;
-
-/// Range to which a slowdown sample is clamped.
-const SLOWDOWN_RANGE: (f64, f64) = (0.5, 20.0);
-
 /// Factor on the slowdown of a cold replica.
 const COLD_SLOWDOWN: f64 = 1.6;
 
-/// Weight of the failure rate in the cost of a replica.
-const FAILURE_WEIGHT: f64 = 10.0;
-
 /// Factor on the cost of a replica with an overdue answer.
 const OVERDUE_FACTOR: f64 = 6.0;
 
@@ -108,12 +98,8 @@
     /// Whether the replica is still listed.
     pub listed: bool,
     sent: Vec<Sent>,
-    /// Moving average of latency relative to the expected median.
-    slowdown: f64,
-    /// Moving average of failures, from 0 to 1.
-    failure_rate: f64,
-    /// When the two averages were last updated.
-    sampled_at: Time,
+    /// What the answers tell of the load that the replica takes.
+    capacity: Capacity,
     failures_in_row: u32,
     /// Next wait if the replica is held back once more.
     backoff: Span,
@@ -149,9 +135,7 @@
             replica,
             listed: true,
             sent: Vec::new(),
-            slowdown: 1.0,
-            failure_rate: 0.0,
-            sampled_at: now,
+            capacity: Capacity::new(now, Estimator::default(), 0),
             failures_in_row: 0,
             backoff: BACKOFF_FIRST,
             retry_at: Time::default(),
@@ -164,6 +148,16 @@
         }
     }
 
+    /// Estimates the capacity this way from now on. `seed` differs by host and replica.
+    pub(crate) fn set_estimator(&mut self, now: Time, estimator: Estimator, seed: u64) {
+        self.capacity = Capacity::new(now, estimator, seed);
+    }
+
+    /// What the answers tell of the load that the replica takes.
+    pub(crate) fn capacity(&mut self) -> &mut Capacity {
+        &mut self.capacity
+    }
+
     /// Applies a newer listing of the same run.
     pub fn relist(&mut self, replica: Arc<Replica>, listed_at: Time) {
         self.listed = true;
@@ -185,9 +179,7 @@
     /// Forgets failures and backoffs, which the host's own links caused. The list tells of replicas
     /// that started meanwhile.
     pub fn forgive(&mut self, now: Time) {
-        self.slowdown = 1.0;
-        self.failure_rate = 0.0;
-        self.sampled_at = now;
+        self.capacity.forget(now);
         self.failures_in_row = 0;
         self.backoff = BACKOFF_FIRST;
         self.retry_at = Time::default();
@@ -282,17 +274,21 @@
 
     /// Cost of one more request, relative to an idle replica of expected latency.
     pub fn cost(&self, now: Time) -> f64 {
-        let age = now.since(self.sampled_at).as_us() as f64;
-        let decay = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE_US);
-        let mut slowdown = 1.0 + (self.slowdown - 1.0) * decay;
+        self.cost_by_draw(now, 1.0)
+    }
+
+    /// The same, where a random number from 0 to 1 decides whether the replica is measured again
+    /// although it costs more.
+    pub(crate) fn cost_by_draw(&self, now: Time, draw: f64) -> f64 {
+        let mut factor = 1.0;
         if self.is_cold(now) {
-            slowdown *= COLD_SLOWDOWN;
+            factor *= COLD_SLOWDOWN;
         }
         if self.is_overdue(now) {
-            slowdown *= OVERDUE_FACTOR;
+            factor *= OVERDUE_FACTOR;
         }
         let waiting = self.sent.len() as f64 / f64::from(self.replica.slots.max(1));
-        slowdown * (1.0 + waiting) * (1.0 + FAILURE_WEIGHT * self.failure_rate * decay)
+        factor * self.capacity.cost(now, waiting, draw)
     }
 
     /// Records that a request was sent.
@@ -327,7 +323,7 @@
         match ending {
             Ending::Answered => self.record_success(now, took, expected),
             Ending::Failed | Ending::Broken | Ending::Ended => self.record_failure(now),
-            Ending::Shed => self.add_sample(now, None, 1.0),
+            Ending::Shed => self.capacity.record(now, Sample::failed()),
             Ending::Denied => self.retry_at = now.after(DENIED_BACKOFF),
             Ending::Unreachable => {
                 if self.half_open {
@@ -336,8 +332,8 @@
                 self.hold_back(now);
             }
             Ending::Withdrawn if took >= expected.high => {
-                let ratio = took.as_us() as f64 / expected.median.as_us().max(1) as f64;
-                self.add_sample(now, Some(ratio), 0.0);
+                let sample = Sample::answered(took, expected.median);
+                self.capacity.record(now, sample);
             }
             Ending::Withdrawn | Ending::Stale => {}
         }
@@ -346,8 +342,8 @@
 
     /// Ends the backoff, and gives open calls more time before they count as silent.
     fn record_success(&mut self, now: Time, took: Span, expected: Expected) {
-        let ratio = took.as_us() as f64 / expected.median.as_us().max(1) as f64;
-        self.add_sample(now, Some(ratio), 0.0);
+        let sample = Sample::answered(took, expected.median);
+        self.capacity.record(now, sample);
         self.failures_in_row = 0;
         self.half_open = false;
         self.backoff = BACKOFF_FIRST;
@@ -357,7 +353,7 @@
     }
 
     fn record_failure(&mut self, now: Time) {
-        self.add_sample(now, None, 1.0);
+        self.capacity.record(now, Sample::failed());
         self.failures_in_row += 1;
         if self.failures_in_row >= FAILURES_IN_ROW_MAX {
             self.hold_back(now);
@@ -378,19 +374,4 @@
             self.hold_back(now);
         }
     }
-
-    /// Adds a sample to the averages; `ratio` is the latency relative to the expected
-    /// median, absent if unknown.
-    fn add_sample(&mut self, now: Time, ratio: Option<f64>, failure: f64) {
-        let age = now.since(self.sampled_at).as_us() as f64;
-        let decay = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE_US);
-        self.sampled_at = now;
-        self.slowdown = 1.0 + (self.slowdown - 1.0) * decay;
-        self.failure_rate *= decay;
-        if let Some(ratio) = ratio {
-            let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-            self.slowdown += (ratio - self.slowdown) * SAMPLE_WEIGHT;
-        }
-        self.failure_rate += (failure - self.failure_rate) * SAMPLE_WEIGHT;
-    }
 }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -45,6 +45,7 @@
 use crate::flight::Flight;
 use crate::flight::Stage;
 use crate::latency::Latency;
+use crate::load::capacity::Estimator;
 use crate::name::Name;
 use crate::notice::Notice;
 use crate::plan::Plan;
@@ -58,7 +59,7 @@
 use crate::uplink::Uplink;
 
 /// Latency quantile after which a part is hedged.
-const HEDGE_QUANTILE: f64 = 0.9;
+pub(crate) const HEDGE_QUANTILE: f64 = 0.9;
 
 /// Shortest hedge delay.
 const HEDGE_MIN: Span = Span::from_ms(4);
@@ -289,6 +290,10 @@
     pub(crate) cold_shares: HashMap<EndpointId, u32>,
     /// Latencies by route.
     pub(crate) latencies: HashMap<Name, Latency>,
+    /// Latencies by route and service of routes with several weighted services.
+    pub(crate) service_latencies: HashMap<(Name, Name), Latency>,
+    /// How the capacity of replicas is estimated.
+    pub(crate) estimator: Estimator,
     /// State of the weighted round robin by route; one credit for each service.
     pub(crate) credits: HashMap<Name, Vec<f64>>,
     /// Requests and branches in progress.
@@ -327,6 +332,8 @@
             pools: HashMap::new(),
             cold_shares: HashMap::new(),
             latencies: HashMap::new(),
+            service_latencies: HashMap::new(),
+            estimator: Estimator::default(),
             credits: HashMap::new(),
             flights: HashMap::new(),
             calls: HashMap::new(),
--- a/decision/src/listing.rs
+++ b/decision/src/listing.rs
@@ -33,7 +33,9 @@
             }
             self.last_endpoint += 1;
             let id = self.last_endpoint;
-            let endpoint = Endpoint::new(now, replica.clone(), listed_at);
+            let mut endpoint = Endpoint::new(now, replica.clone(), listed_at);
+            let seed = self.capacity_seed(instance);
+            endpoint.set_estimator(now, self.estimator, seed);
             self.endpoints.insert(id, endpoint);
             self.endpoint_ids.insert(instance.clone(), id);
             let pool = self.pools.entry(replica.service.clone()).or_default();
