--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::endpoint::Ending;
+use crate::endpoint::Expected;
 use crate::endpoint::Ticket;
 use crate::flight::Attempt;
 use crate::flight::Cause;
@@ -260,6 +261,7 @@
         ending: Ending,
     ) {
         let expected = self.expected_latency(&call.route);
+        let norm = self.service_norm(call);
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else {
             return;
         };
@@ -278,6 +280,7 @@
         }
         let known = self.catalog.services.get(&service);
         let warmup = known.map_or(Span::ZERO, |service| service.warmup);
+        let expected = norm.map_or(expected, |median| Expected { median, ..expected });
         let took = endpoint.record_end(now, ticket, ending, expected, warmup);
         let route = &call.route.name;
         self.count_version_end(now, call.endpoint, route, ending, took, expected);
@@ -285,6 +288,7 @@
             && let Some(latency) = self.latencies.get_mut(&call.route.name)
         {
             latency.record(took);
+            self.record_service_latency(call, service, took);
         }
     }
 
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod merge;
 pub mod message;
 pub mod name;
+mod norm;
 pub mod notice;
 pub mod owner;
 pub mod ownership;
