tests: accounts on processes; one harness for tiers with discovered hosts

Cause: keys were tested without a network only. Change: the harness of the quota's test moves to a file of its own and serves both.

--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step must fail the test")]
 
+mod accounts;
 mod faults;
 mod harness;
 mod lifecycle;
@@ -9,3 +10,4 @@
 mod notice;
 mod quota;
 mod stranded;
+mod tier;
--- a/bins/tests/processes/quota.rs
+++ b/bins/tests/processes/quota.rs
@@ -1,33 +1,27 @@
 //! Quotas of accounts in a tier with discovered hosts.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::watch;
-use wagtailbeam_adapter::dialect::Dialect as _;
-use wagtailbeam_fakes::caller;
-use wagtailbeam_platform::Dialect;
 use wagtailbeam_platform::encode;
 use wagtailbeam_soak::checker;
 use wagtailbeam_soak::deployment;
 use wagtailbeam_soak::deployment::Deployment;
-use wagtailbeam_soak::deployment::VOTERS;
-use wagtailbeam_soak::list;
 use wagtailbeam_soak::notice::Notice;
-use wagtailbeam_soak::process::Process;
 use wagtailbeam_soak::process::Signal;
 use wagtailbeam_soak::replica;
 
+use crate::tier;
+use crate::tier::Sample;
+use crate::tier::Tier;
+
 const ENTRY_HOSTS: usize = 6;
 const SHARDS: usize = 2;
 const REPLICAS: usize = 2;
 
-/// Value of the `Host` header that the fake caller sends.
-const HOSTNAME: &str = "wagtailbeam";
-
 /// Requests per second and burst of the limited account.
 const RATE: f64 = 20.0;
 const BURST: f64 = 10.0;
@@ -48,28 +42,8 @@
 /// Time within which a configuration reaches all hosts.
 const SPREAD: Duration = Duration::from_secs(4);
 
-/// Longest wait for all entry hosts to serve.
-const START_MAX: Duration = Duration::from_secs(60);
-
-/// An answer: when its request was sent, its status and its `Retry-After`.
-#[derive(Clone, Debug)]
-struct Sample {
-    sent: Instant,
-    status: u16,
-    retry_after: Option<f64>,
-}
-
 type Samples = Arc<Mutex<Vec<Sample>>>;
 
-/// The processes of a tier and the senders that keep its fakes running.
-struct Tier {
-    deployment: Deployment,
-    entries: Vec<Process>,
-    _voters: Vec<Process>,
-    _list: watch::Sender<list::View>,
-    _replicas: Vec<Fake>,
-}
-
 struct Fake {
     entry: encode::Replica,
     _mode: watch::Sender<replica::Mode>,
@@ -77,122 +51,37 @@
     _notice: watch::Sender<Notice>,
 }
 
-impl Tier {
-    async fn start(folder: &Path) -> Tier {
-        let deployment = Deployment::new(SHARDS, ENTRY_HOSTS);
-        let mut replicas = Vec::new();
-        for index in 0..REPLICAS {
-            replicas.push(start_replica(&deployment, index).await);
-        }
-        let listed = replicas.iter().map(|replica| replica.entry.clone());
-        let view = list::View {
-            replicas: listed.collect(),
-            ..list::View::default()
-        };
-        let (list, receiver) = watch::channel(view);
-        list::start(deployment.list_address, receiver)
-            .await
-            .unwrap();
-        let program = Path::new(env!("CARGO_BIN_EXE_wagtailbeamd"));
-        let start = |name: String, settings: String| {
-            let mut process = Process::new(program, folder, &name, &settings).unwrap();
-            process.start().unwrap();
-            process
-        };
-        let voters = (0..VOTERS).map(|index| {
-            let data = folder.join(format!("data-{index}"));
-            start(
-                format!("voter-{index}"),
-                deployment.voter_settings(index, &data, true),
-            )
-        });
-        let voters = voters.collect();
-        let entries = (0..ENTRY_HOSTS).map(|index| {
-            let settings = deployment.entry_settings(index);
-            let quota = format!("[quota]\noverage = {OVERAGE}\nslack = {SLACK}\nwindow = 5s\n");
-            start(format!("entry-{index}"), settings + &quota)
-        });
-        let entries = entries.collect();
-        Tier {
-            entries,
-            _voters: voters,
-            _list: list,
-            _replicas: replicas,
-            deployment,
-        }
-    }
-
-    /// Puts the configuration with this rate of the limited account into force.
-    async fn configure(&self, version: u64, rate: f64) {
-        let account = |name: &str, rate| encode::Account {
-            name: name.into(),
-            keys: vec![format!("key-of-{name}")],
-            priority: None,
-            rate,
-            burst: if rate > 0.0 { BURST } else { 0.0 },
-        };
-        let configuration = encode::Configuration {
-            hostname: HOSTNAME.to_owned(),
-            accounts: Some(vec![account("limited", rate), account("free", 0.0)]),
-            ..self.deployment.configuration(version)
-        };
-        let request = caller::Request {
-            method: "PUT".to_owned(),
-            path: encode::CONFIGURATION_PATH.to_owned(),
-            body: encode::configuration(&configuration).into(),
-            ..caller::Request::default()
-        };
-        let started = Instant::now();
-        loop {
-            let voter = self.deployment.operator_address(0);
-            let answer = caller::send(voter, &request).await;
-            if answer.is_ok_and(|answer| answer.status == 200) {
-                return;
-            }
-            assert!(started.elapsed() < START_MAX, "configuration not accepted");
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    }
-
-    /// Waits until each entry host serves the account without a quota.
-    async fn wait_serving(&self) {
-        let started = Instant::now();
-        for entry in 0..ENTRY_HOSTS {
-            while self.send(entry, "free", "/once/x").await.status != 200 {
-                assert!(
-                    started.elapsed() < START_MAX,
-                    "entry-{entry} does not serve"
-                );
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-
-    /// Sends a request of an account; status 0 stands for no answer.
-    async fn send(&self, entry: usize, account: &str, path: &str) -> Sample {
-        send(&self.deployment, entry, account, path).await
-    }
+/// The accounts of the test, with this rate of the limited one.
+fn accounts(rate: f64) -> Vec<encode::Account> {
+    let account = |name: &str, rate| encode::Account {
+        name: name.into(),
+        keys: vec![format!("key-of-{name}")],
+        priority: None,
+        rate,
+        burst: if rate > 0.0 { BURST } else { 0.0 },
+    };
+    vec![account("limited", rate), account("free", 0.0)]
+}
 
-    /// Sends requests of the limited account evenly through these hosts.
-    async fn send_for(&self, time: Duration, entries: &[usize]) -> Vec<Sample> {
-        let samples = Samples::default();
-        let started = Instant::now();
-        let mut count = 0;
-        while started.elapsed() < time {
-            let entry = entries[count % entries.len()];
-            let (deployment, samples) = (self.deployment.clone(), samples.clone());
-            tokio::spawn(async move {
-                let sample = send(&deployment, entry, "limited", "/once/x").await;
-                samples.lock().unwrap().push(sample);
-            });
-            count += 1;
-            let due = started + Duration::from_secs(count as u64) / SENT_PER_S;
-            tokio::time::sleep_until(due.into()).await;
-        }
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let samples = samples.lock().unwrap();
-        samples.clone()
+/// Sends requests of the limited account evenly through these hosts.
+async fn send_for(tier: &Tier, time: Duration, entries: &[usize]) -> Vec<Sample> {
+    let samples = Samples::default();
+    let started = Instant::now();
+    let mut count = 0;
+    while started.elapsed() < time {
+        let entry = entries[count % entries.len()];
+        let (deployment, samples) = (tier.deployment.clone(), samples.clone());
+        tokio::spawn(async move {
+            let sample = tier::send(&deployment, entry, "limited", "/once/x").await;
+            samples.lock().unwrap().push(sample);
+        });
+        count += 1;
+        let due = started + Duration::from_secs(count as u64) / SENT_PER_S;
+        tokio::time::sleep_until(due.into()).await;
     }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let samples = samples.lock().unwrap();
+    samples.clone()
 }
 
 async fn start_replica(deployment: &Deployment, index: usize) -> Fake {
@@ -225,36 +114,6 @@
     }
 }
 
-async fn send(deployment: &Deployment, entry: usize, account: &str, path: &str) -> Sample {
-    let headers = Dialect::default().headers().clone();
-    let id = format!("{:?}", Instant::now());
-    let deadline = "2000".to_owned();
-    let request = caller::Request {
-        headers: vec![
-            (headers.request.to_string(), id.replace(' ', "")),
-            (headers.deadline.to_string(), deadline),
-        ],
-        ..caller::get(&format!("key-of-{account}"), path)
-    };
-    let sent = Instant::now();
-    let exchange = caller::send(deployment.caller_address(entry), &request);
-    let answer = tokio::time::timeout(Duration::from_secs(2), exchange).await;
-    match answer {
-        Ok(Ok(answer)) => Sample {
-            sent,
-            status: answer.status,
-            retry_after: answer
-                .header("retry-after")
-                .and_then(|text| text.parse().ok()),
-        },
-        _ => Sample {
-            sent,
-            status: 0,
-            retry_after: None,
-        },
-    }
-}
-
 /// Served requests in the window with most of them.
 fn most_in_window(samples: &[Sample]) -> usize {
     let served = samples.iter().filter(|sample| sample.status == 200);
@@ -280,20 +139,21 @@
 /// lowered rate breaks, and against refusals of accounts without a quota.
 #[test]
 fn a_quota_holds_over_all_hosts_while_one_is_frozen_and_when_it_is_lowered() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("quota");
-    drop(std::fs::remove_dir_all(&folder));
-    std::fs::create_dir_all(&folder).unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(async {
-        let mut tier = Tier::start(&folder).await;
-        tier.configure(1, RATE).await;
-        tier.wait_serving().await;
+    let folder = tier::folder("quota");
+    tier::run(async {
+        let deployment = Deployment::new(SHARDS, ENTRY_HOSTS);
+        let mut replicas = Vec::new();
+        for index in 0..REPLICAS {
+            replicas.push(start_replica(&deployment, index).await);
+        }
+        let listed = replicas.iter().map(|replica| replica.entry.clone());
+        let settings = format!("[quota]\noverage = {OVERAGE}\nslack = {SLACK}\nwindow = 5s\n");
+        let mut tier = Tier::start(deployment, &folder, listed.collect(), &settings).await;
+        tier.configure(1, accounts(RATE)).await;
+        tier.wait_serving("free").await;
         let all = (0..ENTRY_HOSTS).collect::<Vec<_>>();
 
-        let steady = tier.send_for(Duration::from_secs(7), &all).await;
+        let steady = send_for(&tier, Duration::from_secs(7), &all).await;
         check(&steady, RATE, 0.8);
         let none = tier.send(0, "limited", "/nowhere").await;
         assert_eq!(none.status, 404, "{none:?}");
@@ -302,15 +162,15 @@
 
         tier.entries[0].signal(Signal::Stop).unwrap();
         let others = &all[1..];
-        let frozen = tier.send_for(Duration::from_secs(7), others).await;
+        let frozen = send_for(&tier, Duration::from_secs(7), others).await;
         tier.entries[0].signal(Signal::Cont).unwrap();
         check(&frozen, RATE, 0.45);
-        let thawed = tier.send_for(Duration::from_secs(6), &all).await;
+        let thawed = send_for(&tier, Duration::from_secs(6), &all).await;
         check(&thawed, RATE, 0.8);
 
-        tier.configure(2, LOWERED).await;
+        tier.configure(2, accounts(LOWERED)).await;
         tokio::time::sleep(SPREAD).await;
-        let lowered = tier.send_for(Duration::from_secs(7), &all).await;
+        let lowered = send_for(&tier, Duration::from_secs(7), &all).await;
         check(&lowered, LOWERED, 0.8);
     });
 }
