--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -111,11 +111,14 @@
     pub(crate) settings: Settings,
     pub(crate) settings_path: PathBuf,
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// Source of [`Time`] in this process.
     pub(crate) clock: Clock,
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) relay: Relay,
+    /// Requests that arrived before this host had a configuration and a list.
     pub(crate) backlog: Backlog,
+    /// Admits callers' requests within the quotas of their accounts.
     pub(crate) gate: Gate,
     /// Request number of each relayed request accepted, by the host that sent it.
     pub(crate) relayed: BTreeMap<(SocketAddr, RelayId), u64>,
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -14,8 +14,8 @@
 use wagtailbeam_decision::rollout::order::Orders;
 
 use crate::entry::Driver;
-use crate::logging;
 use crate::mesh;
+use crate::rollout;
 
 impl Driver {
     /// Handles a report of the connections to voters and entry hosts.
@@ -108,7 +108,7 @@
     /// Follows a voter's orders of rollouts and logs changed ones.
     fn follow_rollouts(&mut self, orders: Orders) {
         for order in orders.orders.iter().flatten() {
-            logging::rollout_order(order);
+            rollout::log_order(order);
         }
         self.step_gateway(Event::Rollouts(orders));
     }
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -20,11 +20,11 @@
 use wagtailbeam_decision::gateway::Evidence;
 use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Usage;
-use wagtailbeam_decision::rollout::order::Order;
-use wagtailbeam_decision::rollout::steering::Decision;
 use wagtailbeam_decision::suspect::Standing;
 use wagtailbeam_decision::uplink::State;
 
+use crate::rollout;
+
 /// Most lines buffered for a slow reader of standard output; further lines are dropped.
 const BUFFERED_LINES_MAX: usize = 8_192;
 
@@ -364,47 +364,7 @@
         }
         Note::ListFailed => tracing::warn!(event = 735, "list not read"),
         Note::Seated(id) => tracing::info!(event = 736, voter = id, "voter's place given"),
-        Note::Rollout(decision) => rollout_step(decision),
+        Note::Rollout(decision) => rollout::log_step(decision),
         Note::Entries(hosts) => tracing::info!(event = 737, hosts, "entry hosts changed"),
     }
 }
-
-/// Logs a step of a rollout with what it was derived from.
-fn rollout_step(decision: &Decision) {
-    let (record, step, sums) = (&decision.record, &decision.step, &decision.sums);
-    tracing::info!(
-        event = 745,
-        service = %decision.service,
-        target_version = %record.target,
-        phase = %step.phase,
-        stage = %step.stage,
-        share = step.share,
-        step = record.serial + 1,
-        elapsed_ms = step.elapsed.as_ms(),
-        route = decision.evidence.route.as_deref(),
-        failures = decision.evidence.failures,
-        latency = decision.evidence.latency,
-        latency_error = decision.evidence.latency_error,
-        old_sent = sums.old.sent,
-        old_failed = sums.old.failed,
-        new_sent = sums.new.sent,
-        new_ended = sums.new.ended,
-        new_failed = sums.new.failed,
-        hosts = decision.hosts,
-        age_ms = decision.age.map(Span::as_ms),
-        "rollout step proposed"
-    );
-}
-
-/// Logs a changed order of a rollout at an entry host.
-pub fn rollout_order(order: &Order) {
-    tracing::info!(
-        event = 746,
-        service = %order.service,
-        share = order.share,
-        in_progress = order.in_progress,
-        new = order.new.len(),
-        barred = order.barred.len(),
-        "rollout order changed"
-    );
-}
--- a/adapter/src/rollout.rs
+++ b/adapter/src/rollout.rs
@@ -10,6 +10,8 @@
 use wagtailbeam_decision::controller::Command;
 use wagtailbeam_decision::controller::Outcome;
 use wagtailbeam_decision::name::Name;
+use wagtailbeam_decision::rollout::order;
+use wagtailbeam_decision::rollout::steering::Decision;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::tier::State;
 use wagtailbeam_decision::tier::Verdict;
@@ -112,3 +114,43 @@
         )),
     }
 }
+
+/// Logs a step of a rollout with what it was derived from.
+pub(crate) fn log_step(decision: &Decision) {
+    let (record, step, sums) = (&decision.record, &decision.step, &decision.sums);
+    tracing::info!(
+        event = 745,
+        service = %decision.service,
+        target_version = %record.target,
+        phase = %step.phase,
+        stage = %step.stage,
+        share = step.share,
+        step = record.serial + 1,
+        elapsed_ms = step.elapsed.as_ms(),
+        route = decision.evidence.route.as_deref(),
+        failures = decision.evidence.failures,
+        latency = decision.evidence.latency,
+        latency_error = decision.evidence.latency_error,
+        old_sent = sums.old.sent,
+        old_failed = sums.old.failed,
+        new_sent = sums.new.sent,
+        new_ended = sums.new.ended,
+        new_failed = sums.new.failed,
+        hosts = decision.hosts,
+        age_ms = decision.age.map(Span::as_ms),
+        "rollout step proposed"
+    );
+}
+
+/// Logs a changed order of a rollout at an entry host.
+pub(crate) fn log_order(order: &order::Order) {
+    tracing::info!(
+        event = 746,
+        service = %order.service,
+        share = order.share,
+        in_progress = order.in_progress,
+        new = order.new.len(),
+        barred = order.barred.len(),
+        "rollout order changed"
+    );
+}
