--- a/adapter/src/admission.rs
+++ b/adapter/src/admission.rs
@@ -40,7 +40,7 @@
         let routed = self.gateway.catalog().route(&request.host, path).is_some();
         let account = request.account.as_ref().filter(|_| routed);
         let Some(account) = account.filter(|account| account.quota.is_some()) else {
-            return self.serve(id, request, self.waited(id));
+            return self.serve(id, request, Span::ZERO);
         };
         let now = self.now();
         let confirmed = self.subscriber.is_fresh(now);
@@ -52,7 +52,7 @@
     pub(crate) fn gate_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Admit(id, _) => self.serve_admitted(id),
+                Action::Admit(id, waited) => self.serve_admitted(id, waited),
                 Action::Refuse(id, cause, wait) => self.refuse_by_quota(id, cause, wait),
                 Action::Ask(home, request) => {
                     self.send_branch(home, branch::Message::Token(request));
@@ -68,13 +68,13 @@
         }
     }
 
-    fn serve_admitted(&mut self, id: u64) {
+    fn serve_admitted(&mut self, id: u64, waited: Span) {
         let Some(pending) = self.pending.get(&id) else {
             return;
         };
         let request = pending.request.clone();
         self.meter.quota_decided("admitted");
-        self.serve(id, &request, self.waited(id));
+        self.serve(id, &request, waited);
     }
 
     fn refuse_by_quota(&mut self, id: u64, cause: Cause, wait: Span) {
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -32,7 +32,6 @@
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
-use wagtailbeam_decision::load::backlog::Backlog;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::relay::Relay;
 use wagtailbeam_decision::relay::RelayId;
@@ -116,8 +115,6 @@
     pub(crate) gateway: Gateway,
     pub(crate) fanout: Fanout,
     pub(crate) relay: Relay,
-    /// Requests that arrived before this host had a configuration and a list.
-    pub(crate) backlog: Backlog,
     /// Admits callers' requests within the quotas of their accounts.
     pub(crate) gate: Gate,
     /// Request number of each relayed request accepted, by the host that sent it.
@@ -202,7 +199,6 @@
     tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
     let mut driver = Driver {
         gateway,
-        backlog: Backlog::default(),
         gate: admission::gate(&settings, own.clone(), seed),
         fanout: Fanout::new(fanout::Settings { host: own, seed }),
         relay: Relay::new(seed),
@@ -313,7 +309,6 @@
         let next = next.chain(self.fanout.next_timer());
         let next = next.chain(self.relay.next_timer());
         let next = next.chain(self.gate.next_timer());
-        let next = next.chain(self.backlog.next_timer());
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.clock.instant(next);
@@ -351,7 +346,6 @@
             self.relay_actions(actions);
         }
         self.tick_gate();
-        self.tick_backlog();
         let feed_fresh = self.subscriber.is_fresh(now);
         if feed_fresh != self.feed_fresh {
             self.feed_fresh = feed_fresh;
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -81,7 +81,6 @@
 pub mod settings;
 pub mod signal;
 pub mod socket;
-mod startup;
 pub mod status;
 pub mod store;
 pub mod voter;
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -3,6 +3,9 @@
 //! Requests from `ingress` go to the fanout or the gateway; the gateway's calls go to
 //! replicas through the connection pool, and the answers back to the callers.
 
+use std::sync::Arc;
+use std::time::Instant;
+
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use wagtailbeam_decision::answer::Answer;
@@ -22,6 +25,7 @@
 use crate::entry::CALLER_MARGIN_FIRST;
 use crate::entry::Driver;
 use crate::entry::Origin;
+use crate::entry::Pending;
 use crate::entry::log_id;
 use crate::ingress;
 use crate::ingress::Request;
@@ -38,14 +42,25 @@
     pub(crate) fn handle_ingress(&mut self, event: ingress::Event) {
         match event {
             ingress::Event::Request(id, request, answer) => {
-                self.receive(id, *request, answer);
+                let (request, known) = self.identify(*request);
+                let request = Arc::new(request);
+                let pending = Pending {
+                    request: request.clone(),
+                    envelope: None,
+                    origin: Origin::Caller(answer),
+                    received_at: Instant::now(),
+                };
+                self.pending.insert(id, pending);
+                match known {
+                    true => self.admit(id, &request),
+                    false => self.refuse_unknown(id, &request),
+                }
             }
             ingress::Event::Abandoned(id) => {
                 if let Some(pending) = self.pending.remove(&id) {
                     let id = log_id(&pending.request);
                     self.logger.caller_left(id, pending.received_at.elapsed());
                 }
-                self.backlog.remove(id);
                 self.gate.abandon(id);
                 self.step_gateway(Event::Abandoned(id));
                 self.step_fanout(fanout::Event::Abandoned(id));
--- a/decision/src/load/mod.rs
+++ b/decision/src/load/mod.rs
@@ -1,12 +1,10 @@
 //! Decisions under load.
 //!
-//! `backlog` holds requests of a host that is not able to serve yet. The others learn how much load
-//! each replica takes: `capacity` turns that into a factor on a replica's cost, by one of several
-//! estimators (`average`, `concurrency`, and `evidence` for the gradient); `report` adds up the
-//! evidence of all hosts.
+//! They learn how much load each replica takes: `capacity` turns that into a factor on a replica's
+//! cost, by one of several estimators (`average`, `concurrency`, and `evidence` for the gradient);
+//! `report` adds up the evidence of all hosts.
 
 pub mod average;
-pub mod backlog;
 pub mod capacity;
 pub mod concurrency;
 pub mod evidence;
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -2,7 +2,6 @@
 
 mod account;
 mod allowance;
-mod backlog;
 mod catalog;
 mod cluster;
 mod endpoint;
