Quarantine: a request that was answered before is quarantined after six ends

Cause: a fatal gather ends a server of each shard, and with it the harmless requests that run there. Both contents are then suspected, and their parts, which run one at a time, meet on the same servers, so that each further end counts for both.

Change: the ledger remembers for 10 to 20 minutes which parts were answered (two sets of 4,096). Such a part becomes suspect with epoch 2, and from epoch 2 on six ends are needed. The fatal request is quarantined after its third end, before that. A request that turns fatal after it was answered makes three more runs, which the bound of three late repeats allows. No message changes.

The new record tests fail with the old rule for all marks (a_request_that_was_answered_before...: run by hand with one limit of three).

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -81,10 +81,11 @@
 const NOTICE_TIME: Duration = Duration::from_secs(12);
 
 /// Guards against requests to replicas that said in answers that they leave or want no requests, in
-/// touch with the voters or not, while processes are killed, frozen and restarted.
+/// touch with the voters or not, while processes are killed, frozen and restarted. With seeds 42
+/// and 51 all requests of one content were refused once, as they ran beside a fatal one.
 #[test]
 fn what_replicas_say_of_themselves_is_kept_under_injected_faults() {
-    for seed in [41, 42] {
+    for seed in [41, 42, 51] {
         let options = Options {
             program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
             duration: NOTICE_TIME,
--- a/decision/src/isolation.rs
+++ b/decision/src/isolation.rs
@@ -112,14 +112,12 @@
         let Some(flight) = self.flights.get(&call.request) else {
             return;
         };
+        let (fingerprint, service) = (flight.fingerprint, &flight.parts[call.part].service);
+        let cleared = self.ledger.record_answer(now, &fingerprint, service);
         if self.ledger.is_empty() {
             return;
         }
-        let (fingerprint, service) = (flight.fingerprint, &flight.parts[call.part].service);
-        let cleared = self
-            .ledger
-            .record_answer(now, &fingerprint, service)
-            .into_iter();
+        let cleared = cleared.into_iter();
         actions.extend(cleared.map(|name| Action::Standing(fingerprint, name, Standing::Cleared)));
         self.send_waiting(now, call.request, actions);
     }
--- a/decision/src/quarantine.rs
+++ b/decision/src/quarantine.rs
@@ -9,8 +9,12 @@
 //! suspected parts run one at a time, an answer clears them, and only servers that end one
 //! after the other count. Three of them for one service quarantine the part for that service.
 //! Three for any services, with no answer from any in between, quarantine the whole request.
+//! Six are needed if a server answered the request before: one that is repeated often runs
+//! beside the request that ends the servers each time, in particular where few are left.
 //! See `isolation` for the entry host's side.
 
+mod history;
+
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
@@ -20,13 +24,19 @@
 use crate::clock::Time;
 use crate::digest::Digest;
 use crate::name::Name;
+use crate::quarantine::history::History;
 use crate::suspect::QUARANTINE_TTL;
 use crate::suspect::STANDING_TTL;
 use crate::suspect::Standing;
 
-/// Servers that end one after the other under a part before it is quarantined.
+/// Servers that end one after the other under a part before it is quarantined, if none ever
+/// answered it.
 const CRASHES_MAX: u32 = 3;
 
+/// The same if a server answered the part before. No more than one request that ends servers is
+/// expected to run beside it, and that one is quarantined first.
+const CRASHES_MAX_ANSWERED: u32 = 2 * CRASHES_MAX;
+
 /// Stands for all services in the records of whole requests; no service has this name.
 const WHOLE: &str = "*";
 
@@ -53,11 +63,29 @@
     pub fn standing(self) -> Standing {
         match self.cleared {
             true => Standing::Cleared,
-            false if self.crashes >= CRASHES_MAX => Standing::Quarantined,
+            false if self.crashes >= self.crashes_max() => Standing::Quarantined,
             false => Standing::Suspect,
         }
     }
 
+    /// Servers that must end before the part is quarantined. A part that is suspect for the
+    /// second time was answered in between.
+    fn crashes_max(self) -> u32 {
+        match self.epoch {
+            0 | 1 => CRASHES_MAX,
+            _ => CRASHES_MAX_ANSWERED,
+        }
+    }
+
+    /// The mark of a part that was answered before it became suspect.
+    fn answered_before() -> Mark {
+        Mark {
+            epoch: 1,
+            cleared: true,
+            crashes: 0,
+        }
+    }
+
     /// The mark after one more server ended.
     fn crashed(self) -> Mark {
         let new_epoch = self.cleared || self.epoch == 0;
@@ -130,6 +158,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     entries: BTreeMap<(Digest, Name), Entry>,
+    answered: History,
     digest: u64,
 }
 
@@ -204,7 +233,12 @@
             return None;
         }
         let before = known.map(|entry| entry.mark);
-        let mark = before.unwrap_or_default().crashed();
+        let answered = self.answered.contains(now, &key);
+        let first = match answered {
+            true => Mark::answered_before(),
+            false => Mark::default(),
+        };
+        let mark = before.unwrap_or(first).crashed();
         let entry = Entry {
             mark,
             crashed_at: run.broke,
@@ -219,11 +253,10 @@
     /// `*` for the whole request.
     pub fn record_answer(&mut self, now: Time, fingerprint: &Digest, service: &Name) -> Vec<Name> {
         let mut cleared = Vec::new();
-        if self.entries.is_empty() {
-            return cleared;
-        }
         for name in [service.clone(), Name::from(WHOLE)] {
-            let entry = self.entries.get_mut(&(*fingerprint, name.clone()));
+            let key = (*fingerprint, name.clone());
+            self.answered.insert(now, &key);
+            let entry = self.entries.get_mut(&key);
             let Some(entry) = entry.filter(|entry| !entry.mark.cleared) else {
                 continue;
             };
--- a/decision/tests/tier/records.rs
+++ b/decision/tests/tier/records.rs
@@ -100,6 +100,52 @@
     assert_eq!(standing, Some(Standing::Suspect));
 }
 
+/// Guards against the quarantine of a harmless request that runs beside the one that ends the
+/// servers each time, where few servers are left (soak, seed 42 with notices).
+#[test]
+fn a_request_that_was_answered_before_survives_three_ends_but_not_six() {
+    let mut ledger = Ledger::default();
+    ledger.record_answer(ms(1), &fatal(), &service());
+    let mut standings = Vec::new();
+    for turn in 0..6 {
+        crash(&mut ledger, 10 * turn + 10, 10 * turn + 15);
+        standings.extend(ledger.standing(ms(100), &fatal(), &service()));
+    }
+    let mut expected = vec![Standing::Suspect; 5];
+    expected.push(Standing::Quarantined);
+    assert_eq!(standings, expected);
+}
+
+/// Guards against answers that are remembered for ever, or that count for other services.
+#[test]
+fn an_answer_counts_for_its_service_and_for_a_limited_time() {
+    for (service_name, answered_at) in [("another", 1_300_000), ("shard-1", 1)] {
+        let mut ledger = Ledger::default();
+        ledger.record_answer(ms(answered_at), &fatal(), &Name::from(service_name));
+        for turn in 0..3 {
+            crash(&mut ledger, 1_300_010 + 10 * turn, 1_300_015 + 10 * turn);
+        }
+        let standing = ledger.standing(ms(1_300_100), &fatal(), &service());
+        assert_eq!(standing, Some(Standing::Quarantined), "{service_name}");
+    }
+}
+
+/// Guards against a host without the answer that quarantines the request for all others.
+#[test]
+fn a_host_adopts_the_record_of_one_where_the_request_was_answered() {
+    let (mut knowing, mut other) = (Ledger::default(), Ledger::default());
+    knowing.record_answer(ms(1), &fatal(), &service());
+    crash(&mut knowing, 10, 15);
+    crash(&mut other, 10, 15);
+    let summary = knowing.summary(ms(20), other.digest());
+    other.merge(ms(20), summary.records);
+    for turn in 0..3 {
+        crash(&mut other, 10 * turn + 30, 10 * turn + 35);
+    }
+    let standing = other.standing(ms(100), &fatal(), &service());
+    assert_eq!(standing, Some(Standing::Suspect));
+}
+
 /// After a change of the routes a request goes to services whose servers it hasn't ended yet.
 #[test]
 fn a_quarantined_request_is_quarantined_for_services_that_it_never_asked() {
