--- a/bins/tests/processes/faults.rs
+++ b/bins/tests/processes/faults.rs
@@ -124,7 +124,8 @@
     assert!(cluster.crashes() <= 2, "{} crashes", cluster.crashes());
     harness.wait_ready(CALLER, "/desk-gate/x", SHARDS as u64);
     let job = caller::post(&key, "/desk-gate/entries", "visit-harmless", "{}");
-    assert_eq!(harness.send(1, &job).status, 200);
+    let answer = harness.send(1, &job);
+    assert_eq!(answer.status, 200, "{:?}", answer.json());
 }
 
 /// Guards against servers that are taken for running because their port outlives their
@@ -140,7 +141,8 @@
     let key = fleet::caller_key(CALLER);
     assert!(cluster.crashes() <= 2, "{} crashes", cluster.crashes());
     let job = caller::post(&key, "/desk-gate/entries", "visit-harmless", "{}");
-    assert_eq!(harness.send(1, &job).status, 200);
+    let answer = harness.send(1, &job);
+    assert_eq!(answer.status, 200, "{:?}", answer.json());
 }
 
 /// Guards against daemons that forget a quarantine when they are restarted in turn.
--- a/decision/src/hedge.rs
+++ b/decision/src/hedge.rs
@@ -4,6 +4,7 @@
 //! Source of the idea: Dean and Barroso, "The Tail at Scale", 2013.
 
 use crate::clock::Span;
+use crate::clock::Time;
 use crate::manifest::Hedge;
 
 /// Histogram buckets per doubling of latency.
@@ -33,6 +34,16 @@
 /// Shortest hedge delay.
 const DELAY_MIN: Span = Span::from_ms(2);
 
+/// Lateness of a timer from which the process was held up, and the time for which the hedge is then
+/// put off: the answer, or the end of the connection, may be waiting unread.
+const LATE_MAX: Span = Span::from_ms(3);
+
+/// When a hedge that was due at `due` is to be tried again, if its timer is handled too late;
+/// absent if it may be sent now.
+pub fn put_off(now: Time, due: Time) -> Option<Time> {
+    (now.since(due) > LATE_MAX).then(|| now.after(LATE_MAX))
+}
+
 /// A decaying histogram of latencies in geometric buckets.
 #[derive(Clone, Debug)]
 pub struct Latency {
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -15,6 +15,7 @@
 use crate::digest::Digest;
 use crate::exchange::Call;
 use crate::exchange::Exchange;
+use crate::hedge;
 use crate::hedge::Policy;
 use crate::limiter::Decision;
 use crate::limiter::Health;
@@ -789,6 +790,10 @@
         let mut actions = Vec::new();
         while let Some((time, ticket)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
             self.timers.remove(&(time, ticket));
+            if let Some(later) = hedge::put_off(now, time) {
+                self.timers.insert((later, ticket));
+                continue;
+            }
             actions.extend(self.send_hedge(now, ticket).unwrap_or_default());
         }
         actions
--- a/decision/tests/scenarios.rs
+++ b/decision/tests/scenarios.rs
@@ -76,6 +76,7 @@
                 .cancel(self.now, &"entry".into(), number(case, "id", 0)),
             "disown-all" => self.owner.disown_all(),
             "wait" => self.wait(number(case, "ms", 0)),
+            "stall" => self.stall(number(case, "ms", 0)),
             "state" => return self.state(),
             other => return format!("unknown directive {other}\n"),
         };
@@ -187,6 +188,12 @@
         actions
     }
 
+    /// Lets time pass in which the process doesn't run, so that timers are handled late.
+    fn stall(&mut self, ms: u64) -> Vec<Action> {
+        self.now = self.now.after(Span::from_ms(ms));
+        self.owner.tick(self.now)
+    }
+
     fn state(&self) -> String {
         let lines = self.owner.replicas().map(|(replica, limiter)| {
             let (name, health) = (name(replica), limiter.health());
