Order of waiting parts by priority, account and deadline

Parts that wait for capacity are tried by their own timers in no particular order, so that one account's load delays all others. load::waiting determines an order: priority, start-time fair queueing over accounts by expected time at a replica, then deadline, with at most 512 parts. Nothing uses it yet. 11 tests pass, one over 300 random sequences of operations.

--- a/decision/src/load/mod.rs
+++ b/decision/src/load/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! They learn how much load each replica takes: `capacity` turns that into a factor on a replica's
 //! cost, by one of several estimators (`average`, `concurrency`, and `evidence` for the gradient);
-//! `report` adds up the evidence of all hosts.
+//! `report` adds up the evidence of all hosts. `waiting` determines the order of the parts that wait
+//! for capacity.
 
 pub mod average;
 pub mod capacity;
 pub mod concurrency;
 pub mod evidence;
 pub mod report;
+pub mod waiting;
--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -3,6 +3,7 @@
 
 mod board;
 mod cases;
+mod order;
 mod outliers;
 mod replay;
 mod setup;
