Waiting parts are served in order as calls end

A part that found all replicas at their limits was tried again by its own timer each 10 ms, so the order was arbitrary and capacity stayed unused until a timer fired. Such parts now enter the queue of their service; the end of a call serves it in the same step. Parts that can't meet their deadline any more are left out (Cause::Expired, told to older hosts as Cause::Shed). The account's name reaches requests and branches.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -137,6 +137,7 @@
             let branch = gateway::Branch {
                 order: order.id,
                 route: order.route,
+                account: request.account_name(),
                 fingerprint: request.fingerprint,
                 key: placement_key(&request),
                 moved: order.moved,
@@ -190,6 +191,7 @@
         let branch = gateway::Branch {
             order: order.id,
             route: Arc::new(order.route()),
+            account: request.account_name(),
             fingerprint: request.fingerprint,
             key: placement_key(&request),
             moved: order.moved,
--- a/adapter/src/identity.rs
+++ b/adapter/src/identity.rs
@@ -13,6 +13,7 @@
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::name::Name;
 
 use crate::entry::Driver;
 use crate::http;
@@ -28,6 +29,11 @@
     pub(crate) fn priority(&self) -> Option<u32> {
         self.account.as_ref().and_then(|account| account.priority)
     }
+
+    /// Name of the request's account, if it has one.
+    pub(crate) fn account_name(&self) -> Option<Name> {
+        self.account.as_ref().map(|account| account.name.clone())
+    }
 }
 
 impl Driver {
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -122,6 +122,7 @@
             first_on_connection: request.first_on_connection,
             others_healthier: self.rotation.others_healthier(self.peers()),
             priority: request.priority(),
+            account: request.account_name(),
             waited,
         };
         self.step_gateway(Event::Request(id, gateway_request));
--- a/decision/src/answering.rs
+++ b/decision/src/answering.rs
@@ -152,6 +152,7 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
+        self.forget_waiting(id, &flight);
         let due = now.after(ORPHAN_MAX);
         for part in &flight.parts {
             let answered = matches!(part.stage, Stage::Done(..));
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -52,7 +52,7 @@
         let part = &flight.parts[index];
         match self.clearance(now, flight, part) {
             Clearance::Granted => {}
-            Clearance::Pending => return self.set_stage(id, index, Stage::Waiting),
+            Clearance::Pending => return self.wait_isolated(id, index),
             Clearance::Denied => return self.leave_out(id, index, Cause::Quarantined, None),
         }
         let (service, tried) = (part.service.clone(), part.tried.clone());
@@ -64,8 +64,8 @@
             pick = self.pick_version(now, &service, &BTreeSet::new(), allowed.as_ref(), need);
         }
         match pick {
-            Pick::Endpoint(endpoint) => self.send(now, id, index, endpoint, actions),
-            Pick::Wait => self.set_stage(id, index, Stage::Waiting),
+            Pick::Endpoint(endpoint) => self.send_in_turn(now, id, index, endpoint, actions),
+            Pick::Wait => self.wait(now, id, index),
             Pick::Limited(wait) => {
                 let in_time = wait < left.divided_by(2);
                 let soonest = self.resume_time(now, id).filter(|_| in_time);
@@ -97,6 +97,7 @@
         cause: Cause,
         resume_at: Option<Time>,
     ) {
+        self.stop_waiting(id, index, false);
         if let Some(flight) = self.flights.get_mut(&id)
             && flight.parts[index].is_open()
         {
@@ -166,6 +167,7 @@
         let Some(route) = self.flights.get(&id).map(|flight| flight.route.clone()) else {
             return;
         };
+        self.stop_waiting(id, index, true);
         let expected = self.expected_latency(&route);
         self.last_ticket += 1;
         let ticket = self.last_ticket;
@@ -283,6 +285,7 @@
         let expected = norm.map_or(expected, |median| Expected { median, ..expected });
         let took = endpoint.record_end(now, ticket, ending, expected, warmup);
         let route = &call.route.name;
+        self.mark_freed(&service);
         self.count_version_end(now, call.endpoint, route, ending, took, expected);
         if let Some(took) = took.filter(|_| ending == Ending::Answered)
             && let Some(latency) = self.latencies.get_mut(&call.route.name)
@@ -360,6 +363,7 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
+        self.forget_waiting(id, &flight);
         let attempts = flight.parts.iter().flat_map(|part| &part.attempts);
         for ticket in attempts.map(|attempt| attempt.ticket).collect::<Vec<_>>() {
             self.withdraw(now, ticket, actions);
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -84,6 +84,10 @@
     /// one could not decode it.
     #[display("replicas at their limits")]
     Limited,
+    /// The part waited for capacity until too little time was left for an answer, or too many parts
+    /// waited. Never sent to other hosts: an older one could not decode it.
+    #[display("no capacity in time")]
+    Expired,
 }
 
 /// The part of a request that goes to one service.
@@ -138,6 +142,8 @@
     pub kind: Kind,
     /// Route by which the request is served.
     pub route: Arc<Route>,
+    /// Name of the request's account, if it has one.
+    pub account: Option<Name>,
     /// Digest of the content, the same for each repeat of the request.
     pub fingerprint: Digest,
     /// When the request arrived.
@@ -243,6 +249,7 @@
         let objective = route.objective.saturating_sub(margin);
         Flight {
             kind: Kind::Request,
+            account: None,
             fingerprint: Digest::default(),
             started: now,
             deadline: now.after(left),
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -6,7 +6,7 @@
 //! limits, until the request is answered. The steps are spread over several modules:
 //! `choice` picks replicas, `attempt` sends and retries, `answering` answers callers,
 //! `gathering` serves branches for other entry hosts, `isolation` keeps requests away from
-//! servers that end under them, and `listing` applies changes of the replica list.
+//! servers that end under them, `queueing` serves parts that wait for capacity, and `listing` applies changes of the replica list.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -51,6 +51,7 @@
 use crate::plan::Plan;
 use crate::quarantine::Ledger;
 use crate::quarantine::Record;
+use crate::queueing::Waiting;
 use crate::quota;
 use crate::quota::Rate;
 use crate::rollout::order::Orders;
@@ -111,6 +112,8 @@
     pub order: OrderId,
     /// Route narrowed to the shards of this branch.
     pub route: Arc<Route>,
+    /// Name of the request's account, if it has one.
+    pub account: Option<Name>,
     /// Digest of the request's content, the same for each repeat.
     pub fingerprint: Digest,
     /// Rendezvous hashing key of the request, the same on all hosts, so that they pick
@@ -147,6 +150,8 @@
     pub others_healthier: bool,
     /// Priority of the request's account in place of the route's one, if it has one.
     pub priority: Option<u32>,
+    /// Name of the request's account, if it has one.
+    pub account: Option<Name>,
     /// Time for which the request has waited at this host.
     pub waited: Span,
 }
@@ -305,6 +310,8 @@
     /// Requests and branches in progress.
     pub(crate) flights: HashMap<RequestId, Flight>,
     pub(crate) calls: HashMap<Ticket, Outstanding>,
+    /// Parts that wait for capacity.
+    pub(crate) waiting: Waiting,
     /// Parts of requests under which servers ended.
     pub(crate) ledger: Ledger,
     /// Limits that replicas named, and the demand for them.
@@ -346,6 +353,7 @@
             credits: HashMap::new(),
             flights: HashMap::new(),
             calls: HashMap::new(),
+            waiting: Waiting::default(),
             ledger: Ledger::default(),
             throttle: Throttle::default(),
             uplink: Uplink::default(),
@@ -436,6 +444,7 @@
             }
             Event::Tick => self.tick(now, &mut actions),
         }
+        self.serve_waiting(now, &mut actions);
         self.check_links(now, &mut actions);
         actions
     }
@@ -469,6 +478,7 @@
         };
         let mut flight = Flight {
             others_healthier: request.others_healthier,
+            account: request.account.clone(),
             fingerprint: request.fingerprint,
             ..Flight::new(now.before(request.waited), route, services, left, margin)
         };
@@ -578,7 +588,7 @@
             };
             let (part, needs) = (&flight.parts[index], flight.needs_missing());
             match part.stage {
-                Stage::Waiting => self.dispatch(now, id, index, actions),
+                Stage::Waiting => self.recheck_waiting(now, id, index, actions),
                 Stage::Sent if part.hedge_at <= now => self.hedge(now, id, index, actions),
                 Stage::Missing(_, Some(resume_at)) if resume_at <= now && needs => {
                     self.resume(now, id, index, actions);
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -53,6 +53,7 @@
         let services = self.choose_services(&route);
         let flight = Flight {
             settle_at: now.after(branch.settle),
+            account: branch.account.clone(),
             fingerprint: branch.fingerprint,
             kind: Kind::Branch {
                 order: branch.order,
@@ -155,7 +156,7 @@
 fn known_to_older_hosts(cause: Cause) -> Cause {
     match cause {
         Cause::Quarantined => Cause::NoReplica,
-        Cause::Limited => Cause::Shed,
+        Cause::Limited | Cause::Expired => Cause::Shed,
         cause => cause,
     }
 }
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -58,6 +58,7 @@
 mod publisher;
 pub mod quarantine;
 pub mod query;
+mod queueing;
 pub mod quota;
 mod refresh;
 pub mod register;
--- a/decision/tests/load/replay.rs
+++ b/decision/tests/load/replay.rs
@@ -225,6 +225,7 @@
                     first_on_connection: false,
                     others_healthier: false,
                     priority: None,
+                    account: None,
                     waited: Span::ZERO,
                 };
                 self.handle(host, Event::Request(id, request));
--- a/decision/tests/tier/cluster.rs
+++ b/decision/tests/tier/cluster.rs
@@ -394,6 +394,7 @@
         let branch = Branch {
             order: order.id,
             route: order.route,
+            account: None,
             key: id,
             fingerprint: self.fingerprint(id),
             moved: order.moved,
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -112,6 +112,7 @@
         first_on_connection: false,
         others_healthier: true,
         priority: None,
+        account: None,
         waited: Span::ZERO,
     };
     simulation.handle(Event::Request(99, request));
@@ -138,6 +139,7 @@
         first_on_connection: false,
         others_healthier: false,
         priority: None,
+        account: None,
         waited: Span::from_ms(100),
     };
     simulation.handle(Event::Request(99, request));
@@ -245,6 +247,7 @@
         first_on_connection: false,
         others_healthier: false,
         priority: None,
+        account: None,
         waited: Span::ZERO,
     };
     simulation.handle(Event::Request(1, request(true)));
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -484,6 +484,7 @@
             first_on_connection: false,
             others_healthier: false,
             priority: None,
+            account: None,
             waited: Span::ZERO,
         };
         self.step(at, Event::Request(id, request));
@@ -562,6 +563,7 @@
         let branch = Branch {
             order: order.id,
             route: order.route,
+            account: None,
             fingerprint: Digest::of(&order.request.to_le_bytes()),
             key: order.request,
             moved: order.moved,
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -257,6 +257,7 @@
             first_on_connection: false,
             others_healthier: false,
             priority: None,
+            account: None,
             waited: Span::ZERO,
         };
         self.schedule(wait, Step::Request(id, request));
--- a/decision/tests/tier/notice.rs
+++ b/decision/tests/tier/notice.rs
@@ -121,6 +121,7 @@
     Branch {
         order: OrderId(number),
         route: route.clone(),
+        account: None,
         fingerprint: Digest::default(),
         key: number,
         moved: false,
--- a/decision/tests/tier/rollout_model.rs
+++ b/decision/tests/tier/rollout_model.rs
@@ -233,6 +233,7 @@
                 first_on_connection: false,
                 others_healthier: false,
                 priority: None,
+                account: None,
                 waited: Span::ZERO,
             };
             self.hosts[at].last_request = id;
