Replay of patterns in which parts wait for capacity

The replay takes clients with accounts, priorities, surges and repeated requests, and prints goodput, refusals and waiting by kind of account and priority with both orders.

--- a/decision/tests/load/cases.rs
+++ b/decision/tests/load/cases.rs
@@ -14,7 +14,7 @@
     server == 0 && (FAULTY.0..FAULTY.1).contains(&at)
 }
 
-fn healthy(_: usize, _: f64) -> Health {
+pub fn healthy(_: usize, _: f64) -> Health {
     HEALTHY
 }
 
@@ -69,7 +69,7 @@
     Health { factor, ..HEALTHY }
 }
 
-fn single(work_ms: u64, objective_ms: u64, per_s: f64) -> Load {
+pub fn single(work_ms: u64, objective_ms: u64, per_s: f64) -> Load {
     Load {
         work: Span::from_ms(work_ms),
         objective: Span::from_ms(objective_ms),
@@ -79,7 +79,7 @@
     }
 }
 
-fn gather(work_ms: u64, objective_ms: u64, per_s: f64) -> Load {
+pub fn gather(work_ms: u64, objective_ms: u64, per_s: f64) -> Load {
     Load {
         services: (0..8).collect(),
         gathers: true,
@@ -88,7 +88,7 @@
 }
 
 /// Single reads through 84 hosts at 10 replicas.
-fn reads(name: &'static str, health: fn(usize, f64) -> Health) -> Case {
+pub fn reads(name: &'static str, health: fn(usize, f64) -> Health) -> Case {
     Case {
         name,
         hosts: 84,
@@ -99,11 +99,13 @@
         pause: (Span::from_ms(150), Span::from_ms(3_600)),
         health,
         affected: Some((0, FAULTY.0, FAULTY.1)),
+        connections_max: 200,
+        clients: Vec::new(),
     }
 }
 
 /// Gathers through the six hosts of a branch at 8 shards of 3 replicas.
-fn gathers(name: &'static str, health: fn(usize, f64) -> Health) -> Case {
+pub fn gathers(name: &'static str, health: fn(usize, f64) -> Health) -> Case {
     Case {
         hosts: 6,
         services: vec![3; 8],
--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -1,17 +1,22 @@
 //! Replay of entry hosts that choose among replicas of different and changing speed. It prints,
 //! for each case and estimator, what callers see and how the calls are distributed.
 
+mod arrivals;
 mod board;
 mod cases;
 mod order;
 mod outliers;
+mod patterns;
 mod replay;
 mod setup;
+mod waiting;
 
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::load::capacity::Estimator;
+use wagtailbeam_decision::load::waiting::Discipline;
 
-use crate::replay::Outcome;
+use crate::arrivals::End;
+use crate::arrivals::Outcome;
 use crate::replay::Policy;
 use crate::replay::Replay;
 use crate::setup::Case;
@@ -27,18 +32,22 @@
     Policy {
         estimator: Estimator::Average,
         merged: false,
+        discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Concurrency,
         merged: false,
+        discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Gradient,
         merged: false,
+        discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Gradient,
         merged: true,
+        discipline: Discipline::Fair,
     },
 ];
 
@@ -77,7 +86,9 @@
     for outcome in outcomes {
         let objective = case.routes[outcome.route].objective;
         all += 1.0;
-        good += f64::from(u8::from(outcome.good && outcome.took <= objective));
+        good += f64::from(u8::from(
+            outcome.end == End::Answered && outcome.took <= objective,
+        ));
     }
     good / all
 }
--- a/decision/tests/load/replay.rs
+++ b/decision/tests/load/replay.rs
@@ -13,10 +13,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
-use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::gateway::Action;
@@ -24,11 +22,14 @@
 use wagtailbeam_decision::gateway::Completion;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
-use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::load::capacity::Estimator;
 use wagtailbeam_decision::load::report::Board;
+use wagtailbeam_decision::load::waiting::Discipline;
 use wagtailbeam_decision::notice::Notice;
 
+use crate::arrivals::Arrival;
+use crate::arrivals::Open;
+use crate::arrivals::Outcome;
 use crate::setup;
 use crate::setup::Case;
 use crate::setup::Health;
@@ -61,8 +62,8 @@
     arrivals: Vec<Time>,
 }
 
-enum Step {
-    Request(usize, u64, usize),
+pub enum Step {
+    Request(usize, u64, Arrival),
     Arrive(usize, usize, CallId, Span),
     End(usize, CallId, Ending),
     Done(CallId, Ending),
@@ -71,29 +72,23 @@
     Report(usize),
 }
 
-/// One answered request.
-pub struct Outcome {
-    pub route: usize,
-    pub started: Time,
-    pub took: Span,
-    pub good: bool,
-}
-
 /// Entry hosts and replicas of one case.
 pub struct Replay {
-    now: Time,
+    pub now: Time,
     hosts: Vec<Gateway>,
     servers: Vec<Server>,
     index_of: HashMap<SocketAddr, usize>,
-    case: Case,
-    random: ChaCha8Rng,
+    pub case: Case,
+    pub random: ChaCha8Rng,
     steps: BinaryHeap<Reverse<(Time, u64)>>,
     due: HashMap<u64, Step>,
     last_step: u64,
     next_ticks: Vec<Time>,
     /// Calls that their hosts withdrew.
     withdrawn: HashSet<CallId>,
-    open: HashMap<(usize, u64), (usize, Time)>,
+    pub open: HashMap<(usize, u64), Open>,
+    /// Number of the last request.
+    pub last_request: u64,
     pub outcomes: Vec<Outcome>,
     /// Calls sent, and hedges and retries among them, after the warm-up.
     pub sent: u64,
@@ -109,6 +104,8 @@
     pub estimator: Estimator,
     /// Whether they exchange their measurements.
     pub merged: bool,
+    /// How parts are served that wait for capacity.
+    pub discipline: Discipline,
 }
 
 impl Replay {
@@ -132,6 +129,7 @@
             next_ticks: vec![Time::from_us(u64::MAX); case.hosts],
             withdrawn: HashSet::new(),
             open: HashMap::new(),
+            last_request: 0,
             outcomes: Vec::new(),
             sent: 0,
             extra: 0,
@@ -143,6 +141,7 @@
             let settings = setup::settings(host, seed);
             let mut gateway = Gateway::new(settings);
             gateway.set_estimator(replay.now, policy.estimator);
+            gateway.set_discipline(policy.discipline);
             replay.hosts.push(gateway);
             replay.handle(host, Event::Catalog(catalog.clone()));
             replay.handle(host, Event::Plan(plan.clone()));
@@ -167,7 +166,7 @@
         self.servers[range].iter().map(count).collect()
     }
 
-    fn uniform(&mut self) -> f64 {
+    pub fn uniform(&mut self) -> f64 {
         (f64::from(self.random.next_u32()) + 0.5) / 4_294_967_296.0
     }
 
@@ -177,22 +176,7 @@
         ((sum - 6.0) * WORK_SIGMA).exp()
     }
 
-    fn schedule_arrivals(&mut self) {
-        let mut id = 0;
-        for route in 0..self.case.routes.len() {
-            let per_s = self.case.routes[route].per_s;
-            let mut at = 0.0;
-            while at < self.case.seconds as f64 {
-                at += -self.uniform().ln() / per_s;
-                id += 1;
-                let host = self.random.next_u32() as usize % self.case.hosts;
-                let wait = Span::from_us((at * 1e6) as u64);
-                self.schedule(wait, Step::Request(host, id, route));
-            }
-        }
-    }
-
-    fn schedule(&mut self, wait: Span, step: Step) {
+    pub fn schedule(&mut self, wait: Span, step: Step) {
         self.last_step += 1;
         self.due.insert(self.last_step, step);
         let entry = (self.now.after(wait), self.last_step);
@@ -214,22 +198,7 @@
 
     fn execute(&mut self, step: Step) {
         match step {
-            Step::Request(host, id, route) => {
-                self.open.insert((host, id), (route, self.now));
-                let request = Request {
-                    host: "desk.example".into(),
-                    path: format!("/r{route}/x").into(),
-                    fingerprint: Digest::of(&id.to_le_bytes()),
-                    left: None,
-                    catalog_confirmed: true,
-                    first_on_connection: false,
-                    others_healthier: false,
-                    priority: None,
-                    account: None,
-                    waited: Span::ZERO,
-                };
-                self.handle(host, Event::Request(id, request));
-            }
+            Step::Request(host, id, arrival) => self.request(host, id, arrival),
             Step::Arrive(host, server, call, work) => self.arrive(host, server, call, work),
             Step::End(server, call, ending) => {
                 self.servers[server].running.retain(|other| *other != call);
@@ -318,14 +287,11 @@
 
     fn send(&mut self, host: usize, call: Call) {
         let server = self.index_of[&call.address];
-        let route = self
-            .open
-            .get(&(host, call.request))
-            .map(|(route, _)| *route);
-        let Some(route) = route else {
+        let Some(open) = self.open.get_mut(&(host, call.request)) else {
             return;
         };
-        let work = self.case.routes[route].work;
+        open.sent.get_or_insert(self.now);
+        let work = self.case.routes[open.arrival.route].work;
         self.sent += u64::from(self.now.as_us() >= WARM_UP.as_us());
         let transit = self.transit(host, server);
         self.schedule(
@@ -334,7 +300,7 @@
         );
     }
 
-    fn handle(&mut self, host: usize, event: Event) {
+    pub fn handle(&mut self, host: usize, event: Event) {
         for action in self.hosts[host].step(self.now, event) {
             match action {
                 Action::Send(call) => self.send(host, call),
@@ -351,19 +317,4 @@
             self.schedule(at.since(self.now), Step::Tick(host));
         }
     }
-
-    fn record_answer(&mut self, host: usize, id: u64, answer: &Answer) {
-        let Some((route, started)) = self.open.get(&(host, id)).copied() else {
-            return;
-        };
-        if started.as_us() < WARM_UP.as_us() {
-            return;
-        }
-        self.outcomes.push(Outcome {
-            route,
-            started,
-            took: self.now.since(started),
-            good: !matches!(answer, Answer::Refused(..)),
-        });
-    }
 }
--- a/decision/tests/load/setup.rs
+++ b/decision/tests/load/setup.rs
@@ -21,6 +21,8 @@
 use wagtailbeam_decision::plan::Host;
 use wagtailbeam_decision::plan::Plan;
 
+use crate::arrivals::Client;
+
 /// Condition of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Health {
@@ -70,6 +72,10 @@
     pub health: fn(usize, f64) -> Health,
     /// The replica whose condition differs, and the span in seconds in which it does.
     pub affected: Option<(usize, f64, f64)>,
+    /// Most connections that a replica accepts from all hosts together.
+    pub connections_max: u32,
+    /// Clients in place of the routes' own load; none for that load.
+    pub clients: Vec<Client>,
 }
 
 /// Failure domain of a host.
@@ -133,7 +139,7 @@
 pub fn catalog(case: &Case) -> Catalog {
     let service = Service {
         health_path: "/healthz".into(),
-        connections_max: 200,
+        connections_max: case.connections_max,
         warmup: Span::from_secs(3),
         warmup_per_s: 0.0,
     };
