--- a/decision/src/load/waiting.rs
+++ b/decision/src/load/waiting.rs
@@ -3,7 +3,9 @@
 //! A [`Queue`] holds the waiting parts of one service on one host. Smaller priority numbers are
 //! served first. Among equal priorities, start-time fair queueing divides the capacity over
 //! accounts: in virtual time, an account's part starts where its previous one ended, and the
-//! account with the earliest start is served. Within an account, the earliest deadline is first.
+//! account with the earliest start is served. Within an account, the earliest deadline is first;
+//! parts that will probably miss their latency objective come after those that can meet it. An
+//! account that sends more than its share would otherwise be served late only.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -44,6 +46,8 @@
     pub priority: u32,
     /// Account of its request; parts without one share a turn.
     pub account: Option<Name>,
+    /// Latest time to send it for an answer within the latency objective.
+    pub timely_until: Time,
     /// Deadline of its request.
     pub deadline: Time,
     /// Expected time at a replica.
@@ -54,7 +58,10 @@
 #[derive(Clone, Debug, Default)]
 struct Lane {
     start: Span,
-    parts: BTreeSet<(Time, Key)>,
+    /// Parts that can meet their objective, by the time until which they can.
+    timely: BTreeSet<(Time, Key)>,
+    /// Other parts, by deadline.
+    overdue: BTreeSet<(Time, Key)>,
 }
 
 /// Parts of one priority.
@@ -74,9 +81,35 @@
 
 impl Lane {
     fn first(&self, passed: &BTreeSet<Key>) -> Option<Key> {
-        let mut keys = self.parts.iter().map(|(_, key)| *key);
+        let parts = self.timely.iter().chain(&self.overdue);
+        let mut keys = parts.map(|(_, key)| *key);
         keys.find(|key| !passed.contains(key))
     }
+
+    fn last(&self) -> Option<Key> {
+        let last = self.overdue.last().or(self.timely.last());
+        last.map(|(_, key)| *key)
+    }
+
+    fn len(&self) -> usize {
+        self.timely.len() + self.overdue.len()
+    }
+
+    fn remove(&mut self, part: &Part) {
+        self.timely.remove(&(part.timely_until, part.key));
+        self.overdue.remove(&(part.deadline, part.key));
+    }
+
+    /// Moves the parts that can no longer meet their objective behind the others.
+    fn update(&mut self, now: Time, parts: &HashMap<Key, Part>) {
+        while let Some((until, key)) = self.timely.first().copied()
+            && until < now
+        {
+            self.timely.pop_first();
+            let deadline = parts.get(&key).map(|part| part.deadline);
+            self.overdue.extend(deadline.map(|at| (at, key)));
+        }
+    }
 }
 
 impl Class {
@@ -92,12 +125,12 @@
     /// The latest part of the account with most parts.
     fn last(&self) -> Option<Key> {
         let lanes = self.lanes.values();
-        let fullest = lanes.max_by_key(|lane| (lane.parts.len(), lane.start))?;
-        fullest.parts.last().map(|(_, key)| *key)
+        let fullest = lanes.max_by_key(|lane| (lane.len(), lane.start))?;
+        fullest.last()
     }
 
     fn is_empty(&self) -> bool {
-        self.lanes.values().all(|lane| lane.parts.is_empty())
+        self.lanes.values().all(|lane| lane.len() == 0)
     }
 
     /// Charges an account for a part that is served now.
@@ -114,7 +147,7 @@
     fn forget_idle(&mut self) {
         let virtual_time = self.virtual_time;
         self.lanes
-            .retain(|_, lane| !lane.parts.is_empty() || lane.start > virtual_time);
+            .retain(|_, lane| lane.len() > 0 || lane.start > virtual_time);
     }
 }
 
@@ -142,7 +175,7 @@
         }
         let class = self.classes.entry(part.priority).or_default();
         let lane = class.lanes.entry(part.account.clone()).or_default();
-        lane.parts.insert((part.deadline, part.key));
+        lane.timely.insert((part.timely_until, part.key));
         self.parts.insert(part.key, part);
         if self.parts.len() <= PARTS_MAX {
             return None;
@@ -153,7 +186,10 @@
     }
 
     /// The first part in order that is not in `passed`.
-    pub fn first(&self, passed: &BTreeSet<Key>) -> Option<&Part> {
+    pub fn first(&mut self, now: Time, passed: &BTreeSet<Key>) -> Option<&Part> {
+        let lanes = self.classes.values_mut();
+        let lanes = lanes.flat_map(|class| class.lanes.values_mut());
+        lanes.for_each(|lane| lane.update(now, &self.parts));
         let mut classes = self.classes.values();
         let key = classes.find_map(|class| class.first(passed))?;
         self.parts.get(&key)
@@ -179,7 +215,7 @@
             return;
         };
         if let Some(lane) = class.lanes.get_mut(&part.account) {
-            lane.parts.remove(&(part.deadline, key));
+            lane.remove(&part);
         }
         match class.is_empty() {
             true => drop(self.classes.remove(&part.priority)),
--- a/decision/src/queueing.rs
+++ b/decision/src/queueing.rs
@@ -20,7 +20,7 @@
 use crate::load::waiting::Queue;
 use crate::name::Name;
 
-/// Parts of one host that wait for capacity.
+/// Parts of one host that wait for capacity, and what is to be done with them in this step.
 #[derive(Default)]
 pub(crate) struct Waiting {
     /// How waiting parts are served.
@@ -36,9 +36,9 @@
 }
 
 impl Waiting {
-    fn first(&self, service: &Name, passed: &BTreeSet<Key>) -> Option<Key> {
-        let queue = self.queues.get(service)?;
-        queue.first(passed).map(|part| part.key)
+    fn first(&mut self, now: Time, service: &Name, passed: &BTreeSet<Key>) -> Option<Key> {
+        let queue = self.queues.get_mut(service)?;
+        queue.first(now, passed).map(|part| part.key)
     }
 
     fn contains(&self, service: &Name, key: Key) -> bool {
@@ -192,7 +192,7 @@
     /// one.
     fn serve_queue(&mut self, now: Time, service: &Name, actions: &mut Vec<Action>) {
         let mut passed = BTreeSet::new();
-        while let Some(key) = self.waiting.first(service, &passed) {
+        while let Some(key) = self.waiting.first(now, service, &passed) {
             self.waiting.changed.insert(key.request);
             match self.waiting_part(key).map(|part| part.is_late(now)) {
                 None => self.waiting.remove(service, key, false),
@@ -243,12 +243,15 @@
         }
         let route = flight.route.clone();
         let (account, deadline) = (flight.account.clone(), flight.deadline);
+        let settle_at = flight.settle_at;
+        let expected = self.expected_latency(&route);
         Some(Part {
             key,
             priority: route.priority,
             account,
+            timely_until: settle_at.before(expected.high),
             deadline,
-            length: self.expected_latency(&route).median,
+            length: expected.median,
         })
     }
 }
--- a/decision/tests/load/arrivals.rs
+++ b/decision/tests/load/arrivals.rs
@@ -13,7 +13,7 @@
 use crate::replay::Step;
 use crate::replay::WARM_UP;
 
-/// Time after which a caller repeats a refused request.
+/// Time after which a caller repeats a request without an answer.
 const REPEAT_AFTER: Span = Span::from_ms(2);
 
 /// A client that sends requests on behalf of an account.
@@ -30,7 +30,7 @@
     pub surge_time: (f64, f64),
     /// When its load begins, in seconds.
     pub begins: f64,
-    /// Number of times that a refused request is sent again at once.
+    /// Number of times that a request without an answer is sent again at once.
     pub repeats: u32,
 }
 
