Tests of waiting parts at the gateway

They cover service at the end of a call and of a caller, the order, refusal of late parts, the bound, isolation, the earlier order, and queues that end empty over 300 generated sequences.

--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -25,6 +25,7 @@
 mod state;
 mod stranded;
 mod voters;
+mod waiting;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
