Waiting parts are served in order only where the configuration names accounts

Cause: the order of waiting parts would change how deployments without accounts are served, which nobody asked for there. Change: Discipline::of the catalog's accounts, set with each configuration.

--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -10,6 +10,7 @@
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::feed::Update;
 use wagtailbeam_decision::gateway::Event;
+use wagtailbeam_decision::load::waiting::Discipline;
 use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::rollout::order::Orders;
 
@@ -69,6 +70,8 @@
             match self.dialect.catalog(&document) {
                 Ok(catalog) => {
                     tracing::info!(event = 710, version, "configuration in force");
+                    self.gateway
+                        .set_discipline(Discipline::of(&catalog.accounts));
                     self.step_gateway(Event::Catalog(Arc::new(catalog)));
                     self.update_plan();
                 }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -6,7 +6,8 @@
 //! limits, until the request is answered. The steps are spread over several modules:
 //! `choice` picks replicas, `attempt` sends and retries, `answering` answers callers,
 //! `gathering` serves branches for other entry hosts, `isolation` keeps requests away from
-//! servers that end under them, `queueing` serves parts that wait for capacity, and `listing` applies changes of the replica list.
+//! servers that end under them, `queueing` serves parts that wait for capacity, and `listing`
+//! applies changes of the replica list.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/decision/src/load/waiting.rs
+++ b/decision/src/load/waiting.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use crate::account::Directory;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::name::Name;
@@ -28,6 +29,16 @@
     Fair,
 }
 
+impl Discipline {
+    /// The fair order where a configuration names accounts; callers of others are served as before.
+    pub fn of(accounts: &Directory) -> Discipline {
+        match accounts.is_required() {
+            true => Discipline::Fair,
+            false => Discipline::Timers,
+        }
+    }
+}
+
 /// Identifies a part: its request and its index there.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Key {
--- a/decision/src/queueing.rs
+++ b/decision/src/queueing.rs
@@ -71,7 +71,7 @@
 }
 
 impl Gateway {
-    /// Serves waiting parts this way. To be called before the first request.
+    /// Serves waiting parts this way from now on. Parts that are queued already stay so.
     pub fn set_discipline(&mut self, discipline: Discipline) {
         self.waiting.discipline = discipline;
     }
--- a/decision/tests/tier/waiting.rs
+++ b/decision/tests/tier/waiting.rs
@@ -2,6 +2,7 @@
 //! so.
 
 use bytes::Bytes;
+use wagtailbeam_decision::account::Directory;
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::clock::Span;
@@ -22,6 +23,15 @@
 use crate::check;
 use crate::model::Simulation;
 
+/// Guards against a new order for callers of deployments that name no accounts.
+#[test]
+fn parts_wait_in_order_only_where_accounts_are_named() {
+    let none = Directory::default();
+    let named = Directory::new([]).expect("no accounts left");
+    assert_eq!(Discipline::of(&none), Discipline::Timers);
+    assert_eq!(Discipline::of(&named), Discipline::Fair);
+}
+
 /// Number of calls that the gateway may have open to the two replicas of a shard.
 const CALLS_MAX: u64 = 44;
 
