Hosts close connections to replicas that can't keep one for each host

Cause: each host may open one connection to each replica, whatever its share.

Change: a host whose share is less than one connection closes it after the call, unless rendezvous hashing makes it one of the hosts that keep one (half of the usable connections). Where there are enough connections for all hosts nothing changes.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -64,6 +64,7 @@
             address: call.replica,
             connections_max: connections,
             avoid_stale: false,
+            keep: true,
         };
         let is_json = call.request.method == "GET";
         self.expected.insert(call.ticket, Expected { id, is_json });
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -150,6 +150,8 @@
     pub connections_max: u32,
     /// Whether to reuse only connections that the server is unlikely to be closing.
     pub avoid_stale: bool,
+    /// Whether the connection is kept for further calls.
+    pub keep: bool,
 }
 
 /// Bounds on what a call may buffer.
@@ -254,6 +256,7 @@
             address,
             connections_max,
             avoid_stale,
+            keep,
         } = options;
         let server = self.servers.entry(address).or_default();
         server
@@ -291,6 +294,7 @@
                 biased;
                 _ = cancelled => {}
                 (result, connection) = task => {
+                    let connection = connection.filter(|_| keep);
                     let event = Event::Done { ticket, address, result, connection };
                     drop(events.send(event).await);
                 }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -216,6 +216,7 @@
             address: call.address,
             connections_max: call.connections,
             avoid_stale: call.avoid_stale,
+            keep: call.keep,
         };
         self.calls.insert(call.ticket, (request, call.address));
         self.pool.call(call.ticket, options, outgoing);
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -37,6 +37,7 @@
         address,
         connections_max: 4,
         avoid_stale: false,
+        keep: true,
     };
     let request = Request::builder().uri("/x").header("host", "desk");
     pool.call(
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -197,12 +197,15 @@
             left: Span::from_us(flight.deadline.as_us().saturating_sub(now.as_us())),
             connections: 0,
             avoid_stale: route.repeat == Repeat::Once,
+            keep: false,
         };
         self.count_call(now, endpoint);
         self.count_version_send(now, &service, endpoint, &route.name);
         let connections = self.connections(&service);
+        let keep = self.keeps_connections(endpoint, &service);
         actions.push(Action::Send(Call {
             connections,
+            keep,
             ..call
         }));
         self.calls.insert(
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -21,6 +21,10 @@
 /// Share of a replica's connection limit that the entry hosts use together.
 const CONNECTIONS_USED_SHARE: f64 = 0.85;
 
+/// Share of these connections that hosts keep open between calls, if there are fewer connections
+/// than hosts. The others are for the calls of all hosts.
+const CONNECTIONS_KEPT_SHARE: f64 = 0.5;
+
 /// Share of a cold replica's request limit that the entry hosts use together.
 const COLD_USED_SHARE: f64 = 0.8;
 
@@ -137,10 +141,45 @@
     /// Most connections that this host may open to each replica of a service; at least
     /// one.
     pub(crate) fn connections(&self, service: &Name) -> u32 {
+        let part = self.usable_connections(service) * self.limit_share(service);
+        (part as u32).max(1)
+    }
+
+    /// Connections that all entry hosts together may open to each replica of a service.
+    fn usable_connections(&self, service: &Name) -> f64 {
         let known = self.catalog.services.get(service);
         let all = known.map_or(1, |service| service.connections_max);
-        let part = f64::from(all) * CONNECTIONS_USED_SHARE * self.limit_share(service);
-        (part as u32).max(1)
+        f64::from(all) * CONNECTIONS_USED_SHARE
+    }
+
+    /// Whether this host keeps connections to a replica of a service. Each host may open one, so
+    /// that with more hosts than connections some must close theirs after each call: the replica
+    /// resets what exceeds its limit, and a request on such a connection may count as run.
+    pub(crate) fn keeps_connections(&mut self, id: EndpointId, service: &Name) -> bool {
+        if let Some(known) = self.kept_connections.get(&id) {
+            return *known;
+        }
+        let all = self.usable_connections(service);
+        let keeps = all * self.limit_share(service) >= 1.0 || {
+            let keepers = (all * CONNECTIONS_KEPT_SHARE) as usize;
+            let senders = self.plan.senders(service);
+            senders.contains(&self.settings.address) && self.preferred(id, &senders) < keepers
+        };
+        self.kept_connections.insert(id, keeps);
+        keeps
+    }
+
+    /// Number of hosts that rendezvous hashing prefers to this one for a replica.
+    fn preferred(&self, id: EndpointId, hosts: &[SocketAddr]) -> usize {
+        let Some(endpoint) = self.endpoints.get(&id) else {
+            return hosts.len();
+        };
+        let instance = &endpoint.replica.instance.id;
+        let rank = |host: &SocketAddr| {
+            Digest::of_parts(&[instance.as_bytes(), host.to_string().as_bytes()]).rank()
+        };
+        let own = rank(&self.settings.address);
+        hosts.iter().filter(|host| rank(host) > own).count()
     }
 
     /// Whether a replica is warm, or its cold limit leaves room for a request of this
@@ -175,16 +214,7 @@
         if total >= hosts {
             return total / hosts;
         }
-        let Some(endpoint) = self.endpoints.get(&id) else {
-            return 0;
-        };
-        let instance = &endpoint.replica.instance.id;
-        let rank = |host: &SocketAddr| {
-            Digest::of_parts(&[instance.as_bytes(), host.to_string().as_bytes()]).rank()
-        };
-        let own = rank(&self.settings.address);
-        let preferred = senders.iter().filter(|host| rank(host) > own).count();
-        u32::from((preferred as u32) < total)
+        u32::from(self.preferred(id, &senders) < total as usize)
     }
 
     /// Time for which a started replica of the service is cold.
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -175,6 +175,8 @@
     /// Whether a kept connection that may be about to close must not be used. Set for
     /// requests that may run only once.
     pub avoid_stale: bool,
+    /// Whether the connection may be kept for further calls.
+    pub keep: bool,
 }
 
 /// Result of a call.
@@ -300,6 +302,9 @@
     /// This host's share of the request rate of a cold replica, cached until the plan
     /// changes.
     pub(crate) cold_shares: HashMap<EndpointId, u32>,
+    /// Whether this host keeps connections to a replica, cached until the plan or the limits
+    /// change.
+    pub(crate) kept_connections: HashMap<EndpointId, bool>,
     /// Latencies by route.
     pub(crate) latencies: HashMap<Name, Latency>,
     /// Latencies by route and service of routes with several weighted services.
@@ -348,6 +353,7 @@
             endpoint_ids: HashMap::new(),
             pools: HashMap::new(),
             cold_shares: HashMap::new(),
+            kept_connections: HashMap::new(),
             latencies: HashMap::new(),
             service_latencies: HashMap::new(),
             estimator: Estimator::default(),
@@ -432,6 +438,7 @@
                 let routes = catalog.routes.iter().map(|route| &**route);
                 self.throttle.set_routes(routes);
                 self.catalog = catalog;
+                self.kept_connections.clear();
                 self.update_shares(now);
             }
             Event::Fleet(fleet, read) => self.update_fleet(now, &fleet, read, &mut actions),
@@ -441,6 +448,7 @@
             Event::Plan(plan) => {
                 self.plan = plan;
                 self.cold_shares.clear();
+                self.kept_connections.clear();
                 self.update_shares(now);
             }
             Event::Tick => self.tick(now, &mut actions),
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -4,6 +4,7 @@
 mod allowance;
 mod catalog;
 mod cluster;
+mod connections;
 mod endpoint;
 mod fanout;
 mod fatal;
