Count requests by client account, and log refused keys once a second

Operators could not tell which account is admitted or refused, and each refused key took one of the 60 lines a second that all requests not served in full share.

The counter wagtailbeam_account_requests_total has the 20 accounts with the most requests by name and the rest as `other`; no series decreases. The counter wagtailbeam_unknown_keys_total counts answers 401. Line 752, at most one a second, counts the refused keys since the line before and replaces their lines 700. Line 725 (orders of older builds with unknown keys) now counts against the limit of lines.

--- a/adapter/src/admission.rs
+++ b/adapter/src/admission.rs
@@ -13,6 +13,7 @@
 use wagtailbeam_decision::account::quota::Gate;
 use wagtailbeam_decision::account::quota::Settings;
 use wagtailbeam_decision::account::token;
+use wagtailbeam_decision::account::usage::Verdict;
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::branch;
@@ -39,9 +40,13 @@
         let path = request.target.path();
         let routed = self.gateway.catalog().route(&request.host, path).is_some();
         let account = request.account.as_ref().filter(|_| routed);
-        let Some(account) = account.filter(|account| account.quota.is_some()) else {
+        let Some(account) = account else {
             return self.serve(id, request, Span::ZERO);
         };
+        if account.quota.is_none() {
+            self.tally.count(&account.name, Verdict::Admitted);
+            return self.serve(id, request, Span::ZERO);
+        }
         let now = self.now();
         let confirmed = self.subscriber.is_fresh(now);
         let actions = self.gate.start(now, id, account, confirmed);
@@ -73,7 +78,7 @@
             return;
         };
         let request = pending.request.clone();
-        self.meter.quota_decided("admitted");
+        self.count_decided(&request, Verdict::Admitted);
         self.serve(id, &request, waited);
     }
 
@@ -82,11 +87,11 @@
             return;
         };
         let request = pending.request.clone();
-        let (refusal, result) = match cause {
-            Cause::Empty(_) => (Refusal::OverQuota, "refused"),
-            Cause::Silent | Cause::Crowded => (Refusal::NotRun, "unavailable"),
+        let (refusal, verdict) = match cause {
+            Cause::Empty(_) => (Refusal::OverQuota, Verdict::Refused),
+            Cause::Silent | Cause::Crowded => (Refusal::NotRun, Verdict::Unavailable),
         };
-        self.meter.quota_decided(result);
+        self.count_decided(&request, verdict);
         if let Some(account) = &request.account {
             self.logger.quota_refused(&account.name, cause, wait);
         }
@@ -97,6 +102,14 @@
         self.answer_caller(id, Answer::Refused(refusal, Some(wait)), &report);
     }
 
+    /// Counts a request of an account with a quota by what became of it.
+    fn count_decided(&mut self, request: &Request, verdict: Verdict) {
+        self.meter.quota_decided(verdict);
+        if let Some(account) = &request.account {
+            self.tally.count(&account.name, verdict);
+        }
+    }
+
     /// Answers another host's request for tokens.
     pub(crate) fn answer_token(&mut self, from: SocketAddr, request: &token::Request) {
         let action = self.gate.answer(self.now(), from, request);
--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -184,7 +184,7 @@
             }
         };
         let Some(request) = request.map(Arc::new) else {
-            return tracing::warn!(event = 725, %from, "order of an older build with an unknown key");
+            return self.logger.order_refused(from);
         };
         self.send_branch(from, branch::Message::Confirmed(order.id));
         let branch = gateway::Branch {
--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -122,7 +122,7 @@
             }
         };
         let Some(request) = request else {
-            tracing::warn!(event = 725, %from, "order of an older build with an unknown key");
+            self.logger.order_refused(from);
             return self.send_branch(from, branch::Message::RelayDeclined(relay));
         };
         self.send_branch(from, branch::Message::RelayConfirmed(relay));
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -60,6 +60,7 @@
 use crate::pool::Response;
 use crate::readiness;
 use crate::signal::Signal;
+use crate::tally::Tally;
 
 /// Capacity of each channel to the event loop, in events.
 const CHANNEL_CAPACITY: usize = 8_192;
@@ -117,6 +118,7 @@
     pub(crate) relay: Relay,
     /// Admits callers' requests within the quotas of their accounts.
     pub(crate) gate: Gate,
+    pub(crate) tally: Tally,
     /// Request number of each relayed request accepted, by the host that sent it.
     pub(crate) relayed: BTreeMap<(SocketAddr, RelayId), u64>,
     /// Request number of each order accepted, by the host that placed it.
@@ -199,6 +201,7 @@
     tracing::info!(event = 100, host = %settings.name, domain = %settings.domain, role = "entry", "daemon started");
     let mut driver = Driver {
         gateway,
+        tally: Tally::new(&exporter)?,
         gate: admission::gate(&settings, own.clone(), seed),
         fanout: Fanout::new(fanout::Settings { host: own, seed }),
         relay: Relay::new(seed),
@@ -368,6 +371,7 @@
             self.entry_hosts.len(),
             self.pool.open_connections(),
         );
+        self.log_refused_keys();
         self.meter
             .set_limited_replicas(self.gateway.limited_replicas());
         for usage in self.gateway.take_usage() {
--- a/adapter/src/identity.rs
+++ b/adapter/src/identity.rs
@@ -83,7 +83,10 @@
             .route(&request.host, request.target.path());
         let route = route.map(|route| route.name.clone());
         let answer = match self.feed_fresh {
-            true => Answer::Refused(Refusal::UnknownKey, None),
+            true => {
+                self.count_unknown(request, route.clone());
+                Answer::Refused(Refusal::UnknownKey, None)
+            }
             false => Answer::Refused(Refusal::NotRun, Some(RETRY_AFTER_UNCONFIRMED)),
         };
         let report = self.gateway.report_unsent(self.now(), route);
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -119,6 +119,7 @@
         let now = self.now();
         self.gate
             .configure(now, &catalog.accounts, &self.entry_hosts);
+        self.tally.retain(&catalog.accounts);
         let plan = Arc::new(Plan::new(&catalog, &self.entry_hosts));
         self.fanout.configure(catalog, plan.clone());
         self.step_gateway(Event::Plan(plan));
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -146,8 +146,11 @@
         allowed
     }
 
-    /// Logs the answer to a caller.
+    /// Logs the answer to a caller. Requests with unknown keys have a line of their own.
     pub fn request_answered(&mut self, id: LogId<'_>, outcome: Outcome, report: &Report) {
+        if outcome == Outcome::UnknownKey {
+            return;
+        }
         let served = matches!(outcome, Outcome::Relayed | Outcome::Complete);
         if !self.admit(served) {
             return;
@@ -297,6 +300,13 @@
         }
     }
 
+    /// Logs an order or relayed request of an older build whose key no account holds.
+    pub fn order_refused(&mut self, from: SocketAddr) {
+        if self.admit(false) {
+            tracing::warn!(event = 725, %from, "order of an older build with an unknown key");
+        }
+    }
+
     /// Logs that a replica said in an answer that it is leaving.
     pub fn replica_leaves(&mut self, service: &str, replica: &str) {
         if self.admit(true) {
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -24,6 +24,7 @@
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
 use wagtailbeam_decision::account;
+use wagtailbeam_decision::account::usage::Verdict;
 use wagtailbeam_decision::answer::Extra;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::endpoint::Ending;
@@ -47,7 +48,7 @@
 
 /// The metrics registry of one process and the meter that creates its instruments.
 pub struct Exporter {
-    registry: Registry,
+    pub(crate) registry: Registry,
     /// Kept alive as long as the registry.
     _provider: SdkMeterProvider,
     meter: Meter,
@@ -128,6 +129,7 @@
     relayed: Counter<u64>,
     quota: Counter<u64>,
     tokens: Counter<u64>,
+    unknown_keys: Counter<u64>,
 }
 
 impl Entry {
@@ -156,6 +158,7 @@
             relayed: meter.u64_counter("wagtailbeam_requests_relayed").build(),
             quota: meter.u64_counter("wagtailbeam_quota_requests").build(),
             tokens: meter.u64_counter("wagtailbeam_token_requests").build(),
+            unknown_keys: meter.u64_counter("wagtailbeam_unknown_keys").build(),
         }
     }
 
@@ -196,8 +199,14 @@
     }
 
     /// Counts a request of an account with a quota by whether it was admitted.
-    pub fn quota_decided(&self, result: &'static str) {
-        self.quota.add(1, &[KeyValue::new("result", result)]);
+    pub fn quota_decided(&self, verdict: Verdict) {
+        self.quota
+            .add(1, &[KeyValue::new("result", verdict.to_string())]);
+    }
+
+    /// Counts a request that was answered 401 because no account holds its key.
+    pub fn key_refused(&self) {
+        self.unknown_keys.add(1, &[]);
     }
 
     /// Counts a request for tokens to another host by how it ended.
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -6,8 +6,10 @@
 
 pub mod home;
 pub mod quota;
+pub mod refusals;
 mod shortage;
 pub mod token;
+pub mod usage;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -24,6 +24,7 @@
 mod rotation;
 mod state;
 mod stranded;
+mod usage;
 mod voters;
 
 use quickcheck::Gen;
