Add the command `wagtailbeam accounts`, which shows accounts as one host sees them

Operators had no way to see the accounts that a host knows, nor the state of a quota.

It needs no key, and the report has no keys and no digests of them.

--- a/adapter/src/cli.rs
+++ b/adapter/src/cli.rs
@@ -23,6 +23,7 @@
 use wagtailbeam_decision::parse;
 use wagtailbeam_decision::register::Acceptance;
 
+use crate::accounts;
 use crate::admin::Applied;
 use crate::client::Client;
 use crate::client::Error;
@@ -185,6 +186,7 @@
         .subcommand(explain)
         .subcommand(report)
         .subcommand(digest)
+        .subcommand(accounts::command())
 }
 
 /// Runs `future` on a single-threaded runtime. Blocking tasks that are still running afterwards
@@ -334,6 +336,10 @@
         Some(("status", sub)) => status(sub).await,
         Some(("explain", sub)) => explain(sub).await,
         Some(("digest", sub)) => digest(sub),
+        Some((accounts::NAME, sub)) => {
+            accounts::run(sub, daemon_address(sub)).await?;
+            Ok(EXIT_OK)
+        }
         Some(("report", report)) => match report.subcommand() {
             Some(("burn", sub)) => burn(sub).await,
             _ => Ok(EXIT_FAULTY),
@@ -363,14 +369,17 @@
         .cloned()
         .unwrap_or_default();
     let key = read_file(&path)?.trim().to_owned();
-    let fallback = SocketAddr::from(([127, 0, 0, 1], 7002));
-    let address = matches
-        .get_one::<SocketAddr>("daemon")
-        .copied()
-        .unwrap_or(fallback);
+    let address = daemon_address(matches);
     Ok(Client { address, key })
 }
 
+/// The address of the daemon named on the command line.
+fn daemon_address(matches: &ArgMatches) -> SocketAddr {
+    let fallback = SocketAddr::from(([127, 0, 0, 1], 7002));
+    let address = matches.get_one::<SocketAddr>("daemon");
+    address.copied().unwrap_or(fallback)
+}
+
 fn print_json<T: Serialize>(value: &T) {
     println!(
         "{}",
--- a/adapter/src/client.rs
+++ b/adapter/src/client.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use wagtailbeam_decision::trace::Trace;
 
+use crate::accounts;
 use crate::admin::Applied;
 use crate::admin::Burn;
 use crate::status::Status;
@@ -75,7 +76,7 @@
 pub struct Client {
     /// Address of the operators' port.
     pub address: SocketAddr,
-    /// The operators' bearer key.
+    /// The operators' bearer key; empty for calls that need none.
     pub key: String,
 }
 
@@ -128,11 +129,14 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, driver) = handshake.map_err(|error| unreachable(error.to_string()))?;
         let driver = tokio::spawn(driver);
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header(header::HOST, self.address.to_string())
-            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(header::HOST, self.address.to_string());
+        if !self.key.is_empty() {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        }
+        let request = request
             .body(Full::new(body))
             .map_err(|error| unreachable(error.to_string()))?;
         let response = sender.send_request(request).await;
@@ -168,6 +172,11 @@
         self.call(Method::GET, "/burn", Bytes::new()).await
     }
 
+    /// The client accounts as an entry host of a discovered tier sees them.
+    pub async fn accounts(&self) -> Result<accounts::Report> {
+        self.call(Method::GET, accounts::PATH, Bytes::new()).await
+    }
+
     /// Waits until all daemons have at least `version` in force, but no longer than `limit`.
     /// Returns how many daemons have the version, and the number of daemons.
     pub async fn wait_in_force(&self, version: u64, limit: Duration) -> (usize, usize) {
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -174,12 +174,17 @@
     let last_id = Arc::new(AtomicU64::new(0));
     let ingress = Ingress {
         state: published.clone(),
-        events: ingress_sender,
+        events: ingress_sender.clone(),
         dialect: dialect.clone(),
         last_id: last_id.clone(),
     };
     tokio::spawn(ingress::listen(callers, Arc::new(ingress)));
-    tokio::spawn(readiness::listen(readiness, published, dialect.clone()));
+    let checks = readiness::Checks {
+        state: published,
+        events: ingress_sender,
+        dialect: dialect.clone(),
+    };
+    tokio::spawn(readiness::listen(readiness, checks));
     let (mesh, mesh_reports) = Mesh::open(settings.peer, peer);
     let clock = Clock::start();
     let seed = rand::random();
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -36,6 +36,7 @@
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::digest::Digest;
 
+use crate::accounts;
 use crate::dialect::Dialect;
 use crate::http;
 use crate::pool;
@@ -136,6 +137,8 @@
     Request(u64, Box<Request>, oneshot::Sender<Reply>),
     /// The caller of the request with this number disconnected.
     Abandoned(u64),
+    /// An operator asks for the client accounts.
+    Accounts(oneshot::Sender<accounts::Report>),
 }
 
 /// Shared context of all caller connections.
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -36,13 +36,14 @@
 //!
 //! `inbound` handles what voters and other entry hosts send. A voter reads the list of replicas
 //! with [`discovery`], and operators connect to its [`operator`] port. [`meter`] and [`logging`]
-//! hold the metrics and the log of this mode.
+//! hold the metrics and the log of this mode, [`accounts`] what operators see of client accounts.
 //!
 //! # Both modes
 //!
 //! Voters store their records with [`store`], through the writer thread of [`disk`]. [`peer`],
 //! [`wire`], [`pool`], [`http`], [`socket`] and [`signal`] are used in both modes.
 
+pub mod accounts;
 pub mod admin;
 mod admission;
 mod aggregate;
--- a/adapter/src/readiness.rs
+++ b/adapter/src/readiness.rs
@@ -1,26 +1,40 @@
-//! The HTTP listener for the balancer's readiness checks of an entry host.
+//! The HTTP listener for the balancer's readiness checks of an entry host, and for the operators'
+//! reports.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::accounts;
 use crate::dialect::Dialect;
 use crate::http;
+use crate::ingress;
 use crate::ingress::State;
 
+/// Context of each connection.
+#[derive(Clone)]
+pub(crate) struct Checks {
+    /// State published by the event loop.
+    pub(crate) state: watch::Receiver<State>,
+    /// Channel to the event loop.
+    pub(crate) events: mpsc::Sender<ingress::Event>,
+    /// Paths of the platform.
+    pub(crate) dialect: Arc<dyn Dialect>,
+}
+
 /// Answers readiness checks with 200 if the published state is ready, else 503.
-pub async fn listen(
-    listener: TcpListener,
-    state: watch::Receiver<State>,
-    dialect: Arc<dyn Dialect>,
-) {
+pub(crate) async fn listen(listener: TcpListener, checks: Checks) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -30,15 +44,10 @@
                 continue;
             }
         };
-        let (state, dialect) = (state.clone(), dialect.clone());
-        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-            let is_readiness = dialect.is_readiness(request.uri().path());
-            let reply = match (is_readiness, state.borrow().ready) {
-                (false, _) => http::text(StatusCode::NOT_FOUND, "no such page\n"),
-                (true, true) => http::text(StatusCode::OK, "ready\n"),
-                (true, false) => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            };
-            async move { Ok::<_, std::convert::Infallible>(reply) }
+        let checks = Arc::new(checks.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let checks = checks.clone();
+            async move { Ok::<_, Infallible>(checks.handle(request).await) }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -48,3 +57,19 @@
         });
     }
 }
+
+impl Checks {
+    async fn handle(&self, request: Request<Incoming>) -> http::Reply {
+        let path = request.uri().path();
+        if self.dialect.is_readiness(path) {
+            return match self.state.borrow().ready {
+                true => http::text(StatusCode::OK, "ready\n"),
+                false => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            };
+        }
+        match path == accounts::PATH && request.method() == Method::GET {
+            true => accounts::reply(&self.events).await,
+            false => http::text(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+}
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -56,6 +56,11 @@
                     false => self.refuse_unknown(id, &request),
                 }
             }
+            ingress::Event::Accounts(answer) => {
+                if answer.send(self.report_accounts()).is_err() {
+                    tracing::debug!("operator disconnected before the accounts were sent");
+                }
+            }
             ingress::Event::Abandoned(id) => {
                 if let Some(pending) = self.pending.remove(&id) {
                     let id = log_id(&pending.request);
--- a/adapter/src/tally.rs
+++ b/adapter/src/tally.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Requests at this host since its process started.
+    pub(crate) fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
     /// Adds the series of an account to the others and removes it, so that no sum decreases.
     fn merge(&self, account: &str) {
         for verdict in [Verdict::Admitted, Verdict::Refused, Verdict::Unavailable] {
--- a/bins/tests/processes/accounts.rs
+++ b/bins/tests/processes/accounts.rs
@@ -23,7 +23,7 @@
 /// Time within which a configuration reaches all hosts.
 const SPREAD: Duration = Duration::from_secs(4);
 
-type Heads = Arc<Mutex<Vec<String>>>;
+pub type Heads = Arc<Mutex<Vec<String>>>;
 
 /// Answers each request with success and records its head.
 async fn answer(mut stream: TcpStream, heads: Heads) {
@@ -52,7 +52,7 @@
 }
 
 /// A replica that records the heads of its requests.
-async fn start_recorder(deployment: &Deployment, heads: Heads) -> encode::Replica {
+pub async fn start_recorder(deployment: &Deployment, heads: Heads) -> encode::Replica {
     let listener = TcpListener::bind(deployment.backend_address())
         .await
         .unwrap();
@@ -71,7 +71,7 @@
     }
 }
 
-fn account(name: &str, keys: &[&str]) -> encode::Account {
+pub fn account(name: &str, keys: &[&str]) -> encode::Account {
     encode::Account {
         name: name.into(),
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
--- a/bins/tests/processes/tier.rs
+++ b/bins/tests/processes/tier.rs
@@ -99,15 +99,24 @@
 
     /// Puts the configuration with these accounts into force.
     pub async fn configure(&self, version: u64, accounts: Vec<encode::Account>) {
-        let configuration = encode::Configuration {
+        self.put(self.document(version, accounts)).await;
+    }
+
+    /// The configuration with these accounts.
+    pub fn document(&self, version: u64, accounts: Vec<encode::Account>) -> String {
+        encode::configuration(&encode::Configuration {
             hostname: HOSTNAME.to_owned(),
             accounts: Some(accounts),
             ..self.deployment.configuration(version)
-        };
+        })
+    }
+
+    /// Puts a configuration into force.
+    pub async fn put(&self, document: String) {
         let request = caller::Request {
             method: "PUT".to_owned(),
             path: encode::CONFIGURATION_PATH.to_owned(),
-            body: encode::configuration(&configuration).into(),
+            body: document.into(),
             ..caller::Request::default()
         };
         let started = Instant::now();
--- a/decision/src/account/home.rs
+++ b/decision/src/account/home.rs
@@ -184,6 +184,12 @@
         Outcome::Empty(wait)
     }
 
+    /// Tokens in the bucket of an account; absent if the host is not a home of it.
+    pub fn tokens(&self, now: Time, account: &str) -> Option<f64> {
+        let (_, bucket) = self.buckets.get(account)?;
+        Some(bucket.tokens(now))
+    }
+
     /// Starts all buckets anew if the process was suspended since the last call. Must be called
     /// at least once a second.
     pub fn notice_suspension(&mut self, now: Time) {
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -5,6 +5,7 @@
 //! are kept as digests.
 
 pub mod home;
+pub mod overview;
 pub mod quota;
 pub mod refusals;
 mod shortage;
--- a/decision/src/account/quota.rs
+++ b/decision/src/account/quota.rs
@@ -138,7 +138,7 @@
     own: Host,
     terms: Terms,
     map: Map,
-    buckets: Buckets,
+    pub(super) buckets: Buckets,
     waiting: BTreeMap<RequestId, Waiting>,
     /// Homes that did not answer, and until when they are tried last.
     avoided: BTreeMap<SocketAddr, Time>,
--- a/decision/src/quota.rs
+++ b/decision/src/quota.rs
@@ -379,7 +379,7 @@
     }
 
     /// Tokens now.
-    fn tokens(&self, now: Time) -> f64 {
+    pub fn tokens(&self, now: Time) -> f64 {
         (self.tokens + self.accrued(now)).min(self.share.burst)
     }
 
--- a/decision/tests/tier/quota/mod.rs
+++ b/decision/tests/tier/quota/mod.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod gate;
 mod model;
+mod overview;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -65,9 +65,12 @@
 /// Port of voters for operators.
 const OPERATOR_PORT: u16 = 8_106;
 
-/// Port of entry hosts for readiness probes.
+/// Port of entry hosts for readiness probes and operators' reports.
 const READY_PORT: u16 = 8_108;
 
+/// Port of entry hosts for metrics.
+const METRICS_PORT: u16 = 7_390;
+
 /// Runs of one process that may be under way at the same time, each in a network of its own.
 const RUNS_AT_ONCE_MAX: u8 = 16;
 
@@ -142,6 +145,16 @@
         address(self.network, FIRST_ENTRY + entry as u8, CALLER_PORT)
     }
 
+    /// The address of an entry host for readiness probes and operators' reports.
+    pub fn ready_address(&self, entry: usize) -> SocketAddr {
+        address(self.network, FIRST_ENTRY + entry as u8, READY_PORT)
+    }
+
+    /// The address of an entry host for metrics.
+    pub fn metrics_address(&self, entry: usize) -> SocketAddr {
+        address(self.network, FIRST_ENTRY + entry as u8, METRICS_PORT)
+    }
+
     /// The configuration with this version; versions differ in nothing else.
     pub fn configuration(&self, version: u64) -> Configuration {
         Configuration {
@@ -191,7 +204,7 @@
         format!(
             "[host]\nname = entry-{index}\ndomain = {domain}\nrole = entry\n\
              [listen]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
-             peer = {ip}:{ENTRY_PORT}\n\
+             peer = {ip}:{ENTRY_PORT}\nmetrics = {ip}:{METRICS_PORT}\n\
              [voters]\nseeds = {seeds}\nport = {VOTER_PORT}\nlosses = 2\n\
              [list]\naddress = {list}\nlag = 500ms\n\
              [extra]\nratio = {EXTRA_RATIO}\nslack = {EXTRA_SLACK}\nwindow = 10s\n\
