--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -4,6 +4,7 @@
 
 mod accounts;
 mod accounts_report;
+mod accounts_scale;
 mod faults;
 mod harness;
 mod lifecycle;
--- a/decision/tests/tier/quota/mod.rs
+++ b/decision/tests/tier/quota/mod.rs
@@ -2,6 +2,7 @@
 
 mod bound;
 mod gate;
+mod messages;
 mod model;
 mod overview;
 
