Callers of an operators' file are accounts, looked up in the same directory

Groups with a settings file had a type of their own, manifest::Caller, and searched all callers for a key at each request.

account::Account gains the services that an account may use and an optional weight, and manifest::Manifest::callers is an account::Directory, whose lookup by key takes constant time in both kinds of group. The callers' serialized form is unchanged, as clients and daemons of different builds exchange it. References to undeclared services are checked with the keys, so that callers with the same key still have all their faults reported.

--- a/adapter/src/cli.rs
+++ b/adapter/src/cli.rs
@@ -409,7 +409,7 @@
                 manifest.services.len(),
                 shards.sum::<usize>(),
                 manifest.domains.len(),
-                manifest.callers.len()
+                manifest.callers.accounts().count()
             );
         }
         Err(faults) if matches.get_flag("json") => {
--- a/adapter/src/frontend.rs
+++ b/adapter/src/frontend.rs
@@ -28,6 +28,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use wagtailbeam_decision::account::Credential;
+use wagtailbeam_decision::account::Identity;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::manifest::Manifest;
 use wagtailbeam_decision::name::Name;
@@ -275,9 +277,10 @@
                 detail,
             ));
         }
-        let caller =
-            http::bearer_digest(&head.headers).and_then(|key| view.manifest.caller_by_key(&key));
-        let Some(caller) = caller else {
+        let key = http::bearer_digest(&head.headers);
+        let credential = key.map_or(Credential::Unusable, Credential::Key);
+        let identity = view.manifest.callers.identify(false, credential);
+        let Identity::Account(caller) = identity else {
             let detail = "a known bearer key is needed";
             return Err(rejection(
                 StatusCode::UNAUTHORIZED,
--- a/adapter/tests/documents.rs
+++ b/adapter/tests/documents.rs
@@ -5,8 +5,13 @@
 
 use std::collections::BTreeSet;
 
+use serde_json::json;
 use wagtailbeam_adapter::event::Event;
 use wagtailbeam_adapter::settings::Config;
+use wagtailbeam_decision::account::Credential;
+use wagtailbeam_decision::account::Identity;
+use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::manifest::Manifest;
 use wagtailbeam_decision::parse;
 
 /// Text of a file in `tests/data`.
@@ -47,6 +52,56 @@
     insta::assert_snapshot!("manifest_faults", lines.join("\n"));
 }
 
+/// Guards against clients and daemons of different builds that don't understand each other's
+/// callers, and against callers that lose their weight, key or services on the way.
+#[test]
+fn callers_keep_their_serialized_form() {
+    let (gate, desk) = (Digest::of(b"key-of-gate"), Digest::of(b"key-of-desk"));
+    let text = format!(
+        "[manifest]\nversion = 1\n[domain a]\nstate = in\n\
+         [caller gate]\nkey_digest = {gate}\nservices = desk\nweight = 7\n\
+         [caller desk]\nkey_digest = {desk}\nservices = desk\n\
+         [service desk]\nshard.00 = 10.0.0.1:80@a\n"
+    );
+    let manifest = parse::manifest(&text).unwrap();
+    let value = serde_json::to_value(&manifest).unwrap();
+    let caller = |name: &str, key: Digest, weight: u32| json!({"name": name, "key": key.to_string(), "services": ["desk"], "weight": weight});
+    let expected = json!({"desk": caller("desk", desk, 1), "gate": caller("gate", gate, 7)});
+    assert_eq!(value["callers"], expected);
+    let read = serde_json::from_value::<Manifest>(value).unwrap();
+    let identity = read.callers.identify(false, Credential::Key(gate));
+    let Identity::Account(account) = identity else {
+        panic!("{identity:?}");
+    };
+    assert_eq!((&*account.name, account.weight()), ("gate", 7));
+    assert!(account.may_use("desk") && !account.may_use("gate"));
+}
+
+/// Guards against a file without callers that serves whoever comes, and against a fault of one
+/// caller that hides those of others.
+#[test]
+fn callers_need_a_key_of_their_own_and_declared_services() {
+    let empty = parse::manifest("[manifest]\nversion = 1\n").unwrap();
+    for credential in [Credential::Unusable, Credential::Key(Digest::default())] {
+        assert_eq!(empty.callers.identify(false, credential), Identity::Unknown);
+    }
+    let key = Digest::of(b"shared");
+    let caller = |name: &str| format!("[caller {name}]\nkey_digest = {key}\nservices = none\n");
+    let text = format!(
+        "[manifest]\nversion = 1\n{}{}",
+        caller("gate"),
+        caller("desk")
+    );
+    let faults = parse::manifest(&text).unwrap_err();
+    let faults = faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let expected = [
+        "3: [caller gate] services: service 'none' is not declared",
+        "6: [caller desk] key_digest: another caller has the same key digest",
+        "6: [caller desk] services: service 'none' is not declared",
+    ];
+    assert_eq!(faults, expected);
+}
+
 #[test]
 fn example_files_are_valid() {
     for (name, services) in [("loungepass.ini", 4), ("freshwater.ini", 4)] {
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! A configuration may declare accounts. The host that a caller reached looks the request's key up
 //! in its [`Directory`]; other hosts and the backend servers are told the account's name only. Keys
-//! are kept as digests.
+//! are kept as digests. Both kinds of group use the same type: the callers of an operators' file
+//! are accounts with one key, a weight and the services that they may use.
 
+pub(crate) mod callers;
 pub mod home;
 pub mod overview;
 pub mod quota;
@@ -24,6 +26,9 @@
 /// Longest name of an account, in bytes.
 const NAME_MAX_BYTES: usize = 256;
 
+/// Weight of an account that sets none.
+const WEIGHT_DEFAULT: u32 = 1;
+
 /// Quota of an account, over all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quota {
@@ -44,6 +49,10 @@
     pub priority: Option<u32>,
     /// Limit on its requests; absent without one.
     pub quota: Option<Quota>,
+    /// Services that it may use in a group with a settings file; discovered tiers grant all.
+    pub services: Vec<Name>,
+    /// Weight in fair sharing, from 1 to 1000, in a group with a settings file; 1 if absent.
+    pub weight: Option<u32>,
 }
 
 /// What a request says of its caller.
@@ -168,6 +177,16 @@
 }
 
 impl Account {
+    /// Whether the account may use `service` in a group with a settings file.
+    pub fn may_use(&self, service: &str) -> bool {
+        self.services.iter().any(|granted| **granted == *service)
+    }
+
+    /// Weight in fair sharing.
+    pub fn weight(&self) -> u32 {
+        self.weight.unwrap_or(WEIGHT_DEFAULT)
+    }
+
     fn check(&self) -> Result<()> {
         let length_ok = !self.name.is_empty() && self.name.len() <= NAME_MAX_BYTES;
         if !length_ok || !self.name.bytes().all(|byte| byte.is_ascii_graphic()) {
--- a/decision/src/entry.rs
+++ b/decision/src/entry.rs
@@ -197,11 +197,8 @@
             Some(shards) => shards,
             None => return vec![Action::Answer(id, refusal(Cause::NoOwner, Ran::No))],
         };
-        let weight = self
-            .manifest
-            .callers
-            .get(&request.caller)
-            .map_or(1, |caller| caller.weight);
+        let account = self.manifest.callers.by_name(&request.caller);
+        let weight = account.map_or(1, |account| account.weight());
         let caller = request.caller.clone();
         if !self
             .service_state(&service)
--- a/decision/src/manifest.rs
+++ b/decision/src/manifest.rs
@@ -9,8 +9,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::Directory;
+use crate::account::callers;
 use crate::clock::Span;
-use crate::digest::Digest;
 use crate::name::Name;
 
 /// Whether new work may go to a failure domain or host.
@@ -130,19 +131,6 @@
     pub objective: Objective,
 }
 
-/// A caller, its key and the services that it may use.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Caller {
-    /// Name, unique in the file.
-    pub name: Name,
-    /// Digest of the caller's bearer key.
-    pub key: Digest,
-    /// Services that the caller may use.
-    pub services: Vec<Name>,
-    /// Weight in fair sharing, from 1 to 1000.
-    pub weight: u32,
-}
-
 /// A host on which a daemon may run.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Host {
@@ -162,8 +150,9 @@
     /// Hosts of daemons, as far as they are declared. A host that isn't declared is in
     /// service.
     pub hosts: BTreeMap<Name, Host>,
-    /// Callers by name.
-    pub callers: BTreeMap<Name, Caller>,
+    /// Accounts of the callers, each with one key.
+    #[serde(with = "callers")]
+    pub callers: Directory,
     /// Services by name.
     pub services: BTreeMap<Name, Service>,
 }
@@ -174,11 +163,6 @@
         self.domains.get(domain) != Some(&State::Out)
     }
 
-    /// The caller whose key has this digest.
-    pub fn caller_by_key(&self, key: &Digest) -> Option<&Caller> {
-        self.callers.values().find(|caller| caller.key == *key)
-    }
-
     /// Whether a daemon on `host` in `domain` may own replicas: both must be in service.
     pub fn may_own(&self, host: &str, domain: &str) -> bool {
         let host_in_service = self
@@ -188,10 +172,3 @@
         host_in_service && self.is_domain_in_service(domain)
     }
 }
-
-impl Caller {
-    /// Whether the caller may use `service`.
-    pub fn may_use(&self, service: &str) -> bool {
-        self.services.iter().any(|granted| **granted == *service)
-    }
-}
--- a/decision/src/parse.rs
+++ b/decision/src/parse.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::account::Account;
+use crate::account::Directory;
 use crate::clock::Span;
 use crate::ini::Document;
 use crate::ini::Result;
@@ -15,7 +17,6 @@
 use crate::ini::in_range;
 use crate::ini::ratio;
 use crate::ini::span;
-use crate::manifest::Caller;
 use crate::manifest::Hedge;
 use crate::manifest::Host;
 use crate::manifest::Limits;
@@ -59,6 +60,10 @@
     let hosts = parse_named(&mut document, "host", parse_host);
     let callers = parse_named(&mut document, "caller", parse_caller);
     let services = parse_named(&mut document, "service", parse_service);
+    let services = services
+        .into_iter()
+        .map(|(name, _, service)| (name, service))
+        .collect();
     let manifest = Manifest {
         version: version.unwrap_or_default(),
         domains: domains
@@ -69,11 +74,8 @@
             .into_iter()
             .map(|(name, _, host)| (name, host))
             .collect(),
-        callers: check_callers(&mut document, callers),
-        services: services
-            .into_iter()
-            .map(|(name, _, service)| (name, service))
-            .collect(),
+        callers: check_callers(&mut document, callers, &services),
+        services,
     };
     check_references(&mut document, &manifest, text);
     document.finish(Some(manifest), SECTIONS)
@@ -145,7 +147,7 @@
     document: &mut Document,
     section: &mut Section,
     name: &Name,
-) -> (Option<Caller>, &'static str) {
+) -> (Option<Account>, &'static str) {
     const DIGEST: &str = "the BLAKE3 digest of the key in 64 hexadecimal digits";
     let key = section.required(document, "key_digest", DIGEST, from_str);
     let services = section.required(
@@ -155,11 +157,12 @@
         parse_names,
     );
     let weight = section.optional(document, "weight", "1 to 1000", in_range(1, 1_000));
-    let caller = key.zip(services).map(|(key, services)| Caller {
+    let caller = key.zip(services).map(|(key, services)| Account {
         name: name.clone(),
-        key,
+        keys: vec![key],
         services,
-        weight: weight.map_or(1, |weight| weight as u32),
+        weight: weight.map(|weight| weight as u32),
+        ..Account::default()
     });
     (caller, "key_digest, services, weight")
 }
@@ -301,19 +304,30 @@
     })
 }
 
-/// Records a fault for each caller whose key is another caller's as well.
-fn check_callers(document: &mut Document, callers: Named<Caller>) -> BTreeMap<Name, Caller> {
+/// Records a fault for each caller whose key is another caller's as well, and for each service of
+/// a caller that is not declared. Returns the callers; none if their names or keys conflict, which
+/// are faults of the file.
+fn check_callers(
+    document: &mut Document,
+    callers: Named<Account>,
+    services: &BTreeMap<Name, Service>,
+) -> Directory {
     let mut keys = BTreeSet::new();
     for (name, line, caller) in &callers {
-        if !keys.insert(caller.key) {
+        if !caller.keys.iter().all(|key| keys.insert(*key)) {
             let cause = "another caller has the same key digest";
             document.add_fault(*line, &format!("[caller {name}] key_digest"), cause);
         }
     }
-    callers
-        .into_iter()
-        .map(|(name, _, caller)| (name, caller))
-        .collect()
+    for (name, line, caller) in &callers {
+        let unknown = caller.services.iter();
+        for service in unknown.filter(|service| !services.contains_key(*service)) {
+            let cause = format!("service '{service}' is not declared");
+            document.add_fault(*line, &format!("[caller {name}] services"), &cause);
+        }
+    }
+    let callers = callers.into_iter().map(|(_, _, caller)| caller);
+    Directory::new(callers).unwrap_or_default()
 }
 
 /// Records a fault for each name that is used but not declared, and for each replica
@@ -333,17 +347,6 @@
             );
         }
     }
-    for caller in manifest.callers.values() {
-        let unknown = caller
-            .services
-            .iter()
-            .filter(|name| !manifest.services.contains_key(*name));
-        for service in unknown {
-            let heading = format!("[caller {}]", caller.name);
-            let cause = format!("service '{service}' is not declared");
-            document.add_fault(line_of(&heading), &format!("{heading} services"), &cause);
-        }
-    }
     let mut seen = BTreeSet::new();
     for service in manifest.services.values() {
         let heading = format!("[service {}]", service.name);
--- a/decision/tests/properties/entry.rs
+++ b/decision/tests/properties/entry.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 
 use quickcheck::TestResult;
+use wagtailbeam_decision::account::Account;
+use wagtailbeam_decision::account::Directory;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::entry::Action;
 use wagtailbeam_decision::entry::Entry;
-use wagtailbeam_decision::manifest::Caller;
 use wagtailbeam_decision::manifest::Manifest;
 use wagtailbeam_decision::manifest::Replica;
 use wagtailbeam_decision::manifest::Service;
@@ -44,14 +45,14 @@
         deadline_max: Span::from_ms(100),
         ..Service::default()
     };
-    let caller = Caller {
+    let caller = Account {
         name: "a".into(),
-        key: Digest::default(),
+        keys: vec![Digest::default()],
         services: vec!["desk".into()],
-        weight: 1,
+        ..Account::default()
     };
     let services = [(service.name.clone(), service)].into();
-    let callers = [(caller.name.clone(), caller)].into();
+    let callers = Directory::new([caller]).expect("a sound account");
     Arc::new(Manifest {
         version: 1,
         services,
