--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -25,6 +25,7 @@
 mod rotation;
 mod state;
 mod stranded;
+mod usage;
 mod voters;
 mod waiting;
 
--- a/decision/tests/tier/quota/mod.rs
+++ b/decision/tests/tier/quota/mod.rs
@@ -2,7 +2,9 @@
 
 mod bound;
 mod gate;
+mod messages;
 mod model;
+mod overview;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
