tests: the quota model prints which homes granted a window's requests

Cause: the red test of a cut domain that returns before the majority is lost only gave a sum, from which the homes that exceeded the quota can't be told. Change: each demand keeps the home of each request that ran; the test prints the homes of the worst window.

--- a/decision/tests/tier/quota/bound.rs
+++ b/decision/tests/tier/quota/bound.rs
@@ -15,6 +15,7 @@
 use super::model::Model;
 use super::model::Spread;
 use super::terms;
+use super::trace;
 
 /// Length of the windows in which requests are counted.
 const WINDOW: Span = Span::from_secs(5);
@@ -278,6 +279,7 @@
         let quota = demand.account.quota.expect("a quota");
         let (most, allowed) = worst(&demand.ran, &[(Time::default(), quota)]);
         println!("seed {seed}: largest sum {most} of {allowed}");
+        trace::print(demand, WINDOW);
         if most as f64 > allowed {
             beyond.push((seed, most));
         }
--- a/decision/tests/tier/quota/mod.rs
+++ b/decision/tests/tier/quota/mod.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod gate;
 mod model;
+mod trace;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/decision/tests/tier/quota/model.rs
+++ b/decision/tests/tier/quota/model.rs
@@ -12,8 +12,10 @@
 use wagtailbeam_decision::account::Directory;
 use wagtailbeam_decision::account::quota::Action;
 use wagtailbeam_decision::account::quota::Cause;
+use wagtailbeam_decision::account::quota::Ending;
 use wagtailbeam_decision::account::quota::Gate;
 use wagtailbeam_decision::account::token;
+use wagtailbeam_decision::account::token::Outcome;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::plan::Host;
@@ -52,6 +54,8 @@
     pub spread: Spread,
     /// Times at which requests ran.
     pub ran: Vec<Time>,
+    /// Homes that granted these requests.
+    pub homes: Vec<SocketAddr>,
     /// Times at which requests came.
     pub came: Vec<Time>,
     pub refused: u64,
@@ -67,6 +71,7 @@
             sent,
             spread,
             ran: Vec::new(),
+            homes: Vec::new(),
             came: Vec::new(),
             refused: 0,
             unavailable: 0,
@@ -267,19 +272,25 @@
             return;
         }
         let now = self.now;
+        let mut home = host(at).address;
         for action in act(&mut self.nodes[at].gate, now) {
-            self.carry_out(at, action);
+            if let Action::Ended(from, Ending::Answered(Outcome::Granted(_))) = action {
+                home = from;
+            }
+            self.carry_out(at, home, action);
         }
         if let Some(due) = self.nodes[at].gate.next_timer() {
             self.plan(due.since(now), Step::Tick(at));
         }
     }
 
-    fn carry_out(&mut self, at: usize, action: Action) {
+    /// Carries out an action; `home` granted the request that it admits.
+    fn carry_out(&mut self, at: usize, home: SocketAddr, action: Action) {
         match action {
             Action::Admit(id, _) => {
                 if let Some(demand) = self.requests.remove(&id) {
                     self.demands[demand].ran.push(self.now);
+                    self.demands[demand].homes.push(home);
                 }
             }
             Action::Refuse(id, cause, _) => {
