--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -8,6 +8,7 @@
 pub mod quota;
 mod shortage;
 pub mod token;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/decision/src/account/quota.rs
+++ b/decision/src/account/quota.rs
@@ -28,6 +28,8 @@
 use crate::account::token::Request;
 use crate::account::token::TokenId;
 use crate::account::token::Wait;
+use crate::account::waiting::Ask;
+use crate::account::waiting::Waiting;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::gateway::RequestId;
@@ -111,27 +113,6 @@
     Avoid(SocketAddr),
 }
 
-/// A request for tokens under way.
-#[derive(Clone, Copy, Debug)]
-struct Ask {
-    id: TokenId,
-    home: SocketAddr,
-    sent_at: Time,
-}
-
-/// A caller's request without a token.
-#[derive(Clone, Debug)]
-struct Waiting {
-    account: Arc<Account>,
-    arrived: Time,
-    /// Whether the voters confirmed lately that this host's view of the tier is the newest.
-    confirmed: bool,
-    tried: Vec<SocketAddr>,
-    ask: Option<Ask>,
-    /// Shortest wait that a home named, and the home.
-    empty: Option<(Wait, SocketAddr)>,
-}
-
 /// Quotas at one host: as a home, and for its own callers.
 #[derive(Debug)]
 pub struct Gate {
@@ -389,12 +370,3 @@
         self.give_up(now, |ask| ask.sent_at.after(ANSWER_TIMEOUT) <= now)
     }
 }
-
-impl Waiting {
-    fn note_empty(&mut self, wait: Wait, home: SocketAddr) {
-        let known = self.empty.is_none_or(|(known, _)| wait < known);
-        if known {
-            self.empty = Some((wait, home));
-        }
-    }
-}
