tests: quotas on processes while a home is killed and the majority is lost

Cause: on real processes only a frozen host and a lowered quota were tested. Change: two tests of processes. Both check the bound over all phases. soak names the entry hosts' peer addresses; the tests find homes with account::home::Map.

--- a/bins/tests/processes/quota.rs
+++ b/bins/tests/processes/quota.rs
@@ -6,10 +6,14 @@
 use std::time::Instant;
 
 use tokio::sync::watch;
+use wagtailbeam_decision::account::home::Map;
+use wagtailbeam_decision::account::home::Terms;
+use wagtailbeam_decision::plan::Host;
 use wagtailbeam_platform::encode;
 use wagtailbeam_soak::checker;
 use wagtailbeam_soak::deployment;
 use wagtailbeam_soak::deployment::Deployment;
+use wagtailbeam_soak::deployment::VOTERS;
 use wagtailbeam_soak::notice::Notice;
 use wagtailbeam_soak::process::Signal;
 use wagtailbeam_soak::replica;
@@ -42,6 +46,12 @@
 /// Time within which a configuration reaches all hosts.
 const SPREAD: Duration = Duration::from_secs(4);
 
+/// Voters without which there is no majority.
+const MAJORITY: usize = VOTERS / 2 + 1;
+
+/// Time after which entry hosts without a confirmation don't use buckets of their own.
+const UNCONFIRMED: Duration = Duration::from_secs(3);
+
 type Samples = Arc<Mutex<Vec<Sample>>>;
 
 struct Fake {
@@ -135,22 +145,48 @@
     matching.count()
 }
 
+/// Starts a tier whose entry hosts all serve, with the accounts of the test.
+async fn start(name: &str) -> (Tier, Vec<Fake>) {
+    let deployment = Deployment::new(SHARDS, ENTRY_HOSTS);
+    let mut replicas = Vec::new();
+    for index in 0..REPLICAS {
+        replicas.push(start_replica(&deployment, index).await);
+    }
+    let listed = replicas.iter().map(|replica| replica.entry.clone());
+    let settings = format!("[quota]\noverage = {OVERAGE}\nslack = {SLACK}\nwindow = 5s\n");
+    let folder = tier::folder(name);
+    let tier = Tier::start(deployment, &folder, listed.collect(), &settings).await;
+    tier.configure(1, accounts(RATE)).await;
+    tier.wait_serving("free").await;
+    (tier, replicas)
+}
+
+/// Indexes of the limited account's homes, one for each failure domain.
+fn homes(tier: &Tier) -> Vec<usize> {
+    let host = |index| Host {
+        address: tier.deployment.peer_address(index),
+        domain: deployment::domain(index),
+    };
+    let hosts = (0..ENTRY_HOSTS).map(host).collect::<Vec<_>>();
+    let map = Map::new(&Terms::default(), &hosts);
+    let is_home = |host: &Host| map.home(&"limited".into(), &host.domain) == Some(host.address);
+    let all = hosts.iter().enumerate();
+    all.filter(|(_, host)| is_home(host))
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// All entry hosts but this one.
+fn all_but(missing: usize) -> Vec<usize> {
+    (0..ENTRY_HOSTS).filter(|entry| *entry != missing).collect()
+}
+
 /// Guards against a quota that each host keeps by itself, or that a lost home of an account or a
 /// lowered rate breaks, and against refusals of accounts without a quota.
 #[test]
 fn a_quota_holds_over_all_hosts_while_one_is_frozen_and_when_it_is_lowered() {
-    let folder = tier::folder("quota");
     tier::run(async {
-        let deployment = Deployment::new(SHARDS, ENTRY_HOSTS);
-        let mut replicas = Vec::new();
-        for index in 0..REPLICAS {
-            replicas.push(start_replica(&deployment, index).await);
-        }
-        let listed = replicas.iter().map(|replica| replica.entry.clone());
-        let settings = format!("[quota]\noverage = {OVERAGE}\nslack = {SLACK}\nwindow = 5s\n");
-        let mut tier = Tier::start(deployment, &folder, listed.collect(), &settings).await;
-        tier.configure(1, accounts(RATE)).await;
-        tier.wait_serving("free").await;
+        let (mut tier, _replicas) = start("quota").await;
         let all = (0..ENTRY_HOSTS).collect::<Vec<_>>();
 
         let steady = send_for(&tier, Duration::from_secs(7), &all).await;
@@ -175,6 +211,76 @@
     });
 }
 
+/// Guards against a quota of which a part is lost for good, or granted twice, after a home of the
+/// account is killed and when it is back.
+#[test]
+fn a_quota_holds_when_a_home_is_killed_and_started_again() {
+    tier::run(async {
+        let (mut tier, _replicas) = start("quota-home-killed").await;
+        let all = (0..ENTRY_HOSTS).collect::<Vec<_>>();
+        let home = homes(&tier)[0];
+        let steady = send_for(&tier, Duration::from_secs(6), &all).await;
+        check(&steady, RATE, 0.8);
+
+        tier.entries[home].kill().unwrap();
+        let others = all_but(home);
+        let killed = send_for(&tier, Duration::from_secs(7), &others).await;
+        check(&killed, RATE, 0.6);
+        let replaced = send_for(&tier, Duration::from_secs(6), &others).await;
+        check(&replaced, RATE, 0.8);
+
+        tier.entries[home].start().unwrap();
+        let started = send_for(&tier, Duration::from_secs(7), &others).await;
+        check(&started, RATE, 0.8);
+        check_bound(&[steady, killed, replaced, started].concat());
+    });
+}
+
+/// Guards against homes that fall silent one after another while the voters have no majority, and
+/// against a quota that is granted twice meanwhile.
+#[test]
+fn a_quota_can_be_used_while_the_voters_have_no_majority() {
+    tier::run(async {
+        let (mut tier, _replicas) = start("quota-majority-lost").await;
+        let all = (0..ENTRY_HOSTS).collect::<Vec<_>>();
+        let steady = send_for(&tier, Duration::from_secs(6), &all).await;
+        check(&steady, RATE, 0.8);
+
+        for voter in &mut tier.voters[..MAJORITY] {
+            voter.signal(Signal::Stop).unwrap();
+        }
+        tokio::time::sleep(UNCONFIRMED).await;
+        let lost = send_for(&tier, Duration::from_secs(6), &all).await;
+        check(&lost, RATE, 0.8);
+        let mut sent = [steady, lost].concat();
+
+        for home in homes(&tier) {
+            tier.entries[home].signal(Signal::Stop).unwrap();
+            let frozen = send_for(&tier, Duration::from_secs(4), &all_but(home)).await;
+            check(&frozen, RATE, 0.4);
+            tier.entries[home].signal(Signal::Cont).unwrap();
+            let resumed = send_for(&tier, Duration::from_secs(6), &all_but(home)).await;
+            check(&resumed, RATE, 0.8);
+            sent.extend([frozen, resumed].concat());
+        }
+
+        for voter in &mut tier.voters[..MAJORITY] {
+            voter.signal(Signal::Cont).unwrap();
+        }
+        tier.wait_serving("free").await;
+        let regained = send_for(&tier, Duration::from_secs(6), &all).await;
+        check(&regained, RATE, 0.8);
+        check_bound(&[sent, regained].concat());
+    });
+}
+
+/// Checks the bound in all windows of several phases.
+fn check_bound(samples: &[Sample]) {
+    let most = most_in_window(samples);
+    println!("most in a window {most}, bound {}", bound(RATE));
+    assert!(most <= bound(RATE), "{most} in a window");
+}
+
 /// Checks the bound, the smallest share of the requests due under the rate that were served, and
 /// the refusals.
 fn check(samples: &[Sample], rate: f64, share_min: f64) {
--- a/bins/tests/processes/tier.rs
+++ b/bins/tests/processes/tier.rs
@@ -33,7 +33,7 @@
 pub struct Tier {
     pub deployment: Deployment,
     pub entries: Vec<Process>,
-    _voters: Vec<Process>,
+    pub voters: Vec<Process>,
     _list: watch::Sender<list::View>,
 }
 
@@ -91,7 +91,7 @@
         let entries = entries.collect();
         Tier {
             entries,
-            _voters: voters,
+            voters,
             _list: list,
             deployment,
         }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -142,6 +142,11 @@
         address(self.network, FIRST_ENTRY + entry as u8, CALLER_PORT)
     }
 
+    /// The address of an entry host for the other daemons.
+    pub fn peer_address(&self, entry: usize) -> SocketAddr {
+        address(self.network, FIRST_ENTRY + entry as u8, ENTRY_PORT)
+    }
+
     /// The configuration with this version; versions differ in nothing else.
     pub fn configuration(&self, version: u64) -> Configuration {
         Configuration {
