--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -13,6 +13,7 @@
 mod shortage;
 pub mod token;
 pub mod usage;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/decision/tests/tier/quota/mod.rs
+++ b/decision/tests/tier/quota/mod.rs
@@ -5,6 +5,9 @@
 mod messages;
 mod model;
 mod overview;
+mod settled;
+mod single;
+mod trace;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
