--- a/decision/tests/tier/notice.rs
+++ b/decision/tests/tier/notice.rs
@@ -187,6 +187,30 @@
     );
 }
 
+/// The last replica that takes requests sheds one and asks for three seconds, after the other one
+/// did. Guards against a caller that is told to come back at once, or as if no replica were there.
+#[test]
+fn a_request_that_the_last_replica_sheds_is_rejected_for_the_shortest_wait() {
+    let mut simulation = loaded(2);
+    simulation.run(Span::from_secs(2));
+    simulation.set_notice(0, 0, pausing(Span::from_secs(5)));
+    simulation.set_fault(0, 0, Fault::Sheds);
+    simulation.load(2_000_000, 5, "once", Span::from_ms(1));
+    simulation.run(Span::from_ms(500));
+    simulation.answers.clear();
+    simulation.set_notice(0, 1, pausing(Span::from_secs(3)));
+    simulation.set_fault(0, 1, Fault::Sheds);
+    simulation.request(3_000_000, "once", Span::ZERO);
+    simulation.run(Span::from_ms(500));
+    let (answer, _) = &simulation.answers[&3_000_000];
+    let Answer::Refused(Refusal::NotRun, Some(wait)) = answer else {
+        panic!("{answer:?}");
+    };
+    // The pause that is over first, with up to half as much added at random.
+    assert!(*wait >= Span::from_ms(2_900), "{wait:?}");
+    assert!(*wait <= Span::from_ms(4_500), "{wait:?}");
+}
+
 /// Guards against values that keep a server away for days, or that are taken for zero.
 #[test]
 fn times_to_wait_are_parsed_within_bounds() {
