Soak: client accounts whose keys and quotas change under faults

Cause: keys, revocations and quotas were tested without kills, freezes, cuts and lost disks of real processes.

The operator's configurations declare four accounts, revoke and add keys and lower and raise a quota; callers send valid, revoked and never-valid keys with a forged account header. Replicas report keys, account headers and runs; the ledger checks revocation (5 s; extended to 2 s past a freeze or stop of the caller's host or a loss of the voters' majority), secrecy of keys, the account header and the quotas. After a restart of all processes, revoked keys are refused and valid callers within their quotas are served. Without the option nothing is declared or sent.

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -97,3 +97,29 @@
         assert!(report.served > 0, "{report}");
     }
 }
+
+/// Time during which faults are injected in a run of accounts: hosts apply a lowered quota after
+/// 4 s, and requests are counted over 5 s.
+const ACCOUNT_TIME: Duration = Duration::from_secs(12);
+
+/// Guards against revoked keys that are taken, keys that reach replicas, wrong accounts and quotas
+/// that are exceeded, while processes are killed, frozen, wiped and restarted.
+#[test]
+fn accounts_keep_their_keys_and_quotas_under_injected_faults() {
+    for seed in [51, 52] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
+            duration: ACCOUNT_TIME,
+            accounts: true,
+            ..Options::default()
+        };
+        let report = run::run(&options, seed).expect("a run");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.served > 0, "{report}");
+        let accounts = report.accounts.as_ref().expect("accounts");
+        assert!(accounts.revoked > 0, "{report}");
+        for status in [200, 401, 429] {
+            assert!(accounts.statuses.contains_key(&status), "{report}");
+        }
+    }
+}
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -52,6 +52,9 @@
 /// Title of a refusal which says the same of a request that ended replicas before.
 const QUARANTINED_TITLE: &str = "\"quarantined\"";
 
+/// Titles of refusals which say the same of a request without a valid key or beyond its quota.
+const ACCOUNT_TITLES: [&str; 2] = ["\"unknown-key\"", "\"over-quota\""];
+
 type Connection = SendRequest<Empty<Bytes>>;
 
 /// A caller that sends one request at a time.
@@ -76,7 +79,9 @@
 impl Answer {
     /// Whether the answer says that the request did not run.
     fn is_refusal(&self) -> bool {
-        self.has_title(NOT_RUN_TITLE) || self.has_title(QUARANTINED_TITLE)
+        self.has_title(NOT_RUN_TITLE)
+            || self.has_title(QUARANTINED_TITLE)
+            || ACCOUNT_TITLES.iter().any(|title| self.has_title(title))
     }
 
     /// Whether the body of the answer contains this title.
@@ -115,7 +120,7 @@
     }
 
     /// Sends one request to the caller's entry host.
-    async fn send_one(mut self, id: String, is_gather: bool) {
+    pub(crate) async fn send_one(mut self, id: String, is_gather: bool) {
         self.send(&id, is_gather).await;
     }
 
@@ -132,7 +137,7 @@
             true => (Method::GET, "/all/x"),
             false => (Method::POST, "/once/x"),
         };
-        let answer = exchange(&mut connection, method, path, id, &self.headers).await;
+        let answer = exchange(&mut connection, method, path, id, &self.checker).await;
         let Some(answer) = answer else {
             return self.checker.lock().record_outcome(id, Outcome::Failed);
         };
@@ -230,9 +235,10 @@
     method: Method,
     path: &str,
     id: &str,
-    headers: &Headers,
+    checker: &Shared,
 ) -> Option<Answer> {
-    let request = Request::builder()
+    let headers = Dialect::default().headers().clone();
+    let mut request = Request::builder()
         .method(method)
         .uri(path)
         .header(header::HOST, HOSTNAME)
@@ -240,6 +246,7 @@
         .header(&headers.deadline, REQUEST_TIMEOUT.as_millis().to_string())
         .body(Empty::new())
         .ok()?;
+    checker.lock().accounts.sign(id, request.headers_mut());
     let response = async {
         connection.ready().await.ok()?;
         let response = connection.send_request(request).await.ok()?;
@@ -251,12 +258,13 @@
             body,
         })
     };
-    timeout(REQUEST_TIMEOUT, response).await.ok()?
+    let answer = timeout(REQUEST_TIMEOUT, response).await.ok()??;
+    checker.lock().accounts.record_status(id, answer.status);
+    Some(answer)
 }
 
 /// Sends a request that ends each replica which runs it.
 pub async fn send_fatal(address: SocketAddr, path: &str, id: &str, checker: &Shared) {
-    let headers = Dialect::default().headers().clone();
     let Some(mut connection) = connect(address).await else {
         return;
     };
@@ -265,7 +273,7 @@
         false => Method::POST,
     };
     checker.lock().record_sent(id);
-    let answer = exchange(&mut connection, method, path, id, &headers).await;
+    let answer = exchange(&mut connection, method, path, id, checker).await;
     let outcome = match answer {
         Some(answer) if answer.is_refusal() => Outcome::NotRun,
         _ => Outcome::Failed,
@@ -281,7 +289,7 @@
         return false;
     };
     checker.lock().record_sent(id);
-    let answer = exchange(&mut connection, Method::GET, "/all/x", id, &headers).await;
+    let answer = exchange(&mut connection, Method::GET, "/all/x", id, checker).await;
     let none_missing =
         |answer: &Answer| http::header_text(&answer.headers, headers.missing.as_str()) == Some("0");
     answer.is_some_and(|answer| answer.status == 200 && none_missing(&answer))
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::account;
 use crate::deployment::ATTEMPTS_MAX;
 use crate::deployment::EXTRA_RATIO;
 use crate::deployment::EXTRA_SLACK;
@@ -110,6 +111,8 @@
     limited: Vec<Limited>,
     /// What replicas said since the only entry host started or froze, by replica id.
     said: BTreeMap<String, Vec<Said>>,
+    /// Accounts and keys of callers.
+    pub accounts: account::ledger::Ledger,
     violations: Vec<String>,
 }
 
@@ -377,6 +380,7 @@
         self.check_drained(delay_windows);
         self.check_limits();
         self.check_cuts();
+        self.violations.extend(self.accounts.finish());
         std::mem::take(&mut self.violations)
     }
 
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -35,7 +35,7 @@
 
 /// Longest time for which updates of the list may still be late after the end of a fault
 /// that delays them, alone or together with other faults of voters.
-const UPDATE_LAG_MAX: Duration = Duration::from_secs(2);
+pub(crate) const UPDATE_LAG_MAX: Duration = Duration::from_secs(2);
 
 /// Longest time after a fault of an entry host until it serves callers as before.
 const ENTRY_RECOVERY_MAX: Duration = Duration::from_millis(1_500);
@@ -93,7 +93,8 @@
     /// If the options name an older program, every second process runs it.
     pub(crate) async fn start(options: &Options, rng: &mut ChaCha8Rng) -> Result<Cluster> {
         let folder = tempfile::tempdir()?;
-        let deployment = Deployment::random(rng, options.entry_hosts);
+        let mut deployment = Deployment::random(rng, options.entry_hosts);
+        deployment.accounts = options.accounts;
         let checker = Shared::default();
         let mut backends = Vec::new();
         let (cuts, receiver) = watch::channel(proxy::Cuts::default());
@@ -247,6 +248,7 @@
             let until = now + duration + ENTRY_RECOVERY_MAX;
             self.checker.lock().record_disturbed(index, until);
         }
+        self.record_account_fault(&fault, no_majority, now + duration);
         self.active_faults.push((now + duration, fault));
         match fault {
             Fault::KillVoter(index) => self.voters[index].kill(),
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -12,6 +12,8 @@
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_platform::encode::Configuration;
 
+use crate::account::quota;
+
 /// Number of voters.
 pub const VOTERS: usize = 5;
 
@@ -88,6 +90,8 @@
     pub at_most_once: Name,
     /// Address of the endpoint that lists the replicas.
     pub list_address: SocketAddr,
+    /// Whether entry hosts enforce quotas with a tolerance.
+    pub accounts: bool,
 }
 
 /// The failure domain of the voter, entry host or replica with this index; the two domains
@@ -119,6 +123,7 @@
             shards: shards.collect(),
             at_most_once: Name::from("once"),
             list_address: address(network, 30, 8_500),
+            accounts: false,
         }
     }
 
@@ -188,6 +193,10 @@
     pub fn entry_settings(&self, index: usize) -> String {
         let ip = address(self.network, FIRST_ENTRY + index as u8, 0).ip();
         let (domain, seeds, list) = (domain(index), self.voter_seeds(), self.list_address);
+        let quota = match self.accounts {
+            true => quota::settings(),
+            false => String::new(),
+        };
         format!(
             "[host]\nname = entry-{index}\ndomain = {domain}\nrole = entry\n\
              [listen]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
@@ -195,7 +204,7 @@
              [voters]\nseeds = {seeds}\nport = {VOTER_PORT}\nlosses = 2\n\
              [list]\naddress = {list}\nlag = 500ms\n\
              [extra]\nratio = {EXTRA_RATIO}\nslack = {EXTRA_SLACK}\nwindow = 10s\n\
-             [stop]\nlongest = 4s\n"
+             [stop]\nlongest = 4s\n{quota}"
         )
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! The seed determines the deployment, the load and the faults. Timing differs between
 //! runs with the same seed; the checked guarantees don't depend on timing.
 
+pub mod account;
 pub mod caller;
 pub mod checker;
 mod cluster;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -42,6 +42,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Make replicas say that they leave or want no requests; with --entries 1"),
         )
+        .arg(
+            Arg::new("accounts")
+                .long("accounts")
+                .action(ArgAction::SetTrue)
+                .help("Declare accounts and change their keys and quotas"),
+        )
         .arg(
             Arg::new("older")
                 .long("older")
@@ -70,6 +76,7 @@
         duration: Duration::from_secs(number("seconds")),
         cuts: matches.get_flag("cuts"),
         notices: matches.get_flag("notices"),
+        accounts: matches.get_flag("accounts"),
     };
     let mut failed = false;
     for seed in number("seed")..number("seed") + number("runs") {
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -71,12 +71,17 @@
     /// Applies the next version through a voter. Returns whether the voter accepted it.
     pub async fn configure(&mut self, voter: usize) -> bool {
         self.last_sent += 1;
-        let document = encode::configuration(&self.deployment.configuration(self.last_sent));
+        let configuration = encode::Configuration {
+            accounts: self.checker.lock().accounts.declare(self.last_sent),
+            ..self.deployment.configuration(self.last_sent)
+        };
+        let document = encode::configuration(&configuration);
         let address = self.deployment.operator_address(voter);
         let answer = call(address, Method::PUT, document.into()).await;
         let accepted = answer.is_some_and(|(status, _)| status == 200);
         if accepted {
             self.newest_seen = self.newest_seen.max(self.last_sent);
+            self.checker.lock().accounts.confirm(self.last_sent);
         }
         accepted
     }
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -25,6 +25,7 @@
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_platform::Dialect;
 
+use crate::account::ledger::Arrival;
 use crate::checker;
 use crate::checker::Shared;
 use crate::notice::Notice;
@@ -157,6 +158,13 @@
         self.checker
             .lock()
             .record_arrival(&self.service, &self.id, &id, runs);
+        self.checker.lock().accounts.record_arrival(Arrival {
+            replica: &self.id,
+            request: &id,
+            uri: request.uri(),
+            headers: request.headers(),
+            runs,
+        });
         if runs && request.uri().path().ends_with(FATAL_SUFFIX) {
             self.end_process(request.uri().path(), &id);
             return Err(Disconnect);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
 
+use crate::account::summary::Summary;
 use crate::caller;
 use crate::caller::Caller;
 use crate::checker::Shared;
@@ -34,7 +35,7 @@
 const CALLERS: u64 = 12;
 
 /// Longest time until all processes serve, after the start and after the last fault.
-const RECOVERY_MAX: Duration = Duration::from_secs(30);
+pub(crate) const RECOVERY_MAX: Duration = Duration::from_secs(30);
 
 /// Paths of the requests that end each replica which runs them.
 const FATAL_PATHS: [&str; 2] = ["/all/fatal", "/once/fatal"];
@@ -76,6 +77,8 @@
     /// Whether replicas say that they leave or want no requests. Meant for one entry host: with
     /// more it isn't known which one a replica told.
     pub notices: bool,
+    /// Whether configurations declare accounts, with keys and quotas that change.
+    pub accounts: bool,
 }
 
 impl Default for Options {
@@ -87,6 +90,7 @@
             duration: Duration::from_secs(20),
             cuts: false,
             notices: false,
+            accounts: false,
         }
     }
 }
@@ -114,6 +118,8 @@
     pub injected: Vec<String>,
     /// Descriptions of the violated guarantees.
     pub violations: Vec<String>,
+    /// What was observed of the accounts, in runs with accounts.
+    pub accounts: Option<Summary>,
 }
 
 impl fmt::Display for Report {
@@ -125,6 +131,9 @@
             "seed {seed}: {injected} faults, {sent} requests sent, {served} served, \
              {violations} violations"
         )?;
+        if let Some(accounts) = &self.accounts {
+            write!(f, "\n  accounts: {accounts}")?;
+        }
         if self.violations.is_empty() {
             return Ok(());
         }
@@ -149,6 +158,7 @@
 async fn run_seed(options: &Options, seed: u64) -> Result<Report> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut cluster = Cluster::start(options, &mut rng).await?;
+    cluster.declare_accounts(seed);
     let mut operator = Operator::new(seed, &cluster.deployment, cluster.checker.clone());
     cluster.bootstrap(&mut operator).await;
     let (stop, stopped) = watch::channel(false);
@@ -182,11 +192,13 @@
             stopped.clone(),
         ))
     });
+    let accounts = cluster.start_account_callers(seed, stopped.clone());
     cluster.inject_faults(&mut rng, options).await?;
     stop.send_replace(true);
     if let Some(notices) = notices {
         notices.await.map_err(std::io::Error::other)?;
     }
+    accounts.await.map_err(std::io::Error::other)?;
     limits.await.map_err(std::io::Error::other)?;
     for caller in callers {
         caller.await.map_err(std::io::Error::other)?;
@@ -200,6 +212,7 @@
     if options.older.is_none() {
         cluster.check_fatal_requests().await?;
     }
+    cluster.check_accounts().await?;
     Ok(cluster.report(seed))
 }
 
@@ -244,7 +257,7 @@
 
     /// Waits until each entry host answers a gather with no missing shards. Reports a violation
     /// if one doesn't by `deadline`.
-    async fn wait_for_service(&mut self, when: &str, deadline: Instant) {
+    pub(crate) async fn wait_for_service(&mut self, when: &str, deadline: Instant) {
         for index in 0..self.deployment.entry_hosts {
             let address = self.deployment.caller_address(index);
             let mut tries = 0;
@@ -416,6 +429,7 @@
             served,
             injected: self.injected.clone(),
             violations,
+            accounts: checker.accounts.summary(),
         }
     }
 
