Process test: a host suspended while a key is revoked takes it for no queued request

Cause: requests under a revoked key that wait in the sockets of a suspended host had no test.

Change: a host is suspended, 16 requests under a key (8 on open connections, 8 on new ones) and 8 under a valid one are sent to it, the key is revoked, and the host is resumed 5 s later. No request under the revoked key may reach the replica.

--- a/bins/tests/processes/accounts.rs
+++ b/bins/tests/processes/accounts.rs
@@ -8,12 +8,15 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use wagtailbeam_adapter::dialect::Dialect as _;
 use wagtailbeam_fakes::caller;
+use wagtailbeam_fakes::caller::Connection;
 use wagtailbeam_platform::Dialect;
 use wagtailbeam_platform::encode;
 use wagtailbeam_soak::deployment;
 use wagtailbeam_soak::deployment::Deployment;
+use wagtailbeam_soak::process::Signal;
 
 use crate::tier;
 use crate::tier::Tier;
@@ -23,6 +26,15 @@
 /// Time within which a configuration reaches all hosts.
 const SPREAD: Duration = Duration::from_secs(4);
 
+/// Time within which no host takes a revoked key any more.
+const REVOKED: Duration = Duration::from_secs(5);
+
+/// Requests under each key that wait at a suspended host.
+const QUEUED: usize = 8;
+
+/// Longest wait for the answers of a resumed host.
+const ANSWER_MAX: Duration = Duration::from_secs(10);
+
 type Heads = Arc<Mutex<Vec<String>>>;
 
 /// Answers each request with success and records its head.
@@ -145,3 +157,84 @@
         }
     });
 }
+
+/// Opens connections to an entry host.
+async fn connect(tier: &Tier, entry: usize) -> Vec<Connection> {
+    let address = tier.deployment.caller_address(entry);
+    let mut connections = Vec::new();
+    for _ in 0..QUEUED {
+        connections.push(Connection::open(address).await.unwrap());
+    }
+    connections
+}
+
+/// Sends a request under a key on each of these connections. Returns the tasks that wait for the
+/// statuses.
+fn queue(connections: Vec<Connection>, key: &str, path: &str) -> Vec<JoinHandle<u16>> {
+    let sent = connections.into_iter().map(|mut connection| {
+        let request = tier::request(key, path);
+        tokio::spawn(async move {
+            let answer = connection.send(&request).await;
+            answer.map_or(0, |answer| answer.status)
+        })
+    });
+    sent.collect()
+}
+
+/// The statuses of queued requests, once all are answered.
+async fn statuses(queued: Vec<JoinHandle<u16>>) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for request in queued {
+        let status = tokio::time::timeout(ANSWER_MAX, request).await;
+        statuses.push(status.expect("an answer").unwrap());
+    }
+    statuses
+}
+
+/// Suspends an entry host, revokes a key after a time and resumes the host after that, with
+/// requests under that key and a valid one in its sockets.
+async fn suspend_while_a_key_is_revoked(name: &str, revoked_after: Duration) {
+    let folder = tier::folder(name);
+    let deployment = Deployment::new(2, ENTRY_HOSTS);
+    let heads = Heads::default();
+    let recorder = start_recorder(&deployment, heads.clone()).await;
+    let mut tier = Tier::start(deployment, &folder, vec![recorder], "").await;
+    let both = vec![account("acme", &["key-of-acme", "second"])];
+    tier.configure(1, both).await;
+    tier.wait_serving("acme").await;
+
+    let mut for_revoked = connect(&tier, 0).await;
+    let for_valid = connect(&tier, 0).await;
+    tier.entries[0].signal(Signal::Stop).unwrap();
+    tokio::time::sleep(revoked_after).await;
+    for_revoked.extend(connect(&tier, 0).await);
+    let revoked = queue(for_revoked, "key-of-acme", "/once/revoked");
+    let valid = queue(for_valid, "second", "/once/valid");
+    tier.configure(2, vec![account("acme", &["second"])]).await;
+    tokio::time::sleep(REVOKED).await;
+    tier.entries[0].signal(Signal::Cont).unwrap();
+
+    let revoked = statuses(revoked).await;
+    let valid = statuses(valid).await;
+    println!("{revoked_after:?}: revoked key {revoked:?}, valid key {valid:?}");
+    let ran = std::mem::take(&mut *heads.lock().unwrap());
+    let ran = ran.iter().filter(|head| head.contains("/once/revoked"));
+    assert_eq!(ran.count(), 0, "{revoked:?}");
+    let refused = |status: &u16| matches!(status, 401 | 503);
+    assert!(revoked.iter().all(refused), "{revoked:?}");
+    let served = |status: &u16| matches!(status, 200 | 503);
+    assert!(valid.iter().all(served), "{valid:?}");
+    tokio::time::sleep(SPREAD).await;
+    assert_eq!(status(&tier, 0, "key-of-acme", &[]).await, 401);
+    assert_eq!(status(&tier, 0, "second", &[]).await, 200);
+}
+
+/// Guards against a resumed host that takes a revoked key for the requests in its sockets, since it
+/// handles them before the configuration that waits there as well.
+#[test]
+fn a_resumed_host_takes_no_key_that_was_revoked_as_it_was_suspended() {
+    tier::run(suspend_while_a_key_is_revoked(
+        "accounts-suspended",
+        Duration::ZERO,
+    ));
+}
