--- a/bins/tests/processes/accounts.rs
+++ b/bins/tests/processes/accounts.rs
@@ -32,6 +32,9 @@
 /// Requests under each key that wait at a suspended host.
 const QUEUED: usize = 8;
 
+/// Time from which the voters no longer send to a suspended host.
+const DROPPED: Duration = Duration::from_secs(4);
+
 /// Longest wait for the answers of a resumed host.
 const ANSWER_MAX: Duration = Duration::from_secs(10);
 
@@ -238,3 +241,10 @@
         Duration::ZERO,
     ));
 }
+
+/// Guards against a resumed host that takes a revoked key for the requests in its sockets, since the
+/// voters had dropped it before and it doesn't learn of the revocation at once.
+#[test]
+fn a_resumed_host_takes_no_key_that_was_revoked_after_the_voters_dropped_the_host() {
+    tier::run(suspend_while_a_key_is_revoked("accounts-dropped", DROPPED));
+}
