--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use wagtailbeam_decision::account::quota::Gate;
+use wagtailbeam_decision::account::suspension::Suspension;
 use wagtailbeam_decision::branch::Envelope;
 use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::clock::Span;
@@ -141,6 +142,8 @@
     pub(crate) state: watch::Sender<State>,
     pub(crate) logger: Logger,
     pub(crate) meter: meter::Entry,
+    /// Whether the process was suspended.
+    pub(crate) suspension: Suspension,
     /// Whether a voter in contact with a majority recently confirmed the state it feeds.
     pub(crate) feed_fresh: bool,
     /// When the stop was requested; absent while running.
@@ -229,6 +232,7 @@
         state,
         logger: Logger::default(),
         meter: meter::Entry::new(&exporter),
+        suspension: Suspension::new(clock.now()),
         feed_fresh: false,
         stopping_since: None,
         rotation: Rotation::default(),
@@ -329,6 +333,7 @@
     /// Fires the timers that are due and logs when contact with the voters changes.
     fn tick(&mut self) {
         let now = self.now();
+        self.suspension.step(now);
         let failing = self.rotation.is_failing();
         if let Some((voter, mut heartbeat)) = self.subscriber.tick(now, failing) {
             let known = self.subscriber.voter_ledger();
--- a/adapter/src/identity.rs
+++ b/adapter/src/identity.rs
@@ -52,7 +52,12 @@
             Some(route) => catalog.accounts.identify(route.open, credential),
             None => Identity::Anonymous,
         };
-        let known = identity != Identity::Unknown;
+        let outdated = self.suspension.casts_doubt(self.now());
+        let known = match identity {
+            Identity::Account(_) => !outdated,
+            Identity::Anonymous => true,
+            Identity::Unknown => false,
+        };
         let account = match identity {
             Identity::Account(account) => Some(account),
             Identity::Anonymous | Identity::Unknown => None,
@@ -81,14 +86,16 @@
         Some(request)
     }
 
-    /// Refuses a request whose route needs a key that no account holds.
+    /// Refuses a request whose route needs a key, if no account holds its key or the host can't
+    /// tell.
     pub(crate) fn refuse_unknown(&mut self, id: u64, request: &Request) {
         let route = self
             .gateway
             .catalog()
             .route(&request.host, request.target.path());
         let route = route.map(|route| route.name.clone());
-        let answer = match self.feed_fresh {
+        let confirmed = self.feed_fresh && !self.suspension.casts_doubt(self.now());
+        let answer = match confirmed {
             true => {
                 self.count_unknown(request, route.clone());
                 Answer::Refused(Refusal::UnknownKey, None)
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -40,6 +40,7 @@
 impl Driver {
     /// Handles an event from a caller connection.
     pub(crate) fn handle_ingress(&mut self, event: ingress::Event) {
+        self.suspension.step(self.now());
         match event {
             ingress::Event::Request(id, request, answer) => {
                 let (request, known) = self.identify(*request);
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -11,6 +11,7 @@
 pub mod quota;
 pub mod refusals;
 mod shortage;
+pub mod suspension;
 pub mod token;
 pub mod usage;
 mod waiting;
--- a/decision/tests/tier/account.rs
+++ b/decision/tests/tier/account.rs
@@ -7,10 +7,12 @@
 use wagtailbeam_decision::account::Directory;
 use wagtailbeam_decision::account::Fault;
 use wagtailbeam_decision::account::Identity;
+use wagtailbeam_decision::account::suspension::Suspension;
 use wagtailbeam_decision::catalog::Repeat;
 use wagtailbeam_decision::catalog::Route;
 use wagtailbeam_decision::catalog::Target;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::name::Name;
 
@@ -99,3 +101,20 @@
     let unchanged = route.clone().with_priority(None);
     assert!(Arc::ptr_eq(&unchanged, &route));
 }
+
+/// Guards against a resumed host that takes the keys of its earlier configuration at once, and
+/// against one that refuses keys for good or while it is merely busy.
+#[test]
+fn a_resumed_host_takes_no_keys_for_a_short_time() {
+    let at = |ms: u64| Time::from_us(ms * 1_000);
+    let mut suspension = Suspension::new(at(0));
+    for ms in [400, 800, 2_700] {
+        suspension.step(at(ms));
+        assert!(!suspension.casts_doubt(at(ms)), "{ms}");
+    }
+    suspension.step(at(4_700));
+    assert!(suspension.casts_doubt(at(4_700)));
+    suspension.step(at(5_100));
+    assert!(suspension.casts_doubt(at(5_199)));
+    assert!(!suspension.casts_doubt(at(5_200)));
+}
