Rollouts: a repeated request while one is in progress is answered 409

A repeated request for the same target was answered 200 while the rollout was in progress. Operators take 409 as the confirmation that one is in progress, so 409 is now the answer whichever target the request names. A rollout that has ended with the same target is still answered 200.

A voter evaluates a request again if the answers to its proposal are lost, and would then refuse it because of its own rollout. The request therefore gets a random number, which the record keeps as one more word of its stored form.

--- a/adapter/src/rollout.rs
+++ b/adapter/src/rollout.rs
@@ -57,10 +57,11 @@
             service: order.service,
             target: order.target,
             duration: order.duration,
+            request: rand::random::<u64>().max(1),
         };
         let reply = match self.decide(Command::Change(change)).await {
             Outcome::Done(Verdict::Conflict) => {
-                let detail = "a rollout of the service to another version is in progress\n";
+                let detail = "a rollout of the service is in progress\n";
                 http::text(StatusCode::CONFLICT, detail)
             }
             Outcome::Done(_) => http::reply(StatusCode::OK, "application/json", "{}"),
--- a/decision/src/rollout/mod.rs
+++ b/decision/src/rollout/mod.rs
@@ -105,6 +105,9 @@
     pub proven: Option<Name>,
     /// Targets of rollouts that were rolled back since.
     pub refused: BTreeSet<Name>,
+    /// Random number of the request that began the rollout; zero if an older build wrote the
+    /// record.
+    pub request: u64,
 }
 
 /// A step of a rollout in progress.
@@ -125,19 +128,23 @@
 pub enum Begin {
     /// It begins, or replaces one that ended.
     New,
-    /// A rollout to the same target is in progress or has ended.
+    /// The same request began it, or a rollout to the same target has ended.
     Known,
-    /// A rollout to another target is in progress.
+    /// Another request began a rollout that is in progress, to whichever target.
     Conflict,
 }
 
 impl Record {
     /// What the request of a rollout to `target` does, given the service's last rollout.
-    pub fn assess(last: Option<&Record>, target: &Name) -> Begin {
+    ///
+    /// A voter evaluates a request again if the answers to its proposal are lost. The number
+    /// `request` tells the rollout that the proposal began from that of another request.
+    pub fn assess(last: Option<&Record>, target: &Name, request: u64) -> Begin {
         match last {
             None => Begin::New,
-            Some(last) if last.target == *target => Begin::Known,
+            Some(last) if last.request == request && request != 0 => Begin::Known,
             Some(last) if last.phase == Phase::InProgress => Begin::Conflict,
+            Some(last) if last.target == *target => Begin::Known,
             Some(_) => Begin::New,
         }
     }
@@ -168,6 +175,7 @@
             share: plan::FIRST_SHARE,
             proven,
             refused,
+            request: 0,
         }
     }
 
--- a/decision/src/rollout/stored.rs
+++ b/decision/src/rollout/stored.rs
@@ -90,11 +90,12 @@
         id,
         serial,
         share,
+        request,
         ..
     } = record;
     let text = format!(
         "{MARK} {service} {target} {id} {serial} {duration} {elapsed} {phase} {stage} {share} \
-         {proven} {refused}"
+         {proven} {refused} {request}"
     );
     Name::from(text)
 }
@@ -127,6 +128,8 @@
     let share = number()?.min(1_000) as u32;
     let proven = words.next()?;
     let refused = words.next()?.split(',');
+    // Records of older builds end here.
+    let request = words.next().and_then(|word| word.parse().ok());
     let record = Record {
         target,
         id,
@@ -141,6 +144,7 @@
             .filter(|name| *name != NONE)
             .map(Name::from)
             .collect(),
+        request: request.unwrap_or_default(),
     };
     Some((service, record))
 }
--- a/decision/src/tier.rs
+++ b/decision/src/tier.rs
@@ -65,6 +65,8 @@
         target: Name,
         /// Time within which that is to be completed.
         duration: Span,
+        /// Random number that identifies the request.
+        request: u64,
     },
     /// Takes a step of a rollout in progress, unless another one was taken since.
     Step {
@@ -105,7 +107,7 @@
     Seated(Seat),
     /// No seat is free.
     Full,
-    /// A rollout of the service to another version is in progress; nothing changed.
+    /// A rollout of the service is in progress; nothing changed.
     Conflict,
 }
 
@@ -142,7 +144,8 @@
                 service,
                 target,
                 duration,
-            } => self.begin_rollout(service, target, *duration),
+                request,
+            } => self.begin_rollout(service, target, *duration, *request),
             Change::Step {
                 service,
                 id,
@@ -152,20 +155,24 @@
         }
     }
 
-    /// Begins a rollout, unless one to the same target is known or another one is in progress.
+    /// Begins a rollout, unless one is in progress or the last one had the same target.
     fn begin_rollout(
         &self,
         service: &Name,
         target: &Name,
         duration: Span,
+        request: u64,
     ) -> (Option<State>, Verdict) {
         let last = self.rollouts.get(service);
-        match Record::assess(last, target) {
+        match Record::assess(last, target, request) {
             Begin::Known => (None, Verdict::Done),
             Begin::Conflict => (None, Verdict::Conflict),
             Begin::New => {
                 let mut next = self.next();
-                let record = Record::begin(last, next.revision, target.clone(), duration);
+                let record = Record {
+                    request,
+                    ..Record::begin(last, next.revision, target.clone(), duration)
+                };
                 next.rollouts.insert(service.clone(), record);
                 (Some(next), Verdict::Done)
             }
--- a/decision/tests/tier/rollout_model.rs
+++ b/decision/tests/tier/rollout_model.rs
@@ -157,6 +157,7 @@
             service: service(),
             target: Name::from(target),
             duration: DURATION,
+            request: self.requests + 1,
         };
         self.group.command(1, Command::Change(change))
     }
