Rollouts: the time in progress goes on while a step is being decided

In process tests on a busy machine a step took 0.6 s to be decided, and the rollout's time stood still meanwhile: it was counted from the moment at which the voter learned of the step. Voters now go on counting from what they knew before. The length of a stage is still counted from that moment, so that hosts follow each stage for its whole length.

--- a/decision/src/rollout/plan.rs
+++ b/decision/src/rollout/plan.rs
@@ -88,6 +88,8 @@
 pub struct Situation<'a> {
     /// Time in progress.
     pub elapsed: Span,
+    /// Time since the deciding voter learned of the last step.
+    pub in_step: Span,
     /// Sums since the rollout began.
     pub sums: &'a Sums,
     /// The strongest evidence against the new version.
@@ -227,7 +229,7 @@
     situation: &Situation,
     step: impl Fn(Phase, Stage, u32) -> Step,
 ) -> Option<Step> {
-    let passed = situation.elapsed.saturating_sub(record.elapsed);
+    let passed = situation.in_step;
     let length = stage_time(record, settings, situation);
     let suspected = is_suspected(record, situation);
     if passed < length || !situation.has_replicas {
--- a/decision/src/rollout/steering.rs
+++ b/decision/src/rollout/steering.rs
@@ -49,8 +49,19 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Steering {
     pub(crate) board: Board,
-    /// When this voter learned of the newest step of each rollout in progress, by id.
-    since: BTreeMap<u64, (u64, Time)>,
+    /// Times of each rollout in progress, by id.
+    timings: BTreeMap<u64, Timing>,
+}
+
+/// Time in progress of a rollout as a voter counts it.
+#[derive(Clone, Copy, Debug)]
+struct Timing {
+    /// Number of steps when this voter learned of the newest one.
+    serial: u64,
+    /// When it learned of that.
+    learned_at: Time,
+    /// Time in progress at that moment.
+    elapsed: Span,
 }
 
 /// A decided step with what it was derived from.
@@ -100,26 +111,35 @@
         let records = state.rollouts.values().filter(in_progress);
         let ids = records.map(|record| record.id).collect::<Vec<_>>();
         self.steering.board.snapshot(now, &ids);
-        self.steering.since.retain(|id, _| ids.contains(id));
+        self.steering.timings.retain(|id, _| ids.contains(id));
         for (service, record) in &state.rollouts {
             if record.phase != Phase::InProgress {
                 continue;
             }
-            let elapsed = self.elapsed(now, record);
+            let timing = self.timing(now, record);
             if self.is_leader(now) && !self.is_stepping(service) {
-                self.step_rollout(now, service, record, elapsed, out);
+                self.step_rollout(now, service, record, timing, out);
             }
         }
     }
 
-    /// Time in progress of a rollout: up to its last step, and since this voter learned of that.
-    fn elapsed(&mut self, now: Time, record: &Record) -> Span {
-        let since = self.steering.since.entry(record.id);
-        let (serial, at) = since.or_insert((record.serial, now));
-        if *serial != record.serial {
-            (*serial, *at) = (record.serial, now);
+    /// Times of a rollout: its time in progress goes on while a step is being decided, which may
+    /// take long on slow disks.
+    fn timing(&mut self, now: Time, record: &Record) -> Timing {
+        let learned = Timing {
+            serial: record.serial,
+            learned_at: now,
+            elapsed: record.elapsed,
+        };
+        let timing = self.steering.timings.entry(record.id).or_insert(learned);
+        if timing.serial != record.serial {
+            let elapsed = timing.elapsed + now.since(timing.learned_at);
+            *timing = Timing {
+                elapsed: elapsed.max(record.elapsed),
+                ..learned
+            };
         }
-        record.elapsed + now.since(*at)
+        *timing
     }
 
     /// Whether this voter decides steps: it is in contact with a majority, and no voting one with a
@@ -147,13 +167,15 @@
         now: Time,
         service: &Name,
         record: &Record,
-        elapsed: Span,
+        timing: Timing,
         out: &mut Vec<Action>,
     ) {
+        let in_step = now.since(timing.learned_at);
         let sums = self.steering.board.sums(record.id);
         let evidence = self.strongest_evidence(now, record, &sums);
         let situation = Situation {
-            elapsed,
+            elapsed: timing.elapsed + in_step,
+            in_step,
             sums: &sums,
             evidence: &evidence,
             has_replicas: self.has_new_replicas(service, record),
--- a/decision/tests/tier/rollout.rs
+++ b/decision/tests/tier/rollout.rs
@@ -181,6 +181,7 @@
         }
         let situation = Situation {
             elapsed: now.since(Time::default()),
+            in_step: now.since(Time::default()).saturating_sub(record.elapsed),
             sums: &sums,
             evidence: &evidence,
             has_replicas: true,
@@ -319,6 +320,7 @@
     };
     let situation = Situation {
         elapsed: Span::from_secs(80),
+        in_step: Span::from_secs(8),
         sums,
         evidence: &Evidence::default(),
         has_replicas: true,
--- a/decision/tests/tier/rollouts.rs
+++ b/decision/tests/tier/rollouts.rs
@@ -87,6 +87,27 @@
     }
 }
 
+/// Slow disks or a short loss of the majority delay the decision on a step. The time limit of the
+/// operator does not wait for it.
+#[test]
+fn the_time_in_progress_goes_on_while_a_step_is_being_decided() {
+    let mut tier = Tier::new(0.0, 14);
+    tier.begin();
+    let began = tier.group.now;
+    tier.run(Span::from_ms(2_600));
+    tier.group.set_isolated(&[2, 3, 4], true);
+    tier.run(Span::from_secs(2));
+    tier.group.set_isolated(&[2, 3, 4], false);
+    tier.run(Span::from_secs(2));
+    let serial = tier.record(0).serial;
+    while tier.record(0).serial == serial {
+        assert!(tier.group.now.since(began) < DURATION, "no further step");
+    }
+    let passed = tier.group.now.since(began);
+    let lag = passed.saturating_sub(tier.record(0).elapsed);
+    assert!(lag < Span::from_secs(1), "{lag:?} behind");
+}
+
 /// Counts are lost, and the share must stay at the value in the state.
 #[test]
 fn restarted_hosts_keep_the_share_and_collect_evidence_anew() {
