--- a/bins/tests/processes/accounts.rs
+++ b/bins/tests/processes/accounts.rs
@@ -68,6 +68,7 @@
         address,
         domain: deployment::domain(0),
         draining: false,
+        version: None,
     }
 }
 
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -9,5 +9,7 @@
 mod limited;
 mod notice;
 mod quota;
+mod rollout;
 mod stranded;
 mod tier;
+mod versioned;
--- a/bins/tests/processes/quota.rs
+++ b/bins/tests/processes/quota.rs
@@ -107,6 +107,7 @@
             address,
             domain: deployment::domain(index),
             draining: false,
+            version: None,
         },
         _mode: mode,
         _limit: limit,
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -4,6 +4,7 @@
 mod allowance;
 mod catalog;
 mod cluster;
+mod contention;
 mod endpoint;
 mod fanout;
 mod fatal;
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -419,6 +419,7 @@
                 address,
                 domain: deployment::domain(index),
                 draining: false,
+                version: None,
             },
             replica_mode,
             link_mode,
