--- a/bins/tests/processes/accounts.rs
+++ b/bins/tests/processes/accounts.rs
@@ -83,6 +83,7 @@
         address,
         domain: deployment::domain(0),
         draining: false,
+        version: None,
     }
 }
 
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod cluster;
 mod connections;
+mod contention;
 mod endpoint;
 mod fanout;
 mod fatal;
