Measurements of replicas travel through the voters

Cause: reports and their sums existed, but no process sent them, so that each entry host used its own measurements only.

Change: heartbeat, status and feed end with a report. A voter tells the other voters the sums of its own hosts only, and all hosts the sums of all. At most 64 records and 4,096 encoded bytes, enforced by sender and receiver. The time until a sum is confirmed is 1,200 instead of 900 ms, since statuses of voters are now on the path. Hosts use what they were told for 2.9 s, so that nothing older than 5 s counts.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -328,6 +328,7 @@
             let known = self.subscriber.voter_limits();
             heartbeat.limits = self.gateway.limit_report(now, known).into();
             heartbeat.rollouts = Box::new(self.gateway.rollout_report()).into();
+            heartbeat.load = Box::new(self.gateway.load_report(now)).into();
             heartbeat.links = match self.gateway.links() {
                 uplink::State::Sound => Links::Sound,
                 uplink::State::Lost | uplink::State::Trial => Links::Lost,
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -61,6 +61,9 @@
             self.step_gateway(Event::Records(update.records));
         }
         self.step_gateway(Event::Limits(update.limits));
+        if let Some(load) = update.load {
+            self.gateway.merge_load(self.now(), &load);
+        }
         // Orders come before the list, so that replicas of a new version get no requests beyond the
         // share when they are listed.
         if let Some(orders) = update.rollouts {
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -186,7 +186,7 @@
                 Some(report) = sources.disk.recv() => self.handle_disk(report),
                 Some(report) = sources.mesh.recv() => {
                     if let mesh::Event::Message(from, message) = self.mesh.handle(report) {
-                        self.step_controller(Event::Message(from, *message));
+                        self.step_controller(Event::Message(from, message));
                     }
                 }
                 Some((started, fleet)) = sources.lists.recv() => {
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::feed::Message;
 use crate::feed::digest_hosts;
 use crate::fleet::Fleet;
+use crate::load::report;
 use crate::plan::Host;
 use crate::quarantine::Ledger;
 use crate::quota;
@@ -112,7 +113,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A message from the process at this address.
-    Message(SocketAddr, Message),
+    Message(SocketAddr, Box<Message>),
     /// Records up to this number are synced.
     Synced(u64),
     /// An operator's command; its number returns with the answer.
@@ -288,6 +289,8 @@
     pub(crate) limits: quota::Board,
     /// Evidence on rollouts in progress.
     pub(crate) steering: Steering,
+    /// Measurements of replicas that differ from the norm.
+    pub(crate) load: report::Board,
 }
 
 impl Controller {
@@ -339,6 +342,7 @@
             ledger_due: None,
             limits: quota::Board::default(),
             steering: Steering::default(),
+            load: report::Board::default(),
         };
         (controller, out)
     }
@@ -386,7 +390,7 @@
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         match event {
-            Event::Message(from, message) => self.handle_message(now, from, message, &mut out),
+            Event::Message(from, message) => self.handle_message(now, from, *message, &mut out),
             Event::Synced(number) => {
                 let actions = self.voter.as_mut().map(|voter| voter.synced(now, number));
                 self.voter_actions(now, actions.unwrap_or_default(), &mut out);
--- a/decision/src/feed.rs
+++ b/decision/src/feed.rs
@@ -19,6 +19,7 @@
 use crate::digest::Digest;
 use crate::fleet::Fleet;
 use crate::fleet::Versions;
+use crate::load::report;
 use crate::name::Name;
 use crate::plan::Host;
 use crate::quarantine::Record;
@@ -105,6 +106,8 @@
     pub links: Appended<Links>,
     /// What the host reports of rollouts.
     pub rollouts: Appended<Box<evidence::Report>>,
+    /// The host's measurements of replicas that differ from the norm.
+    pub load: Appended<Box<report::Report>>,
 }
 
 /// State of an entry host's links to the servers, as it reports it.
@@ -167,6 +170,8 @@
     pub links: Appended<LinkReport>,
     /// Orders of rollouts.
     pub rollouts: Appended<Orders>,
+    /// Sums of the measurements of all entry hosts.
+    pub load: Appended<report::Report>,
 }
 
 /// Status of a voter, sent to the other voters at intervals.
@@ -192,6 +197,8 @@
     pub links: Appended<LinkReport>,
     /// What these hosts report of rollouts.
     pub rollouts: Appended<Box<evidence::Reports>>,
+    /// Sums of the measurements of the entry hosts that send their heartbeats to the sender.
+    pub load: Appended<Box<report::Report>>,
 }
 
 /// Computes the digest of a list of entry hosts.
@@ -250,6 +257,8 @@
     pub links: Option<LinkReport>,
     /// Orders of rollouts, in a fresh feed of a state that is not older.
     pub rollouts: Option<Orders>,
+    /// Sums of the measurements of all entry hosts, in a fresh feed.
+    pub load: Option<report::Report>,
 }
 
 impl Subscriber {
@@ -428,6 +437,7 @@
         }
         self.failing = feed.failing;
         update.links = Some(feed.links.0);
+        update.load = Some(feed.load.0.bounded());
         if feed.revision >= self.revision {
             self.confirmed_at = Some(now);
             update.rollouts = Some(feed.rollouts.0);
--- a/decision/src/load/capacity.rs
+++ b/decision/src/load/capacity.rs
@@ -40,6 +40,10 @@
 /// Age from which the evidence of all hosts is ignored.
 pub const MERGED_AGE_MAX: Span = Span::from_secs(5);
 
+/// Time for which a host uses the evidence of all hosts after it was told of it. The rest of
+/// [`MERGED_AGE_MAX`] covers the time that evidence may spend at two voters.
+const TOLD_AGE_MAX: Span = Span::from_ms(2_900);
+
 /// Exponent of the slowdown in the chance that a replica is treated as normal.
 const PROBE_EXPONENT: f64 = 2.5;
 
@@ -171,7 +175,7 @@
             return false;
         };
         let asked = known.asked_at;
-        let asked = asked.is_some_and(|at| now.since(at) < MERGED_AGE_MAX);
+        let asked = asked.is_some_and(|at| now.since(at) < TOLD_AGE_MAX);
         let own = known.own.now(now, self.half_life);
         asked || differs(&own, PRIOR, REPORTED_SLOWDOWN)
     }
@@ -180,7 +184,7 @@
     fn factor(&self, now: Time, known: &Measured) -> f64 {
         let own = known.own.now(now, self.half_life);
         let merged = known.merged.as_ref();
-        let merged = merged.filter(|merged| merged.age(now) < MERGED_AGE_MAX);
+        let merged = merged.filter(|merged| merged.age(now) < TOLD_AGE_MAX);
         let merged = merged.map(|merged| merged.now(now, self.half_life));
         let best = merged.filter(|merged| merged.calls > own.calls);
         let evidence = best.unwrap_or(own);
--- a/decision/src/load/mod.rs
+++ b/decision/src/load/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! They learn how much load each replica takes: `capacity` turns that into a factor on a replica's
 //! cost, by one of several estimators (`average`, `concurrency`, and `evidence` for the gradient);
-//! `report` adds up the evidence of all hosts. `waiting` determines the order of the parts that wait
+//! `report` adds up the evidence of all hosts, and `exchange` is the voter's part in it. `waiting` determines the order of the parts that wait
 //! for capacity.
 
 pub mod average;
 pub mod capacity;
 pub mod concurrency;
 pub mod evidence;
+mod exchange;
 pub mod report;
 pub mod waiting;
--- a/decision/src/load/report.rs
+++ b/decision/src/load/report.rs
@@ -1,12 +1,14 @@
 //! Evidence on replicas that differ from the norm, as entry hosts tell it to the voters and the
 //! voters tell it to all hosts.
 //!
-//! A report replaces the one before of the same host, so that lost, repeated and delayed reports
-//! change no sum for longer than the age limit.
+//! A report replaces the one before of the same process, so that lost, repeated and delayed reports
+//! change no sum for longer than the age limit. A voter tells the other voters the sums of its own
+//! entry hosts only, so that no measurement is counted twice.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use postcard::ser_flavors::Size;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -20,6 +22,12 @@
 /// Most replicas in a report.
 pub const RECORDS_MAX: usize = 64;
 
+/// Largest encoded size of a report, in bytes.
+pub const BYTES_MAX: usize = 4_096;
+
+/// Encoded size of the number of records, in bytes.
+const COUNT_BYTES: usize = 1;
+
 /// Answers at the norm that are assumed in addition to those that hosts report. They keep small
 /// sums from counting.
 const PRIOR: f64 = 3.0;
@@ -28,8 +36,8 @@
 const SLOWDOWN: f64 = 1.4;
 
 /// Time in which all hosts report a replica after the first report of it. It covers two
-/// heartbeats.
-const CONFIRM_AFTER: Span = Span::from_ms(900);
+/// heartbeats, and a status of each of two voters in between for most hosts.
+const CONFIRM_AFTER: Span = Span::from_ms(1_200);
 
 /// Time in which reported evidence loses half its weight.
 const HALF_LIFE: Span = Span::from_ms(1_500);
@@ -86,7 +94,7 @@
 /// What a process tells another of replicas that differ from the norm; empty while none does.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
-    /// At most [`RECORDS_MAX`] replicas.
+    /// At most [`RECORDS_MAX`] replicas in [`BYTES_MAX`] bytes.
     pub records: Vec<Record>,
 }
 
@@ -94,15 +102,41 @@
     /// A report of those records that weigh most.
     pub fn new(mut records: Vec<Record>) -> Report {
         records.sort_by(|a, b| b.calls.cmp(&a.calls).then(a.instance.cmp(&b.instance)));
-        records.truncate(RECORDS_MAX);
-        Report { records }
+        Report { records }.bounded()
+    }
+
+    /// The first records within the limits on their number and encoded size. Receivers apply it
+    /// too, since they can't rely on the sender's build.
+    pub fn bounded(mut self) -> Report {
+        let mut bytes = COUNT_BYTES;
+        self.records.retain(|record| {
+            let with = bytes.saturating_add(encoded_bytes(record));
+            let fits = with <= BYTES_MAX;
+            if fits {
+                bytes = with;
+            }
+            fits
+        });
+        self.records.truncate(RECORDS_MAX);
+        self
     }
 }
 
-/// Reports that a voter collects, by the host that measured.
+/// Encoded size of a record, in bytes.
+fn encoded_bytes(record: &Record) -> usize {
+    postcard::serialize_with_flavor(record, Size::default()).unwrap_or(usize::MAX)
+}
+
+/// Last reports by the process that sent them, with the times of receipt.
+type Reports = BTreeMap<SocketAddr, (Time, Report)>;
+
+/// Reports that a voter collects.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    reports: BTreeMap<SocketAddr, (Time, Report)>,
+    /// Reports of the entry hosts that send their heartbeats to this voter.
+    hosts: Reports,
+    /// Sums of the other voters over their own entry hosts.
+    voters: Reports,
     /// When each replica began to differ by the sums.
     since: BTreeMap<Instance, Time>,
 }
@@ -110,29 +144,43 @@
 impl Board {
     /// Replaces the report of the host at `from`.
     pub fn merge(&mut self, now: Time, from: SocketAddr, report: Report) {
-        match report.records.is_empty() {
-            true => drop(self.reports.remove(&from)),
-            false => drop(self.reports.insert(from, (now, report))),
-        }
+        replace(&mut self.hosts, now, from, report);
+    }
+
+    /// Replaces the sums of the voter at `from`.
+    pub fn merge_sums(&mut self, now: Time, from: SocketAddr, report: Report) {
+        replace(&mut self.voters, now, from, report);
     }
 
     /// Drops old reports.
     pub fn retain(&mut self, now: Time) {
-        self.reports
-            .retain(|_, (at, _)| now.since(*at) < MERGED_AGE_MAX);
+        let recent = |at: &Time| now.since(*at) < MERGED_AGE_MAX;
+        self.hosts.retain(|_, (at, _)| recent(at));
+        self.voters.retain(|_, (at, _)| recent(at));
+    }
+
+    /// Drops the reports of hosts and the sums of voters that are not live.
+    pub fn retain_live(
+        &mut self,
+        is_live_host: impl Fn(&SocketAddr) -> bool,
+        is_live_voter: impl Fn(&SocketAddr) -> bool,
+    ) {
+        self.hosts.retain(|host, _| is_live_host(host));
+        self.voters.retain(|voter, _| is_live_voter(voter));
+    }
+
+    /// Sums over the hosts of this voter, for the other voters. They contain all replicas that a
+    /// host reports, since a replica may differ by the sums of all voters only.
+    pub fn own_sums(&self, now: Time) -> Report {
+        let sums = add_up(now, self.hosts.values());
+        let records = sums.into_iter();
+        let records = records.map(|(instance, sum)| Record::new(instance.clone(), &sum));
+        Report::new(records.collect())
     }
 
-    /// Sums over all hosts, of the replicas that differ by them.
+    /// Sums over the hosts of all voters, of the replicas that differ by them.
     pub fn summary(&mut self, now: Time) -> Report {
-        let mut sums = BTreeMap::<&Instance, Evidence>::new();
-        for (at, report) in self.reports.values() {
-            let since = now.since(*at);
-            let recent = |record: &&Record| record.age + since < MERGED_AGE_MAX;
-            for record in report.records.iter().filter(recent) {
-                let sum = sums.entry(&record.instance).or_default();
-                sum.add(&record.evidence(since));
-            }
-        }
+        let mut sums = add_up(now, self.hosts.values().chain(self.voters.values()));
         sums.retain(|_, sum| differs(sum, PRIOR, SLOWDOWN));
         self.since.retain(|instance, _| sums.contains_key(instance));
         let records = sums.into_iter().map(|(instance, sum)| {
@@ -145,3 +193,27 @@
         Report::new(records.collect())
     }
 }
+
+fn replace(reports: &mut Reports, now: Time, from: SocketAddr, report: Report) {
+    match report.records.is_empty() {
+        true => drop(reports.remove(&from)),
+        false => drop(reports.insert(from, (now, report.bounded()))),
+    }
+}
+
+/// Adds up the recent records of each replica.
+fn add_up<'a>(
+    now: Time,
+    reports: impl Iterator<Item = &'a (Time, Report)>,
+) -> BTreeMap<&'a Instance, Evidence> {
+    let mut sums = BTreeMap::<&Instance, Evidence>::new();
+    for (at, report) in reports {
+        let since = now.since(*at);
+        let recent = |record: &&Record| record.age + since < MERGED_AGE_MAX;
+        for record in report.records.iter().filter(recent) {
+            let sum = sums.entry(&record.instance).or_default();
+            sum.add(&record.evidence(since));
+        }
+    }
+    sums
+}
--- a/decision/src/publisher.rs
+++ b/decision/src/publisher.rs
@@ -45,9 +45,11 @@
         &mut self,
         now: Time,
         from: SocketAddr,
-        heartbeat: Heartbeat,
+        mut heartbeat: Heartbeat,
         out: &mut Vec<Action>,
     ) {
+        let load = std::mem::take(&mut heartbeat.load.0);
+        self.load.merge(now, from, *load);
         let records = heartbeat.ledger.records.clone();
         let known = self
             .entries
@@ -100,13 +102,14 @@
     pub(crate) fn build_feed(&mut self, now: Time, heartbeat: &Heartbeat) -> Message {
         let ledger = Appended(self.ledger.summary(now, heartbeat.ledger.digest));
         let limits = Appended(self.limits.report(now, heartbeat.limits.digest, None));
-        let Some(state) = self.chosen.as_ref().filter(|_| self.quorum) else {
+        let Some(state) = self.chosen.clone().filter(|_| self.quorum) else {
             return Message::Feed(Box::new(Feed {
                 ledger,
                 limits,
                 ..Feed::default()
             }));
         };
+        let load = self.all_load(now).into();
         let listing = self.listing.as_ref();
         let digest = listing.map(|listing| listing.digest).unwrap_or_default();
         let lacking = listing.filter(|listing| listing.digest != heartbeat.fleet_digest);
@@ -127,6 +130,7 @@
             limits,
             links: self.all_links(now).into(),
             rollouts: self.rollout_orders(heartbeat.rollouts.digest).into(),
+            load,
         }))
     }
 
@@ -245,6 +249,7 @@
             peer.links = status.links.0;
         }
         self.limits.merge(now, from, status.limits.0);
+        self.load.merge_sums(now, from, *status.load.0);
         for (host, report) in &status.rollouts.0.0 {
             self.steering.board.merge(now, *host, report);
         }
@@ -292,6 +297,7 @@
         let differing = peers.map(|peer| peer.ledger).find(|known| *known != ledger);
         let ledger = Appended(self.ledger.summary(now, differing.unwrap_or(ledger)));
         let limits = Appended(self.limit_report(now));
+        let load = Box::new(self.own_load(now)).into();
         let listing = self.listing.as_ref();
         let status = Status {
             voting: self.mode() == Some(Mode::Voting),
@@ -304,6 +310,7 @@
             limits,
             links: self.own_links().into(),
             rollouts: Box::new(self.rollout_reports(now)).into(),
+            load,
         };
         self.broadcast(&Message::Status(status), out);
     }
--- a/decision/tests/load/setup.rs
+++ b/decision/tests/load/setup.rs
@@ -110,6 +110,11 @@
     address(2, host)
 }
 
+/// Address of a voter.
+pub fn voter_address(voter: usize) -> SocketAddr {
+    address(3, voter)
+}
+
 fn service_name(service: usize) -> Name {
     Name::from(format!("s{service}"))
 }
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod group;
 mod hosts;
+mod learned;
 mod limited;
 mod merge;
 mod model;
