Entry hosts have a setting for the estimator of capacity

Cause: the estimator was fixed, so that the exchange of measurements could not be tried on a running tier.

The gateway gets it as a setting.

A replay with averages sends no record.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -186,6 +186,7 @@
         extra: settings.extra,
         cold_overage: settings.cold_overage,
         cold_slack: settings.cold_slack,
+        estimator: settings.estimator,
         domain: settings.domain.clone(),
         margin: CALLER_MARGIN,
         margin_first: CALLER_MARGIN_FIRST,
--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -17,6 +17,7 @@
 use wagtailbeam_decision::ini::from_str;
 use wagtailbeam_decision::ini::in_range;
 use wagtailbeam_decision::ini::span;
+use wagtailbeam_decision::load::capacity::Estimator;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::rollout;
 
@@ -25,7 +26,8 @@
 use crate::settings::Result;
 
 /// Sections allowed in the file.
-const SECTIONS: &str = "host, listen, voters, list, extra, cold, quota, rollout, stop, log";
+const SECTIONS: &str =
+    "host, listen, voters, list, extra, cold, quota, capacity, rollout, stop, log";
 
 /// Largest value of [`Settings::tolerated_losses`].
 const TOLERATED_LOSSES_MAX: u64 = 4;
@@ -85,6 +87,8 @@
     pub cold_slack: f64,
     /// What may run beyond the quotas of accounts, for all entry hosts together.
     pub quota: Limit,
+    /// How entry hosts estimate the capacity of replicas.
+    pub estimator: Estimator,
     /// Limits on the exposure to new versions in rollouts.
     pub rollout: rollout::Settings,
     /// Time from a stop request until no more connections are accepted.
@@ -124,6 +128,7 @@
                 slack: 0.0,
                 window: Span::from_secs(5),
             },
+            estimator: Estimator::default(),
             rollout: rollout::Settings::default(),
             drain: Span::from_ms(2_200),
             stop_max: Span::from_ms(5_500),
@@ -159,6 +164,7 @@
         settings.read_voters(&mut document);
         settings.read_list(&mut document);
         settings.read_limits(&mut document);
+        settings.read_capacity(&mut document);
         settings.read_rollout(&mut document);
         settings.read_stop_and_log(&mut document);
         document.finish(Some(settings), SECTIONS)
@@ -294,6 +300,19 @@
         document.reject_unknown_keys(section, "window, overage, slack");
     }
 
+    fn read_capacity(&mut self, document: &mut Document) {
+        let mut section = document.take_one("capacity");
+        let parse = |text: &str| match text {
+            "average" => Some(Estimator::Average),
+            "gradient" => Some(Estimator::Gradient),
+            _ => None,
+        };
+        let allowed = "average, gradient";
+        let estimator = read_rendered(document, &mut section, "estimator", allowed, parse);
+        self.estimator = estimator.unwrap_or_default();
+        document.reject_unknown_keys(section, "estimator");
+    }
+
     fn read_rollout(&mut self, document: &mut Document) {
         let mut section = document.take_one("rollout");
         let share = section.optional(document, "share", "0 to 1", |text| {
--- a/adapter/tests/hosts.rs
+++ b/adapter/tests/hosts.rs
@@ -1,6 +1,7 @@
 //! Tests of the settings of entry hosts and voters in a tier with discovered hosts.
 
 use wagtailbeam_adapter::host::Settings;
+use wagtailbeam_decision::load::capacity::Estimator;
 
 /// Faults of a settings file as they are printed, none if it is valid.
 fn faults(text: &str) -> Vec<String> {
@@ -41,3 +42,28 @@
     let faulty = text.replace("overage = 0.1", "overage = much");
     assert_eq!(faults(&faulty).len(), 1);
 }
+
+/// Guards against an estimator that takes effect without the operators asking for it, and against
+/// misspelt or unfinished ones.
+#[test]
+fn the_estimator_is_average_unless_the_settings_name_gradient() {
+    let text = include_str!("data/host-entry.ini");
+    let estimator = |value: &str| {
+        let text = text.replace("estimator = gradient", value);
+        Settings::parse(&text).map(|settings| settings.estimator)
+    };
+    assert_eq!(
+        estimator("estimator = gradient").ok(),
+        Some(Estimator::Gradient)
+    );
+    for value in ["estimator = average", "estimator =", ""] {
+        assert_eq!(estimator(value).ok(), Some(Estimator::Average), "{value}");
+    }
+    let absent = text.replace("[capacity]\nestimator = gradient\n", "");
+    let absent = Settings::parse(&absent).expect("valid settings");
+    assert_eq!(absent.estimator, Estimator::Average);
+    for value in ["concurrency", "Gradient", "gradient\nhalf_life = 2s"] {
+        let text = text.replace("= gradient", &format!("= {value}"));
+        assert_eq!(faults(&text).len(), 1, "{value}");
+    }
+}
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -95,6 +95,8 @@
     pub cold_overage: f64,
     /// Requests per second allowed to a cold replica in addition.
     pub cold_slack: f64,
+    /// How the capacity of replicas is estimated.
+    pub estimator: Estimator,
     /// Time for a request to arrive from the caller and for the answer to get back;
     /// subtracted from the latency objective.
     pub margin: Span,
@@ -339,6 +341,7 @@
         Gateway {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             rollouts: Traffic::new(settings.seed),
+            estimator: settings.estimator,
             settings,
             catalog: Arc::default(),
             closed: BTreeSet::new(),
@@ -350,7 +353,6 @@
             cold_shares: HashMap::new(),
             latencies: HashMap::new(),
             service_latencies: HashMap::new(),
-            estimator: Estimator::default(),
             credits: HashMap::new(),
             flights: HashMap::new(),
             calls: HashMap::new(),
--- a/decision/src/load/capacity.rs
+++ b/decision/src/load/capacity.rs
@@ -56,8 +56,8 @@
     /// Moving averages with a fixed weight of each sample.
     #[default]
     Average,
-    /// Mean of the logarithms of relative latencies, weighted by age. Not in use: without the
-    /// evidence of other hosts it served callers worse than the averages (docs/design/capacity.md).
+    /// Mean of the logarithms of relative latencies, weighted by age, with the evidence of other
+    /// hosts (docs/design/capacity.md).
     Gradient,
     /// Adaptive limit on concurrent calls.
     Concurrency,
--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -203,3 +203,19 @@
         assert!(after.affected > 0.2, "{}", case.name);
     }
 }
+
+/// Guards against reports of hosts that run the estimator of earlier builds.
+#[test]
+fn only_hosts_with_the_gradient_report_replicas() {
+    let case = cases::degraded().remove(0);
+    let records = |estimator: Estimator| {
+        let policy = Policy {
+            estimator,
+            voters: 1,
+            discipline: Discipline::Fair,
+        };
+        Replay::run(case.clone(), policy, 1).records
+    };
+    assert_eq!(records(Estimator::Average), 0);
+    assert!(records(Estimator::Gradient) > 0);
+}
--- a/decision/tests/load/setup.rs
+++ b/decision/tests/load/setup.rs
@@ -17,6 +17,7 @@
 use wagtailbeam_decision::fleet::Replica;
 use wagtailbeam_decision::fleet::State;
 use wagtailbeam_decision::gateway::Settings;
+use wagtailbeam_decision::load::capacity::Estimator;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::plan::Host;
 use wagtailbeam_decision::plan::Plan;
@@ -194,6 +195,7 @@
         extra: Limit::default(),
         cold_overage: 1.5,
         cold_slack: 5.0,
+        estimator: Estimator::default(),
         margin: Span::from_ms(7),
         margin_first: Span::from_ms(13),
         list_lag: Span::from_ms(800),
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -36,6 +36,7 @@
 use wagtailbeam_decision::gateway::Gateway;
 use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::gateway::Settings;
+use wagtailbeam_decision::load::capacity::Estimator;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::notice::Notice;
 
@@ -488,6 +489,7 @@
         },
         cold_overage: 1.5,
         cold_slack: 5.0,
+        estimator: Estimator::default(),
         margin: Span::from_ms(11),
         margin_first: Span::from_ms(17),
         list_lag: Span::from_ms(800),
