Log and gauge of replicas that differ by the learned capacity

Cause: operators could not see which replicas the hosts treat as slow by the measurements of all hosts.

Change: an entry host with the estimator gradient logs event 726 when the confirmed slowdown of a replica reaches 1.4, and again once it has been below for a second. The gauge wagtailbeam_differing_replicas has the number of replicas that differ in latency or failures.

--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -32,6 +32,7 @@
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::load::watch::Watch;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::relay::Relay;
 use wagtailbeam_decision::relay::RelayId;
@@ -139,6 +140,7 @@
     pub(crate) state: watch::Sender<State>,
     pub(crate) logger: Logger,
     pub(crate) meter: meter::Entry,
+    pub(crate) load_watch: Watch,
     /// Whether a voter in contact with a majority recently confirmed the state it feeds.
     pub(crate) feed_fresh: bool,
     /// When the stop was requested; absent while running.
@@ -222,6 +224,7 @@
         state,
         logger: Logger::default(),
         meter: meter::Entry::new(&exporter),
+        load_watch: Watch::default(),
         feed_fresh: false,
         stopping_since: None,
         rotation: Rotation::default(),
@@ -372,6 +375,8 @@
         );
         self.meter
             .set_limited_replicas(self.gateway.limited_replicas());
+        let differing = self.load_watch.differing(self.now());
+        self.meter.set_differing_replicas(differing);
         for usage in self.gateway.take_usage() {
             self.logger.limit_used(&usage);
         }
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -10,6 +10,8 @@
 use wagtailbeam_decision::feed::Message;
 use wagtailbeam_decision::feed::Update;
 use wagtailbeam_decision::gateway::Event;
+use wagtailbeam_decision::load::capacity::Estimator;
+use wagtailbeam_decision::load::report::Report;
 use wagtailbeam_decision::load::waiting::Discipline;
 use wagtailbeam_decision::plan::Plan;
 use wagtailbeam_decision::rollout::order::Orders;
@@ -62,7 +64,7 @@
         }
         self.step_gateway(Event::Limits(update.limits));
         if let Some(load) = update.load {
-            self.gateway.merge_load(self.now(), &load);
+            self.adopt_load(&load);
         }
         // Orders come before the list, so that replicas of a new version get no requests beyond the
         // share when they are listed.
@@ -111,6 +113,18 @@
         }
     }
 
+    /// Adopts the measurements of all hosts, and logs replicas that became slow or normal by them.
+    fn adopt_load(&mut self, load: &Report) {
+        let now = self.now();
+        self.gateway.merge_load(now, load);
+        if self.settings.estimator != Estimator::Gradient {
+            return;
+        }
+        for crossing in self.load_watch.update(now, load) {
+            self.logger.capacity_changed(&crossing);
+        }
+    }
+
     /// Follows a voter's orders of rollouts and logs changed ones.
     fn follow_rollouts(&mut self, orders: Orders) {
         for order in orders.orders.iter().flatten() {
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -17,7 +17,9 @@
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::fleet::Instance;
 use wagtailbeam_decision::gateway::Evidence;
+use wagtailbeam_decision::load::watch::Crossing;
 use wagtailbeam_decision::quota::Rate;
 use wagtailbeam_decision::quota::Usage;
 use wagtailbeam_decision::suspect::Standing;
@@ -278,6 +280,22 @@
         }
     }
 
+    /// Logs that a replica became slow, or normal again, by the measurements of all hosts.
+    pub fn capacity_changed(&mut self, crossing: &Crossing) {
+        if self.admit(false) {
+            let Instance { id, born } = &crossing.instance;
+            tracing::info!(
+                event = 726,
+                replica = %id,
+                born,
+                slow = crossing.slow,
+                slowdown = crossing.slowdown,
+                answers = crossing.answers,
+                "learned slowdown of a replica changed"
+            );
+        }
+    }
+
     /// Logs a request that was not admitted within the quota of its account, why and for how long.
     pub fn quota_refused(&mut self, account: &str, cause: Cause, wait: Span) {
         if self.admit(false) {
--- a/adapter/src/meter.rs
+++ b/adapter/src/meter.rs
@@ -125,6 +125,7 @@
     hosts: Gauge<u64>,
     connections: Gauge<u64>,
     limited: Gauge<u64>,
+    differing: Gauge<u64>,
     relayed: Counter<u64>,
     quota: Counter<u64>,
     tokens: Counter<u64>,
@@ -153,6 +154,7 @@
             hosts: meter.u64_gauge("wagtailbeam_entry_hosts").build(),
             connections: meter.u64_gauge("wagtailbeam_backend_connections").build(),
             limited: meter.u64_gauge("wagtailbeam_limited_replicas").build(),
+            differing: meter.u64_gauge("wagtailbeam_differing_replicas").build(),
             relayed: meter.u64_counter("wagtailbeam_requests_relayed").build(),
             quota: meter.u64_counter("wagtailbeam_quota_requests").build(),
             tokens: meter.u64_counter("wagtailbeam_token_requests").build(),
@@ -211,6 +213,11 @@
         self.limited.record(replicas as u64, &[]);
     }
 
+    /// Sets the number of replicas that differ from the norm by the measurements of all hosts.
+    pub fn set_differing_replicas(&self, replicas: usize) {
+        self.differing.record(replicas as u64, &[]);
+    }
+
     /// Counts an order that moved to another entry host.
     pub fn order_moved(&self) {
         self.moved.add(1, &[]);
--- a/decision/src/load/capacity.rs
+++ b/decision/src/load/capacity.rs
@@ -42,7 +42,7 @@
 
 /// Time for which a host uses the evidence of all hosts after it was told of it. The rest of
 /// [`MERGED_AGE_MAX`] covers the time that evidence may spend at two voters.
-const TOLD_AGE_MAX: Span = Span::from_ms(2_900);
+pub const TOLD_AGE_MAX: Span = Span::from_ms(2_900);
 
 /// Exponent of the slowdown in the chance that a replica is treated as normal.
 const PROBE_EXPONENT: f64 = 2.5;
--- a/decision/src/load/report.rs
+++ b/decision/src/load/report.rs
@@ -33,7 +33,7 @@
 const PRIOR: f64 = 3.0;
 
 /// Slowdown by the sums from which a replica differs from the norm.
-const SLOWDOWN: f64 = 1.4;
+pub const SLOWDOWN: f64 = 1.4;
 
 /// Time in which all hosts report a replica after the first report of it. It covers two
 /// heartbeats, and a status of each of two voters in between for most hosts.
@@ -89,6 +89,11 @@
         };
         evidence.aged(self.age + since, HALF_LIFE)
     }
+
+    /// Latency relative to the norm, with the answers at the norm that are assumed in addition.
+    pub fn slowdown(&self) -> f64 {
+        self.evidence(Span::ZERO).slowdown(PRIOR)
+    }
 }
 
 /// What a process tells another of replicas that differ from the norm; empty while none does.
--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -10,6 +10,7 @@
 mod replay;
 mod setup;
 mod waiting;
+mod watch;
 
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::load::capacity::Estimator;
