--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod board;
 mod cases;
+mod heldout;
 mod order;
 mod outliers;
 mod patterns;
@@ -98,8 +99,10 @@
     calls[index] as f64 * calls.len() as f64 / calls.iter().sum::<usize>().max(1) as f64
 }
 
-fn measure(case: &Case, policy: Policy) -> Figures {
-    let runs = SEEDS.map(|seed| Replay::run(case.clone(), policy, seed));
+fn measure(case: &Case, policy: Policy, seeds: &[u64]) -> Figures {
+    let runs = seeds.iter();
+    let runs = runs.map(|seed| Replay::run(case.clone(), policy, *seed));
+    let runs = runs.collect::<Vec<_>>();
     let outcomes = || runs.iter().flat_map(|run| &run.outcomes);
     let mut figures = Figures::default();
     for route in 0..case.routes.len() {
@@ -117,7 +120,7 @@
     let extra = runs.iter().map(|run| run.extra).sum::<u64>() as f64;
     figures.extra = extra / (sent - extra);
     let (server, from, until) = case.affected.unwrap_or((0, 10.0, case.seconds as f64));
-    let count = SEEDS.len() as f64;
+    let count = seeds.len() as f64;
     for run in &runs {
         let all = run.calls(0, seconds(from), seconds(until));
         let busiest = (0..all.len()).map(|index| relative(&all, index));
@@ -162,7 +165,7 @@
     );
     let compared = cases.into_iter().map(|case| {
         let figures = POLICIES.map(|policy| {
-            let figures = measure(&case, policy);
+            let figures = measure(&case, policy, &SEEDS);
             print(&case, policy, &figures);
             figures
         });
