--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -33,6 +33,7 @@
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::load::watch::Watch;
 use wagtailbeam_decision::plan;
 use wagtailbeam_decision::relay::Relay;
 use wagtailbeam_decision::relay::RelayId;
@@ -144,6 +145,7 @@
     pub(crate) meter: meter::Entry,
     /// Whether the process was suspended.
     pub(crate) suspension: Suspension,
+    pub(crate) load_watch: Watch,
     /// Whether a voter in contact with a majority recently confirmed the state it feeds.
     pub(crate) feed_fresh: bool,
     /// When the stop was requested; absent while running.
@@ -196,6 +198,7 @@
         extra: settings.extra,
         cold_overage: settings.cold_overage,
         cold_slack: settings.cold_slack,
+        estimator: settings.estimator,
         domain: settings.domain.clone(),
         margin: CALLER_MARGIN,
         margin_first: CALLER_MARGIN_FIRST,
@@ -233,6 +236,7 @@
         logger: Logger::default(),
         meter: meter::Entry::new(&exporter),
         suspension: Suspension::new(clock.now()),
+        load_watch: Watch::default(),
         feed_fresh: false,
         stopping_since: None,
         rotation: Rotation::default(),
@@ -341,6 +345,7 @@
             let known = self.subscriber.voter_limits();
             heartbeat.limits = self.gateway.limit_report(now, known).into();
             heartbeat.rollouts = Box::new(self.gateway.rollout_report()).into();
+            heartbeat.load = Box::new(self.gateway.load_report(now)).into();
             heartbeat.links = match self.gateway.links() {
                 uplink::State::Sound => Links::Sound,
                 uplink::State::Lost | uplink::State::Trial => Links::Lost,
@@ -384,6 +389,8 @@
         self.log_refused_keys();
         self.meter
             .set_limited_replicas(self.gateway.limited_replicas());
+        let differing = self.load_watch.differing(self.now());
+        self.meter.set_differing_replicas(differing);
         for usage in self.gateway.take_usage() {
             self.logger.limit_used(&usage);
         }
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod accounts;
 mod accounts_report;
 mod accounts_scale;
+mod capacity;
 mod faults;
 mod harness;
 mod lifecycle;
--- a/decision/tests/load/main.rs
+++ b/decision/tests/load/main.rs
@@ -4,12 +4,14 @@
 mod arrivals;
 mod board;
 mod cases;
+mod heldout;
 mod order;
 mod outliers;
 mod patterns;
 mod replay;
 mod setup;
 mod waiting;
+mod watch;
 
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::load::capacity::Estimator;
@@ -31,22 +33,22 @@
 const POLICIES: [Policy; 4] = [
     Policy {
         estimator: Estimator::Average,
-        merged: false,
+        voters: 0,
         discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Concurrency,
-        merged: false,
+        voters: 0,
         discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Gradient,
-        merged: false,
+        voters: 0,
         discipline: Discipline::Fair,
     },
     Policy {
         estimator: Estimator::Gradient,
-        merged: true,
+        voters: 1,
         discipline: Discipline::Fair,
     },
 ];
@@ -97,8 +99,10 @@
     calls[index] as f64 * calls.len() as f64 / calls.iter().sum::<usize>().max(1) as f64
 }
 
-fn measure(case: &Case, policy: Policy) -> Figures {
-    let runs = SEEDS.map(|seed| Replay::run(case.clone(), policy, seed));
+fn measure(case: &Case, policy: Policy, seeds: &[u64]) -> Figures {
+    let runs = seeds.iter();
+    let runs = runs.map(|seed| Replay::run(case.clone(), policy, *seed));
+    let runs = runs.collect::<Vec<_>>();
     let outcomes = || runs.iter().flat_map(|run| &run.outcomes);
     let mut figures = Figures::default();
     for route in 0..case.routes.len() {
@@ -116,7 +120,7 @@
     let extra = runs.iter().map(|run| run.extra).sum::<u64>() as f64;
     figures.extra = extra / (sent - extra);
     let (server, from, until) = case.affected.unwrap_or((0, 10.0, case.seconds as f64));
-    let count = SEEDS.len() as f64;
+    let count = seeds.len() as f64;
     for run in &runs {
         let all = run.calls(0, seconds(from), seconds(until));
         let busiest = (0..all.len()).map(|index| relative(&all, index));
@@ -136,9 +140,10 @@
     let latencies = figures.latencies.iter();
     let latencies = latencies.map(|(median, high)| format!("{median:.1}/{high:.0}"));
     let latencies = latencies.collect::<Vec<_>>().join(" ");
-    let estimator = match policy.merged {
-        true => "merged".to_owned(),
-        false => format!("{:?}", policy.estimator),
+    let estimator = match policy.voters {
+        0 => format!("{:?}", policy.estimator),
+        1 => "merged".to_owned(),
+        voters => format!("merged, {voters} voters"),
     };
     println!(
         "| {} | {estimator} | {latencies} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} |",
@@ -160,7 +165,7 @@
     );
     let compared = cases.into_iter().map(|case| {
         let figures = POLICIES.map(|policy| {
-            let figures = measure(&case, policy);
+            let figures = measure(&case, policy, &SEEDS);
             print(&case, policy, &figures);
             figures
         });
@@ -202,3 +207,19 @@
         assert!(after.affected > 0.2, "{}", case.name);
     }
 }
+
+/// Guards against reports of hosts that run the estimator of earlier builds.
+#[test]
+fn only_hosts_with_the_gradient_report_replicas() {
+    let case = cases::degraded().remove(0);
+    let records = |estimator: Estimator| {
+        let policy = Policy {
+            estimator,
+            voters: 1,
+            discipline: Discipline::Fair,
+        };
+        Replay::run(case.clone(), policy, 1).records
+    };
+    assert_eq!(records(Estimator::Average), 0);
+    assert!(records(Estimator::Gradient) > 0);
+}
