--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -120,6 +120,7 @@
     pub(crate) relay: Relay,
     /// Admits callers' requests within the quotas of their accounts.
     pub(crate) gate: Gate,
+    /// Requests by account.
     pub(crate) tally: Tally,
     /// Request number of each relayed request accepted, by the host that sent it.
     pub(crate) relayed: BTreeMap<(SocketAddr, RelayId), u64>,
@@ -143,8 +144,9 @@
     pub(crate) state: watch::Sender<State>,
     pub(crate) logger: Logger,
     pub(crate) meter: meter::Entry,
-    /// Whether the process was suspended.
+    /// When the process was last suspended.
     pub(crate) suspension: Suspension,
+    /// Replicas whose learned slowdown was reported to the log.
     pub(crate) load_watch: Watch,
     /// Whether a voter in contact with a majority recently confirmed the state it feeds.
     pub(crate) feed_fresh: bool,
--- a/adapter/src/identity.rs
+++ b/adapter/src/identity.rs
@@ -52,7 +52,7 @@
             Some(route) => catalog.accounts.identify(route.open, credential),
             None => Identity::Anonymous,
         };
-        let outdated = self.suspension.casts_doubt(self.now());
+        let outdated = self.suspension.keys_may_be_outdated(self.now());
         let known = match identity {
             Identity::Account(_) => !outdated,
             Identity::Anonymous => true,
@@ -94,7 +94,7 @@
             .catalog()
             .route(&request.host, request.target.path());
         let route = route.map(|route| route.name.clone());
-        let confirmed = self.feed_fresh && !self.suspension.casts_doubt(self.now());
+        let confirmed = self.feed_fresh && !self.suspension.keys_may_be_outdated(self.now());
         let answer = match confirmed {
             true => {
                 self.count_unknown(request, route.clone());
--- a/adapter/src/inbound.rs
+++ b/adapter/src/inbound.rs
@@ -25,6 +25,7 @@
     /// Handles a report of the connections to voters and entry hosts.
     pub(crate) fn handle_mesh(&mut self, report: mesh::Report) {
         let now = self.now();
+        self.suspension.step(now);
         match self.mesh.handle(report) {
             mesh::Event::Message(from, message) => match *message {
                 Message::Feed(feed) => {
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -27,7 +27,8 @@
 //!
 //! 1. [`ingress`] accepts the connection, reads the request and sends it to [`entry`].
 //! 2. `identity` finds its client account, and `admission` waits for a token of the account's
-//!    quota, if it has one; `tally` counts both by account. Then `serve` passes it to the gateway, or to the fanout if its route is divided among hosts.
+//!    quota, if it has one; `tally` counts requests and refusals by account. Then `serve` passes it
+//!    to the gateway, or to the fanout if its route is divided among hosts.
 //!    For the fanout, `aggregate` orders branches from other entry hosts over [`mesh`], accepts
 //!    the orders of others, and passes the branches of this host to the gateway.
 //! 3. `serve` sends the gateway's calls to replicas over connections of [`pool`]; `response`
--- a/adapter/src/logging.rs
+++ b/adapter/src/logging.rs
@@ -148,7 +148,7 @@
         allowed
     }
 
-    /// Logs the answer to a caller. Requests with unknown keys have a line of their own.
+    /// Logs the answer to a caller. Refused keys are logged together once a second instead.
     pub fn request_answered(&mut self, id: LogId<'_>, outcome: Outcome, report: &Report) {
         if outcome == Outcome::UnknownKey {
             return;
@@ -318,10 +318,10 @@
         }
     }
 
-    /// Logs an order or relayed request of an older build whose key no account holds.
+    /// Logs an order or relayed request of an older build whose key was not accepted.
     pub fn order_refused(&mut self, from: SocketAddr) {
         if self.admit(false) {
-            tracing::warn!(event = 725, %from, "order of an older build with an unknown key");
+            tracing::warn!(event = 725, %from, "order of an older build whose key was not accepted");
         }
     }
 
--- a/decision/src/account/suspension.rs
+++ b/decision/src/account/suspension.rs
@@ -14,7 +14,7 @@
 
 /// Time after the end of a suspension in which no key is taken. It covers a heartbeat and its answer
 /// on a busy host.
-const DOUBT_TIME: Span = Span::from_ms(500);
+const KEYS_REFUSED_FOR: Span = Span::from_ms(500);
 
 /// When the process last ran, and when it last resumed.
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +42,8 @@
     }
 
     /// Whether keys may be outdated, as the process resumed a short time ago.
-    pub fn casts_doubt(&self, now: Time) -> bool {
+    pub fn keys_may_be_outdated(&self, now: Time) -> bool {
         let resumed_at = self.resumed_at;
-        resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < DOUBT_TIME)
+        resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < KEYS_REFUSED_FOR)
     }
 }
--- a/decision/src/account/usage.rs
+++ b/decision/src/account/usage.rs
@@ -16,11 +16,14 @@
 /// Label of the sum over the accounts that are not listed; an account of this name is not listed.
 pub const OTHER: &str = "other";
 
-/// Lead over the listed account with the fewest requests that another one needs to replace it, as a
-/// divisor of its requests. Without it, two accounts with equal traffic would replace each other
-/// all the time.
+/// An account takes the place of the listed one with the fewest requests once it has this part more,
+/// as a divisor, and at least [`LEAD_MIN`] more. Otherwise two accounts with equal traffic would
+/// replace each other all the time.
 const LEAD_DIVISOR: u64 = 16;
 
+/// Least lead in requests.
+const LEAD_MIN: u64 = 1;
+
 /// What became of a request of an account.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Verdict {
@@ -100,7 +103,7 @@
         let displaced = match self.listed.len() < LISTED_MAX {
             true => None,
             false => match self.fewest() {
-                Some((at, fewest)) if total > fewest + fewest / LEAD_DIVISOR => {
+                Some((at, fewest)) if total > fewest + (fewest / LEAD_DIVISOR).max(LEAD_MIN) => {
                     Some(self.listed.swap_remove(at))
                 }
                 _ => return Listing::default(),
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -202,7 +202,7 @@
         self.count_call(now, endpoint);
         self.count_version_send(now, &service, endpoint, &route.name);
         let connections = self.connections(&service);
-        let keep = self.keeps_connections(endpoint, &service);
+        let keep = self.keeps_connection_to(endpoint, &service);
         actions.push(Action::Send(Call {
             connections,
             keep,
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -152,25 +152,25 @@
         f64::from(all) * CONNECTIONS_USED_SHARE
     }
 
-    /// Whether this host keeps connections to a replica of a service. Each host may open one, so
-    /// that with more hosts than connections some must close theirs after each call: the replica
-    /// resets what exceeds its limit, and a request on such a connection may count as run.
-    pub(crate) fn keeps_connections(&mut self, id: EndpointId, service: &Name) -> bool {
-        if let Some(known) = self.kept_connections.get(&id) {
+    /// Whether this host keeps connections to a replica open between calls. With fewer connections
+    /// than hosts only some do: the replica resets what exceeds its limit, and a request on such a
+    /// connection may count as run.
+    pub(crate) fn keeps_connection_to(&mut self, id: EndpointId, service: &Name) -> bool {
+        if let Some(known) = self.keeps_connection.get(&id) {
             return *known;
         }
         let all = self.usable_connections(service);
         let keeps = all * self.limit_share(service) >= 1.0 || {
             let keepers = (all * CONNECTIONS_KEPT_SHARE) as usize;
             let senders = self.plan.senders(service);
-            senders.contains(&self.settings.address) && self.preferred(id, &senders) < keepers
+            senders.contains(&self.settings.address) && self.hosts_preferred(id, &senders) < keepers
         };
-        self.kept_connections.insert(id, keeps);
+        self.keeps_connection.insert(id, keeps);
         keeps
     }
 
     /// Number of hosts that rendezvous hashing prefers to this one for a replica.
-    fn preferred(&self, id: EndpointId, hosts: &[SocketAddr]) -> usize {
+    fn hosts_preferred(&self, id: EndpointId, hosts: &[SocketAddr]) -> usize {
         let Some(endpoint) = self.endpoints.get(&id) else {
             return hosts.len();
         };
@@ -214,7 +214,7 @@
         if total >= hosts {
             return total / hosts;
         }
-        u32::from(self.preferred(id, &senders) < total as usize)
+        u32::from(self.hosts_preferred(id, &senders) < total as usize)
     }
 
     /// Time for which a started replica of the service is cold.
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -84,8 +84,8 @@
     /// one could not decode it.
     #[display("replicas at their limits")]
     Limited,
-    /// The part waited for capacity until too little time was left for an answer, or too many parts
-    /// waited. Never sent to other hosts: an older one could not decode it.
+    /// The part waited for capacity until too little time was left for an answer, or the queue was
+    /// full. Never sent to other hosts: an older one could not decode it.
     #[display("no capacity in time")]
     Expired,
 }
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -306,7 +306,7 @@
     pub(crate) cold_shares: HashMap<EndpointId, u32>,
     /// Whether this host keeps connections to a replica, cached until the plan or the limits
     /// change.
-    pub(crate) kept_connections: HashMap<EndpointId, bool>,
+    pub(crate) keeps_connection: HashMap<EndpointId, bool>,
     /// Latencies by route.
     pub(crate) latencies: HashMap<Name, Latency>,
     /// Latencies by route and service of routes with several weighted services.
@@ -356,7 +356,7 @@
             endpoint_ids: HashMap::new(),
             pools: HashMap::new(),
             cold_shares: HashMap::new(),
-            kept_connections: HashMap::new(),
+            keeps_connection: HashMap::new(),
             latencies: HashMap::new(),
             service_latencies: HashMap::new(),
             credits: HashMap::new(),
@@ -440,7 +440,7 @@
                 let routes = catalog.routes.iter().map(|route| &**route);
                 self.throttle.set_routes(routes);
                 self.catalog = catalog;
-                self.kept_connections.clear();
+                self.keeps_connection.clear();
                 self.update_shares(now);
             }
             Event::Fleet(fleet, read) => self.update_fleet(now, &fleet, read, &mut actions),
@@ -450,7 +450,7 @@
             Event::Plan(plan) => {
                 self.plan = plan;
                 self.cold_shares.clear();
-                self.kept_connections.clear();
+                self.keeps_connection.clear();
                 self.update_shares(now);
             }
             Event::Tick => self.tick(now, &mut actions),
--- a/decision/src/hedge.rs
+++ b/decision/src/hedge.rs
@@ -34,14 +34,17 @@
 /// Shortest hedge delay.
 const DELAY_MIN: Span = Span::from_ms(2);
 
-/// Lateness of a timer from which the process was held up, and the time for which the hedge is then
-/// put off: the answer, or the end of the connection, may be waiting unread.
-const LATE_MAX: Span = Span::from_ms(3);
+/// Lateness of a timer from which the process was held up: the answer, or the end of the connection,
+/// may be waiting unread.
+const LATENESS_MAX: Span = Span::from_ms(3);
+
+/// Time for which a hedge is then put off.
+const PUT_OFF: Span = Span::from_ms(3);
 
 /// When a hedge that was due at `due` is to be tried again, if its timer is handled too late;
 /// absent if it may be sent now.
 pub fn put_off(now: Time, due: Time) -> Option<Time> {
-    (now.since(due) > LATE_MAX).then(|| now.after(LATE_MAX))
+    (now.since(due) > LATENESS_MAX).then(|| now.after(PUT_OFF))
 }
 
 /// A decaying histogram of latencies in geometric buckets.
--- a/decision/src/listing.rs
+++ b/decision/src/listing.rs
@@ -65,7 +65,7 @@
             self.endpoints.remove(&id);
             self.endpoint_ids.remove(&replica.instance);
             self.cold_shares.remove(&id);
-            self.kept_connections.remove(&id);
+            self.keeps_connection.remove(&id);
             if let Some(pool) = self.pools.get_mut(&replica.service) {
                 pool.endpoints.retain(|other| *other != id);
             }
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -97,6 +97,8 @@
     sent_at: Option<Time>,
     /// Whether its connection broke; it is not hedged while its server may have ended under it.
     broke: bool,
+    /// Whether its hedge was put off once because its timer was late.
+    put_off: bool,
     /// The hedge of this sub-request, or the sub-request that this one hedges.
     duplicate: Option<Ticket>,
 }
@@ -376,6 +378,7 @@
                 request: batch.request.clone(),
                 sent_at: None,
                 broke: false,
+                put_off: false,
                 duplicate: None,
             };
             actions.extend(self.route(now, subrequest));
@@ -790,7 +793,9 @@
         let mut actions = Vec::new();
         while let Some((time, ticket)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
             self.timers.remove(&(time, ticket));
-            if let Some(later) = hedge::put_off(now, time) {
+            if let Some(later) = hedge::put_off(now, time)
+                && self.put_off_once(ticket)
+            {
                 self.timers.insert((later, ticket));
                 continue;
             }
@@ -799,6 +804,12 @@
         actions
     }
 
+    /// Marks the hedge of a sub-request as put off; false if it was before.
+    fn put_off_once(&mut self, ticket: Ticket) -> bool {
+        let subrequest = self.subrequests.get_mut(&ticket);
+        subrequest.is_some_and(|subrequest| !std::mem::replace(&mut subrequest.put_off, true))
+    }
+
     /// Sends a hedge for one sub-request, unless it has ended, has a duplicate, or no
     /// alternative is ready.
     fn send_hedge(&mut self, now: Time, ticket: Ticket) -> Option<Vec<Action>> {
--- a/decision/src/quarantine.rs
+++ b/decision/src/quarantine.rs
@@ -9,8 +9,8 @@
 //! suspected parts run one at a time, an answer clears them, and only servers that end one
 //! after the other count. Three of them for one service quarantine the part for that service.
 //! Three for any services, with no answer from any in between, quarantine the whole request.
-//! Six are needed if a server answered the request before: one that is repeated often runs
-//! beside the request that ends the servers each time, in particular where few are left.
+//! Six are needed if a server answered the request before: a frequent harmless request often
+//! runs on the same servers as a fatal one, in particular where few servers are left.
 //! See `isolation` for the entry host's side.
 
 mod history;
--- a/decision/src/quarantine/history.rs
+++ b/decision/src/quarantine/history.rs
@@ -7,7 +7,8 @@
 use crate::name::Name;
 use crate::suspect::STANDING_TTL;
 
-/// Parts kept in each of the two sets.
+/// Parts kept in each of the two sets. A gather has one for each shard and one for the whole request;
+/// what was forgotten counts as never answered.
 const SET_MAX: usize = 4_096;
 
 /// Parts, in two sets: when the newer one is full or old, it takes the place of the older one.
--- a/decision/src/rollout/plan.rs
+++ b/decision/src/rollout/plan.rs
@@ -235,7 +235,10 @@
     if passed < length || !situation.has_replicas {
         return None;
     }
-    if suspected && passed < length.saturating_mul(2) || waits_for_route(record, situation) {
+    if suspected && passed < length.saturating_mul(2) {
+        return None;
+    }
+    if waits_for_route(record, situation) {
         return None;
     }
     if has_doubtful_route(situation) {
--- a/decision/tests/tier/account.rs
+++ b/decision/tests/tier/account.rs
@@ -110,11 +110,11 @@
     let mut suspension = Suspension::new(at(0));
     for ms in [400, 800, 2_700] {
         suspension.step(at(ms));
-        assert!(!suspension.casts_doubt(at(ms)), "{ms}");
+        assert!(!suspension.keys_may_be_outdated(at(ms)), "{ms}");
     }
     suspension.step(at(4_700));
-    assert!(suspension.casts_doubt(at(4_700)));
+    assert!(suspension.keys_may_be_outdated(at(4_700)));
     suspension.step(at(5_100));
-    assert!(suspension.casts_doubt(at(5_199)));
-    assert!(!suspension.casts_doubt(at(5_200)));
+    assert!(suspension.keys_may_be_outdated(at(5_199)));
+    assert!(!suspension.keys_may_be_outdated(at(5_200)));
 }
--- a/soak/src/account/load.rs
+++ b/soak/src/account/load.rs
@@ -176,8 +176,9 @@
         }
     }
 
-    /// In runs with accounts, checks with no faults in effect that no entry host takes a revoked key while and after all
-    /// processes are restarted, and that valid callers are served within their quotas.
+    /// In runs with accounts, checks with no faults in effect that no entry host takes a revoked key
+    /// while and after all processes are restarted, and that valid callers are served within their
+    /// quotas.
     pub(crate) async fn check_accounts(&mut self) -> Result<()> {
         if !self.deployment.accounts {
             return Ok(());
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -93,7 +93,7 @@
     pub at_most_once: Name,
     /// Address of the endpoint that lists the replicas.
     pub list_address: SocketAddr,
-    /// Whether entry hosts enforce quotas with a tolerance.
+    /// Whether configurations declare accounts, whose quotas entry hosts enforce with a tolerance.
     pub accounts: bool,
 }
 
@@ -165,7 +165,7 @@
         address(self.network, FIRST_ENTRY + entry as u8, ENTRY_PORT)
     }
 
-    /// The configuration with this version; versions differ in nothing else.
+    /// The configuration with this version and without accounts; versions differ in nothing else.
     pub fn configuration(&self, version: u64) -> Configuration {
         Configuration {
             version,
