--- /dev/null
+++ b/review/lab/main.rs
@@ -0,0 +1,12 @@
+//! Runs one script of the review: `lab NAME RECORD`.
+
+#[allow(dead_code)]
+mod common;
+mod twice;
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("twice") => twice::run(),
+        _ => std::process::exit(2),
+    }
+}
