--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -2,10 +2,12 @@
 
 #[allow(dead_code)]
 mod common;
+mod endless;
 mod twice;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
+        Some("endless") => endless::run(),
         Some("twice") => twice::run(),
         _ => std::process::exit(2),
     }
