--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -3,11 +3,13 @@
 #[allow(dead_code)]
 mod common;
 mod endless;
+mod evac;
 mod twice;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("endless") => endless::run(),
+        Some("evac") => evac::run(),
         Some("twice") => twice::run(),
         _ => std::process::exit(2),
     }
