--- a/review/lab/common.rs
+++ b/review/lab/common.rs
@@ -236,6 +236,14 @@
         Site { folder, machines, ports, net, list, entries: listed, log }
     }
 
+    /// The same with a sixth voter at the end, which is not among the first ones.
+    pub fn with_spare(entries: usize, log: Log) -> Site {
+        let mut site = Site::new(entries + 1, log);
+        let last = site.machines.last_mut().unwrap();
+        (last.name, last.voter) = ("core-6".to_owned(), true);
+        site
+    }
+
     /// A free address for a replica: `127.a.b.(100 + n)`.
     pub fn replica_listener(&self, n: usize) -> TcpListener {
         TcpListener::bind((format!("{}.{}", self.net, 100 + n), self.ports.callers)).unwrap()
