A voter whose seat was assigned to another machine gives it up and asks for one

Cause: an empty machine gets the seat of any voter that has been silent for 2 s. Messages between voters go to the holder of a seat, so the answers to the former holder's questions reached the new one. A starting voter waited in its check without end, a frozen one kept its vote without a majority, and neither asked for the seat that was free.

Change: the seats are part of the replicated state. A voter without contact with a majority asks for it wherever voters are or were; if it assigns the own seat to a newer incarnation, the voter discards its records and asks for a seat. The proposals of the replaced voter end as unknown; they would have blocked later ones of the same kind. A request for a seat while none is free causes no ballot: such processes are now more likely.

--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -474,7 +474,8 @@
             version: state.version,
             closed: state.closed.len(),
         }));
-        self.chosen = Some(state);
+        self.chosen = Some(state.clone());
+        self.observe_seats(now, &state.seats, out);
         self.push_feeds(now, out);
     }
 
@@ -613,6 +614,7 @@
             self.last_status = Some(now);
             self.update_hosts(now, out);
             self.send_status(now, out);
+            self.request_state(out);
         }
         self.request_seat(now, out);
         self.steer_rollouts(now, out);
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -107,6 +107,17 @@
         }
     }
 
+    /// Discards the state if an incarnation of this voter with this epoch exists that is newer
+    /// than its own: its seat was assigned to another process, or its disk is outdated.
+    pub(crate) fn observe_own_epoch(&mut self, now: Time, epoch: u64) -> Vec<Action> {
+        self.repair.highest_epoch = self.repair.highest_epoch.max(epoch);
+        let is_outdated = epoch > self.incarnations[usize::from(self.id)].epoch;
+        match self.mode {
+            Mode::Voting | Mode::Checking if is_outdated => self.discard_state(now),
+            Mode::Voting | Mode::Checking | Mode::Repairing | Mode::Failed => Vec::new(),
+        }
+    }
+
     /// Discards the whole state, because the disk is outdated, and begins a repair.
     pub(crate) fn discard_state(&mut self, now: Time) -> Vec<Action> {
         self.mode = Mode::Repairing;
--- a/decision/src/seats.rs
+++ b/decision/src/seats.rs
@@ -85,10 +85,17 @@
         };
         let free = known.iter().zip(0..);
         let free = free.filter(|(incarnation, _)| vacant(incarnation) || silent(incarnation));
+        let free = free.map(|(_, id)| id).collect::<Vec<_>>();
+        let has_seat = known
+            .iter()
+            .any(|incarnation| incarnation.address == Some(from));
+        if free.is_empty() && !has_seat {
+            return;
+        }
         let claim = Claim {
             address: from,
             nonce,
-            free: free.map(|(_, id)| id).collect(),
+            free,
             incarnations: known,
         };
         let change = Change::Tier(tier::Change::Seat(claim));
@@ -141,6 +148,47 @@
         let voter = Voter::for_seat(now, &seat, self.written);
         self.voter = Some(voter.with_timing(STARTUP_TIMING));
         self.assigned_seat = Some((seat, now));
+        // The proposals of the replaced voter are not decided any more.
+        for pending in std::mem::take(&mut self.pending).into_values() {
+            self.answer_unknown(pending, out);
+        }
+    }
+
+    /// Gives up the seat if the chosen state assigns it to another process. Messages to a voter
+    /// go to the holder of its seat, so that the former holder hears of this only from the state.
+    pub(crate) fn observe_seats(
+        &mut self,
+        now: Time,
+        seats: &[Incarnation],
+        out: &mut Vec<Action>,
+    ) {
+        let actions = self.voter.as_mut().map(|voter| {
+            let assigned = seats.get(usize::from(voter.id()));
+            voter.observe_own_epoch(now, assigned.map_or(0, |seat| seat.epoch))
+        });
+        self.voter_actions(now, actions.unwrap_or_default(), out);
+    }
+
+    /// Asks the others for the chosen state while this process is not in contact with a
+    /// majority. That may be because its seat was assigned to another process.
+    pub(crate) fn request_state(&self, out: &mut Vec<Action>) {
+        if self.quorum {
+            return;
+        }
+        let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
+        let contacts = self.contacts().into_iter();
+        out.extend(contacts.map(|address| Action::Send(address, Message::WantState(revision))));
+    }
+
+    /// Addresses at which other voters are or were: the known ones, those that another process
+    /// reported, and the seeds.
+    fn contacts(&self) -> BTreeSet<SocketAddr> {
+        let known = self.voters().into_iter();
+        let known = known.chain(self.reported_voters.iter().copied());
+        let known = known.chain(self.settings.seeds.iter().copied());
+        known
+            .filter(|address| *address != self.settings.address)
+            .collect()
     }
 
     /// Requests a seat from the next known voter if this process has none, or if it has not
@@ -163,16 +211,7 @@
             return;
         }
         self.last_seat_request = Some(now);
-        let known = self
-            .voters()
-            .into_iter()
-            .chain(self.reported_voters.clone());
-        let known = known.chain(self.settings.seeds.clone());
-        let known = known.filter(|address| *address != self.settings.address);
-        let known = known
-            .collect::<BTreeSet<_>>()
-            .into_iter()
-            .collect::<Vec<_>>();
+        let known = self.contacts().into_iter().collect::<Vec<_>>();
         self.seat_request_index += 1;
         if let Some(address) = known.get(self.seat_request_index % known.len().max(1)) {
             out.push(Action::Send(*address, Message::WantVoters));
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -582,13 +582,7 @@
         if !is_recovery_request {
             self.peer_synced[from] = self.peer_synced[from].max(message.synced);
         }
-        let epoch = message.incarnations[own].epoch;
-        self.repair.highest_epoch = self.repair.highest_epoch.max(epoch);
-        if matches!(self.mode, Mode::Voting | Mode::Checking)
-            && epoch > self.incarnations[own].epoch
-        {
-            actions.extend(self.discard_state(now));
-        }
+        actions.extend(self.observe_own_epoch(now, message.incarnations[own].epoch));
         actions
     }
 
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -19,6 +19,7 @@
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::rollout;
 use wagtailbeam_decision::tier::Change;
+use wagtailbeam_decision::voter::Body;
 use wagtailbeam_decision::voter::Mode;
 use wagtailbeam_decision::voter::Record;
 
@@ -49,6 +50,8 @@
     pub reads: Vec<(SocketAddr, Time)>,
     /// The list of replicas; reads of it are not answered without one.
     pub fleet: Option<Fleet>,
+    /// Number of messages that asked for a promise.
+    pub ballots: u64,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
     boots: u64,
@@ -60,6 +63,10 @@
     SocketAddr::from(([10, 0, 0, at as u8], 70))
 }
 
+fn is_prepare(message: &Message) -> bool {
+    matches!(message, Message::Voter(message) if matches!(message.body, Body::Prepare(..)))
+}
+
 impl Group {
     /// A new group of five started machines; the first three are the seeds.
     pub fn new() -> Group {
@@ -73,6 +80,7 @@
             frozen: BTreeSet::new(),
             reads: Vec::new(),
             fleet: None,
+            ballots: 0,
             seeds: (0..3).map(address).collect(),
             boots: 0,
             last_command: 0,
@@ -312,7 +320,10 @@
                 return;
             };
             match action {
-                Action::Send(to, message) => self.messages.push((at, to, message)),
+                Action::Send(to, message) => {
+                    self.ballots += u64::from(is_prepare(&message));
+                    self.messages.push((at, to, message));
+                }
                 Action::Persist(number, record) => machine.written.push((number, record)),
                 Action::Replace(records) => {
                     machine.written.clear();
--- a/decision/tests/tier/voters.rs
+++ b/decision/tests/tier/voters.rs
@@ -129,6 +129,98 @@
     assert_eq!(read(&mut group, 9), Some(3));
 }
 
+/// How a voter is out of reach while another one is replaced.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    Down,
+    Frozen,
+    Isolated,
+}
+
+impl Outage {
+    fn begin(self, group: &mut Group, at: usize) {
+        match self {
+            Outage::Down => group.crash(at),
+            Outage::Frozen => group.set_frozen(at, true),
+            Outage::Isolated => group.set_isolated(&[at], true),
+        }
+    }
+
+    fn end(self, group: &mut Group, at: usize) {
+        match self {
+            Outage::Down => group.start(at),
+            Outage::Frozen => group.set_frozen(at, false),
+            Outage::Isolated => group.set_isolated(&[at], false),
+        }
+    }
+}
+
+/// Guards against a voter that never votes again: its seat was assigned to a new machine while it
+/// was out of reach, and the answers to its questions go to the seat's new holder.
+#[test]
+fn a_voter_whose_seat_was_assigned_during_an_outage_gets_another_one() {
+    for outage in [Outage::Down, Outage::Frozen, Outage::Isolated] {
+        for wait in [0, 500, 2_500] {
+            let mut group = new_group();
+            group.configure(1, 3);
+            group.advance(Span::from_ms(500));
+            outage.begin(&mut group, 0);
+            group.advance(Span::from_ms(wait));
+            group.remove(4);
+            group.advance(Span::from_secs(2));
+            group.add(9, false);
+            group.advance(Span::from_ms(1_500));
+            outage.end(&mut group, 0);
+            group.advance(Span::from_secs(4));
+            assert_eq!(group.voting(), 5, "{outage:?}, {wait} ms");
+            assert!(group.has_quorum(0), "{outage:?}, {wait} ms");
+            let change = group.configure(0, 4);
+            group.advance(Span::from_secs(1));
+            assert!(is_done(&group, change), "{outage:?}, {wait} ms");
+            [1, 2].iter().for_each(|at| group.wipe(*at));
+            group.advance(Span::from_secs(1));
+            [1, 2].iter().for_each(|at| group.start(*at));
+            group.advance(SETTLE_TIME);
+            assert_eq!(group.voting(), 5, "{outage:?}, {wait} ms, two lost disks");
+            assert_eq!(read(&mut group, 0), Some(4), "{outage:?}, {wait} ms");
+        }
+    }
+}
+
+/// Guards against the loss of a second voter: the machine that took the seat ends before the
+/// former holder is back.
+#[test]
+fn a_seat_whose_new_holder_ends_goes_back_to_its_former_holder() {
+    for outage in [Outage::Down, Outage::Frozen, Outage::Isolated] {
+        let mut group = new_group();
+        group.configure(1, 3);
+        group.advance(Span::from_ms(500));
+        outage.begin(&mut group, 0);
+        group.advance(Span::from_ms(2_500));
+        group.add(9, false);
+        group.advance(Span::from_secs(1));
+        group.remove(9);
+        outage.end(&mut group, 0);
+        group.advance(Span::from_secs(5));
+        assert_eq!(group.voting(), 5, "{outage:?}");
+        assert_eq!(read(&mut group, 0), Some(3), "{outage:?}");
+    }
+}
+
+/// Guards against ballots without end: a process that requests a seat while all seats are held
+/// must not make the voters propose.
+#[test]
+fn a_process_without_a_free_seat_causes_no_ballots() {
+    let mut group = new_group();
+    group.configure(1, 3);
+    group.add(9, false);
+    group.advance(SETTLE_TIME);
+    assert_eq!(group.voting(), 5);
+    let before = group.ballots;
+    group.advance(SETTLE_TIME);
+    assert_eq!(group.ballots, before);
+}
+
 #[test]
 fn all_seeds_can_be_replaced_in_turn() {
     let mut group = new_group();
