Move operators' commands from the controller into a module of their own

No change of behaviour: constants, types and three functions of the controller stand in `command` now.

--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use wagtailbeam_decision::controller::Command;
-use wagtailbeam_decision::controller::Outcome;
+use wagtailbeam_decision::command::Command;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::tier::Change;
 
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -14,11 +14,11 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::controller;
 use wagtailbeam_decision::controller::Action;
 use wagtailbeam_decision::controller::Controller;
 use wagtailbeam_decision::controller::Event;
-use wagtailbeam_decision::controller::Outcome;
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::voter::Record;
 
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -2,7 +2,7 @@
 //!
 //! It keeps the replicated state, reads the platform's list of replicas and feeds both to
 //! the entry hosts. The voter's loop passes in [`Event`]s and carries out the returned
-//! [`Action`]s. The modules `seats`, `refresh` and `publisher` hold further parts of it.
+//! [`Action`]s. The modules `command`, `seats`, `refresh` and `publisher` hold further parts of it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +10,8 @@
 
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::command::Command;
+use crate::command::Outcome;
 use crate::digest::Digest;
 use crate::feed::Heartbeat;
 use crate::feed::LinkReport;
@@ -28,7 +30,6 @@
 use crate::rollout;
 use crate::rollout::steering::Decision;
 use crate::rollout::steering::Steering;
-use crate::tier;
 use crate::tier::State;
 use crate::tier::Verdict;
 use crate::voter;
@@ -57,12 +58,6 @@
 /// Further delay for each voter with a lower id, so that their ballots don't collide.
 const SETTLE_STEP: Span = Span::from_ms(60);
 
-/// Time after which an operator's read is answered as unknown.
-const READ_TIMEOUT: Span = Span::from_ms(900);
-
-/// Time after which an operator's change is answered as unknown.
-const CHANGE_TIMEOUT: Span = Span::from_ms(2_500);
-
 /// Time between two ticks while proposals are pending or this process does not vote.
 const TICK_EVERY: Span = Span::from_ms(25);
 
@@ -89,26 +84,6 @@
     pub rollout: rollout::Settings,
 }
 
-/// Command of an operator.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Command {
-    /// Read the newest configuration.
-    Read,
-    /// Change the replicated state.
-    Change(tier::Change),
-}
-
-/// Answer to an operator's command.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// The newest state.
-    State(Arc<State>),
-    /// The change was decided, with this verdict.
-    Done(Verdict),
-    /// No majority decided in time; a change may or may not take effect.
-    Unknown,
-}
-
 /// Input of the controller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -486,26 +461,6 @@
         out.extend(others.map(|address| Action::Send(address, message.clone())));
     }
 
-    /// Proposes an operator's command.
-    pub(crate) fn handle_command(
-        &mut self,
-        now: Time,
-        id: u64,
-        command: Command,
-        out: &mut Vec<Action>,
-    ) {
-        let change = match &command {
-            Command::Read => Change::Read,
-            Command::Change(change) => Change::Tier(change.clone()),
-        };
-        let pending = Pending::Command {
-            id,
-            command,
-            started: now,
-        };
-        self.propose(now, pending, change, out);
-    }
-
     /// Proposes a read or a change of the state; without a voter it ends as unknown at once.
     pub(crate) fn propose(
         &mut self,
@@ -590,13 +545,6 @@
         }
     }
 
-    /// Answers an operator that no majority decided in time.
-    pub(crate) fn answer_unknown(&mut self, pending: Pending, out: &mut Vec<Action>) {
-        if let Pending::Command { id, .. } = pending {
-            out.push(Action::Answer(id, Outcome::Unknown));
-        }
-    }
-
     /// Runs everything that is due.
     pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let actions = self.voter.as_mut().map(|voter| voter.tick(now));
@@ -620,28 +568,6 @@
         self.steer_rollouts(now, out);
     }
 
-    /// Answers operators' commands that timed out.
-    pub(crate) fn expire_commands(&mut self, now: Time, out: &mut Vec<Action>) {
-        let is_late = |pending: &Pending| match pending {
-            Pending::Command {
-                command, started, ..
-            } => {
-                let limit = match command {
-                    Command::Read => READ_TIMEOUT,
-                    Command::Change(_) => CHANGE_TIMEOUT,
-                };
-                now.since(*started) >= limit
-            }
-            Pending::Settle | Pending::SeatRequest(_) | Pending::Rollout(_) => false,
-        };
-        let due = self.pending.iter().filter(|(_, pending)| is_late(pending));
-        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
-            if let Some(pending) = self.pending.remove(&id) {
-                self.answer_unknown(pending, out);
-            }
-        }
-    }
-
     /// Proposes a read if this voter accepted a state that is not known to be chosen, or knows
     /// no chosen state, so that the group decides. Waits first, without [`SETTLE_DELAY`] if no
     /// chosen state is known.
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 mod choice;
 pub mod clock;
+pub mod command;
 pub mod controller;
 pub mod daemon;
 mod detour;
--- a/decision/tests/tier/contention.rs
+++ b/decision/tests/tier/contention.rs
@@ -1,8 +1,8 @@
 //! Voters that propose at the same time, while messages and disks are slow.
 
 use wagtailbeam_decision::clock::Span;
-use wagtailbeam_decision::controller::Command;
-use wagtailbeam_decision::controller::Outcome;
+use wagtailbeam_decision::command::Command;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::tier::Change;
 use wagtailbeam_decision::tier::Verdict;
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -7,11 +7,11 @@
 
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::command::Command;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::controller::Action;
-use wagtailbeam_decision::controller::Command;
 use wagtailbeam_decision::controller::Controller;
 use wagtailbeam_decision::controller::Event;
-use wagtailbeam_decision::controller::Outcome;
 use wagtailbeam_decision::controller::Settings;
 use wagtailbeam_decision::feed::Feed;
 use wagtailbeam_decision::feed::Heartbeat;
--- a/decision/tests/tier/rollouts.rs
+++ b/decision/tests/tier/rollouts.rs
@@ -5,8 +5,8 @@
 
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::controller::Command;
-use wagtailbeam_decision::controller::Outcome;
+use wagtailbeam_decision::command::Command;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::fleet::Versions;
 use wagtailbeam_decision::rollout::Phase;
 use wagtailbeam_decision::rollout::Stage;
--- a/decision/tests/tier/voters.rs
+++ b/decision/tests/tier/voters.rs
@@ -3,8 +3,8 @@
 
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::controller::Command;
-use wagtailbeam_decision::controller::Outcome;
+use wagtailbeam_decision::command::Command;
+use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::voter::Action;
 use wagtailbeam_decision::voter::Body;
 use wagtailbeam_decision::voter::Incarnation;
