An order of an operator doesn't undo newer ones when its voter resumes or reconnects

A frozen voter woke, and half of all requests reached the domain again, for good.

Cause: a voter carried an order out whenever it came to it. The frozen one found the order to put the domain back in its socket; the operator had left and given it to another voter before the last order. Nothing told an old order from a new one. A voter that is cut off does the same: it proposes for 2.5 s, operators wait for 1 s. A late order of a rollout took a service back to an older version.

Change: the state keeps the revision of the last order on each failure domain, a rollout had one already. An order is proposed with the newest revision that its operator may have known: the one known when it was read, or the one from before a suspension. If a newer order on the same matter was decided since, the operator is answered 503 with the cause; an order younger than 0.5 s is proposed again, as its operator still waits. An order whose connection is closed is dropped. The revisions are stored as rollouts are, so older builds keep them.

The existing test of the older build's form covers the entries.

--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -153,6 +153,8 @@
 
     /// Submits a command and returns its outcome.
     pub(crate) async fn decide(&self, command: Command) -> Outcome {
+        // Lets the connection notice that the operator closed it, which drops the command.
+        tokio::task::yield_now().await;
         let (answer, outcome) = oneshot::channel();
         match self.submissions.send(Submission { command, answer }).await {
             Ok(()) => outcome.await.unwrap_or(Outcome::Unknown),
@@ -171,11 +173,18 @@
                 http::text(StatusCode::SERVICE_UNAVAILABLE, detail)
             }
             Outcome::Done(_) => http::reply(StatusCode::OK, "application/json", "{}"),
+            Outcome::Overtaken => overtaken(),
             Outcome::Unknown => unknown(),
         }
     }
 }
 
+/// The answer if a newer order on the same matter was carried out first.
+pub(crate) fn overtaken() -> http::Reply {
+    let detail = "a newer order was carried out since this one may have been given\n";
+    http::text(StatusCode::SERVICE_UNAVAILABLE, detail)
+}
+
 /// The answer if no majority of the voters decided in time.
 pub(crate) fn unknown() -> http::Reply {
     let detail = "no majority of the voters answered in time\n";
--- a/adapter/src/rollout.rs
+++ b/adapter/src/rollout.rs
@@ -20,6 +20,7 @@
 use crate::operator::Api;
 use crate::operator::READ_TIMEOUT;
 use crate::operator::Refused;
+use crate::operator::overtaken;
 use crate::operator::refuse;
 use crate::operator::unknown;
 
@@ -65,6 +66,7 @@
                 http::text(StatusCode::CONFLICT, detail)
             }
             Outcome::Done(_) => http::reply(StatusCode::OK, "application/json", "{}"),
+            Outcome::Overtaken => overtaken(),
             Outcome::State(_) | Outcome::Unknown => unknown(),
         };
         Ok(reply)
@@ -96,7 +98,7 @@
                 }
                 None => http::text(StatusCode::NOT_FOUND, "no rollout of this service\n"),
             },
-            Outcome::Done(_) | Outcome::Unknown => unknown(),
+            Outcome::Done(_) | Outcome::Overtaken | Outcome::Unknown => unknown(),
         }
     }
 }
--- a/adapter/src/voter.rs
+++ b/adapter/src/voter.rs
@@ -304,6 +304,7 @@
         let (word, revision) = match &outcome {
             Outcome::State(state) => ("read", state.revision),
             Outcome::Done(_) => ("done", self.revision()),
+            Outcome::Overtaken => ("overtaken", self.revision()),
             Outcome::Unknown => ("unknown", self.revision()),
         };
         self.meter.operator_answered(word);
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod lifecycle;
 mod limited;
 mod notice;
+mod orders;
 mod quota;
 mod rollout;
 mod stranded;
--- /dev/null
+++ b/bins/tests/processes/orders.rs
@@ -0,0 +1,76 @@
+//! Orders of operators that a suspended voter finds in its socket.
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use wagtailbeam_platform::encode::EVACUATIONS_PREFIX;
+use wagtailbeam_soak::deployment::Deployment;
+use wagtailbeam_soak::deployment::VOTERS;
+use wagtailbeam_soak::process::Signal;
+
+use crate::tier;
+use crate::tier::Tier;
+
+/// Time for which operators wait for an answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time for all voters to learn of a decided order.
+const SPREAD: Duration = Duration::from_secs(1);
+
+/// Longest wait for all voters to vote.
+const START_MAX: Duration = Duration::from_secs(30);
+
+fn log(folder: &Path, voter: usize) -> String {
+    std::fs::read_to_string(folder.join(format!("voter-{voter}.log"))).unwrap_or_default()
+}
+
+/// Waits until all voters vote; the group grows while it starts.
+async fn wait_voting(folder: &Path) {
+    let started = Instant::now();
+    let votes = |voter| log(folder, voter).contains(r#""mode":"voting""#);
+    while !(0..VOTERS).all(votes) {
+        assert!(started.elapsed() < START_MAX, "not all voters vote");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Gives an order on the failure domain at a voter and requires that it is acknowledged.
+async fn order(tier: &Tier, voter: usize, method: &str, path: &str) {
+    let answer = tier.operate(voter, method, path, "").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200), "{method}");
+}
+
+/// Guards against an acknowledged evacuation that is undone: a suspended voter holds an order to
+/// take back an earlier one, whose operator has left and given it to another voter.
+#[test]
+fn a_voter_that_resumes_carries_out_no_order_whose_operator_has_left() {
+    tier::run(async {
+        let folder = tier::folder("orders");
+        let mut tier = Tier::start(Deployment::new(2, 1), &folder, Vec::new(), "").await;
+        tier.configure(1, Vec::new()).await;
+        wait_voting(&folder).await;
+        let path = format!(
+            "{EVACUATIONS_PREFIX}{}",
+            wagtailbeam_soak::deployment::domain(0)
+        );
+        order(&tier, 1, "POST", &path).await;
+        tier.voters[0].signal(Signal::Stop).unwrap();
+        let mut held = TcpStream::connect(tier.deployment.operator_address(0)).unwrap();
+        let head = format!("DELETE {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n");
+        held.write_all(head.as_bytes()).unwrap();
+        tokio::time::sleep(PATIENCE).await;
+        drop(held);
+        order(&tier, 1, "DELETE", &path).await;
+        order(&tier, 2, "POST", &path).await;
+        tier.voters[0].signal(Signal::Cont).unwrap();
+        tokio::time::sleep(SPREAD).await;
+        let log = log(&folder, 0);
+        let last = log.lines().rfind(|line| line.contains("state chosen"));
+        let last = last.unwrap();
+        assert!(last.contains("\"closed\":1"), "{last}");
+        assert!(!log.contains("overtaken"), "{log}");
+    });
+}
--- a/decision/src/account/suspension.rs
+++ b/decision/src/account/suspension.rs
@@ -21,29 +21,44 @@
 pub struct Suspension {
     stepped_at: Time,
     resumed_at: Option<Time>,
+    /// Time without a step from which the process counts as suspended.
+    silence: Span,
 }
 
 impl Suspension {
-    /// A process that starts now.
+    /// The process of an entry host that starts now.
     pub fn new(now: Time) -> Suspension {
+        Suspension::after(SUSPENDED_MIN, now)
+    }
+
+    /// A process that starts now and counts as suspended from this time without a step on.
+    pub fn after(silence: Span, now: Time) -> Suspension {
         Suspension {
             stepped_at: now,
             resumed_at: None,
+            silence,
         }
     }
 
     /// Records that the process runs. To be called before each request is handled, and several
-    /// times a second.
-    pub fn step(&mut self, now: Time) {
-        if now.since(self.stepped_at) >= SUSPENDED_MIN {
+    /// times a second. Returns whether the process was suspended since the last step.
+    pub fn step(&mut self, now: Time) -> bool {
+        let was_suspended = now.since(self.stepped_at) >= self.silence;
+        if was_suspended {
             self.resumed_at = Some(now);
         }
         self.stepped_at = now;
+        was_suspended
+    }
+
+    /// Whether the process resumed less than this time ago.
+    pub fn has_resumed_within(&self, now: Time, span: Span) -> bool {
+        let resumed_at = self.resumed_at;
+        resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < span)
     }
 
     /// Whether keys may be outdated, as the process resumed a short time ago.
     pub fn keys_may_be_outdated(&self, now: Time) -> bool {
-        let resumed_at = self.resumed_at;
-        resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < KEYS_REFUSED_FOR)
+        self.has_resumed_within(now, KEYS_REFUSED_FOR)
     }
 }
--- a/decision/src/command.rs
+++ b/decision/src/command.rs
@@ -39,8 +39,21 @@
     Done(Verdict),
     /// No majority decided in time; a change may or may not take effect.
     Unknown,
+    /// A newer order on the same matter was carried out since this one may have been given.
+    Overtaken,
 }
 
+/// Time without an event after which the process of a voter counts as suspended; it ticks several
+/// times as often.
+pub(crate) const SUSPENDED_MIN: Span = Span::from_ms(500);
+
+/// Time for which operators wait for an answer before they give an order to another voter.
+const ORDER_AGE_MAX: Span = Span::from_secs(1);
+
+/// Time from the arrival of an order for which its operator surely waits, [`ORDER_AGE_MAX`] less the
+/// longest way of an order.
+const ORDER_YOUNG_MAX: Span = Span::from_ms(500);
+
 impl Controller {
     /// Proposes an operator's command.
     pub(crate) fn handle_command(
@@ -50,18 +63,63 @@
         command: Command,
         out: &mut Vec<Action>,
     ) {
-        let change = match &command {
-            Command::Read => Change::Read,
-            Command::Change(change) => Change::Tier(change.clone()),
-        };
+        let known = self.known_to_operators(now);
         let pending = Pending::Command {
             id,
             command,
             started: now,
         };
+        self.propose_command(now, pending, known, out);
+    }
+
+    /// Proposes a command whose operator may have known this revision.
+    fn propose_command(&mut self, now: Time, pending: Pending, known: u64, out: &mut Vec<Action>) {
+        let Pending::Command { command, .. } = &pending else {
+            return;
+        };
+        let change = match command.clone() {
+            Command::Read => Change::Read,
+            Command::Change(change) => Change::Tier(tier::Proposal { change, known }),
+        };
         self.propose(now, pending, change, out);
     }
 
+    /// Answers an operator whose order was overtaken, or proposes it once more if it is so young
+    /// that the operator still waits: the other order was then given at the same time or before.
+    pub(crate) fn handle_overtaken(
+        &mut self,
+        now: Time,
+        pending: Pending,
+        revision: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Pending::Command { id, started, .. } = pending else {
+            return;
+        };
+        let is_young = now.since(started) < ORDER_YOUNG_MAX;
+        if is_young && !self.suspension.has_resumed_within(now, ORDER_AGE_MAX) {
+            return self.propose_command(now, pending, revision, out);
+        }
+        out.push(Action::Answer(id, Outcome::Overtaken));
+    }
+
+    /// Newest revision that the operator may have known whose order is read now. What a process
+    /// finds in its sockets when it resumes was sent before.
+    fn known_to_operators(&self, now: Time) -> u64 {
+        if self.suspension.has_resumed_within(now, ORDER_AGE_MAX) {
+            return self.revision_before_suspension;
+        }
+        self.chosen.as_ref().map_or(0, |state| state.revision)
+    }
+
+    /// Notices a suspension of the process. To be called before each event is handled.
+    pub(crate) fn notice_suspension(&mut self, now: Time) {
+        if self.suspension.step(now) {
+            let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
+            self.revision_before_suspension = revision;
+        }
+    }
+
     /// Answers an operator that no majority decided in time.
     pub(crate) fn answer_unknown(&mut self, pending: Pending, out: &mut Vec<Action>) {
         if let Pending::Command { id, .. } = pending {
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -8,10 +8,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::account::suspension::Suspension;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::command::Command;
 use crate::command::Outcome;
+use crate::command::SUSPENDED_MIN;
 use crate::digest::Digest;
 use crate::feed::Heartbeat;
 use crate::feed::LinkReport;
@@ -266,6 +268,10 @@
     pub(crate) steering: Steering,
     /// Measurements of replicas that differ from the norm.
     pub(crate) load: report::Board,
+    /// When this process was last suspended.
+    pub(crate) suspension: Suspension,
+    /// Revision of the chosen state when that suspension ended.
+    pub(crate) revision_before_suspension: u64,
 }
 
 impl Controller {
@@ -318,6 +324,8 @@
             limits: quota::Board::default(),
             steering: Steering::default(),
             load: report::Board::default(),
+            suspension: Suspension::after(SUSPENDED_MIN, now),
+            revision_before_suspension: 0,
         };
         (controller, out)
     }
@@ -364,6 +372,7 @@
     /// Handles an event and returns its actions, to be carried out in order.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
+        self.notice_suspension(now);
         match event {
             Event::Message(from, message) => self.handle_message(now, from, *message, &mut out),
             Event::Synced(number) => {
@@ -532,6 +541,9 @@
             _ => None,
         };
         match (pending, verdict) {
+            (pending @ Pending::Command { .. }, Some(Verdict::Overtaken)) => {
+                self.handle_overtaken(now, pending, state.revision, out);
+            }
             (Pending::Command { id, .. }, Some(verdict)) => {
                 out.push(Action::Answer(id, Outcome::Done(verdict)));
             }
--- a/decision/src/register.rs
+++ b/decision/src/register.rs
@@ -87,7 +87,7 @@
         token: Token,
     },
     /// Changes the state of a tier with discovered hosts.
-    Tier(tier::Change),
+    Tier(tier::Proposal),
 }
 
 /// Answer to an operator who applied a file.
@@ -148,19 +148,19 @@
                 decide_file(Some(file), *version, text)
             }
             (Change::Apply { version, text }, _) => decide_file(None, *version, text),
-            (Change::Tier(change), value) => decide_tier(change, value),
+            (Change::Tier(proposal), value) => decide_tier(proposal, value),
             (change, Some(Value::Job(job))) => decide_job(change, Some(job)),
             (change, _) => decide_job(change, None),
         }
     }
 }
 
-fn decide_tier(change: &tier::Change, value: Option<&Value>) -> (Option<Value>, Decision) {
+fn decide_tier(proposal: &tier::Proposal, value: Option<&Value>) -> (Option<Value>, Decision) {
     let state = match value {
         Some(Value::Tier(state)) => state.clone(),
         _ => Arc::default(),
     };
-    let (next, verdict) = state.decide(change);
+    let (next, verdict) = state.decide_proposal(proposal);
     let Some(next) = next.map(Arc::new) else {
         return (None, Decision::Tier(state, verdict));
     };
--- a/decision/src/rollout/steering.rs
+++ b/decision/src/rollout/steering.rs
@@ -201,7 +201,7 @@
         };
         out.push(Action::Note(Note::Rollout(Box::new(decision.clone()))));
         let pending = Pending::Rollout(Box::new(decision));
-        self.propose(now, pending, Change::Tier(change), out);
+        self.propose(now, pending, Change::Tier(change.into()), out);
     }
 
     /// The strongest evidence against the new version, in recent times and since the beginning.
--- a/decision/src/rollout/stored.rs
+++ b/decision/src/rollout/stored.rs
@@ -1,9 +1,10 @@
 //! Stored form of the replicated state.
 //!
 //! The state is nested in records and messages that are encoded by position, so that no field can
-//! be added to it. Rollouts are stored as further entries of the set of closed failure domains.
-//! Their text contains spaces, which no name of a failure domain does. An older build takes them
-//! for domains without replicas, and keeps them when it changes the state.
+//! be added to it. Rollouts, and the revisions at which failure domains were taken out of service or
+//! put back, are stored as further entries of the set of closed failure domains. Their text contains
+//! spaces, which no name of a failure domain does. An older build takes them for domains without
+//! replicas, and keeps them when it changes the state.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -23,6 +24,9 @@
 /// First word of an entry that stands for a rollout.
 const MARK: &str = "rollout";
 
+/// First word of an entry that stands for the last order on a failure domain.
+const SWITCHED_MARK: &str = "switched";
+
 /// Word for an absent value.
 const NONE: &str = "-";
 
@@ -41,6 +45,8 @@
         let mut closed = state.closed;
         let entries = state.rollouts.iter();
         closed.extend(entries.map(|(service, record)| encode(service, record)));
+        let switched = state.switched.iter();
+        closed.extend(switched.map(|(domain, at)| encode_switched(domain, *at)));
         Stored {
             revision: state.revision,
             version: state.version,
@@ -55,10 +61,14 @@
     fn from(stored: Stored) -> State {
         let mut closed = BTreeSet::new();
         let mut rollouts = BTreeMap::new();
+        let mut switched = BTreeMap::new();
         for entry in stored.closed {
-            match decode(&entry) {
-                Some((service, record)) => drop(rollouts.insert(service, record)),
-                None => drop(closed.insert(entry)),
+            if let Some((service, record)) = decode(&entry) {
+                rollouts.insert(service, record);
+            } else if let Some((domain, revision)) = decode_switched(&entry) {
+                switched.insert(domain, revision);
+            } else {
+                closed.insert(entry);
             }
         }
         State {
@@ -68,10 +78,26 @@
             closed,
             seats: stored.seats,
             rollouts,
+            switched,
         }
     }
 }
 
+/// Encodes the revision of the last order on a failure domain as an entry.
+fn encode_switched(domain: &Name, revision: u64) -> Name {
+    Name::from(format!("{SWITCHED_MARK} {domain} {revision}"))
+}
+
+/// Decodes such an entry; `None` if it is another one.
+fn decode_switched(entry: &Name) -> Option<(Name, u64)> {
+    let mut words = entry.split(' ');
+    if words.next()? != SWITCHED_MARK {
+        return None;
+    }
+    let domain = Name::parse(words.next()?)?;
+    Some((domain, words.next()?.parse().ok()?))
+}
+
 /// Encodes a rollout as an entry.
 fn encode(service: &Name, record: &Record) -> Name {
     let proven = record.proven.as_ref().map_or(NONE, |proven| proven);
--- a/decision/src/seats.rs
+++ b/decision/src/seats.rs
@@ -98,7 +98,7 @@
             free,
             incarnations: known,
         };
-        let change = Change::Tier(tier::Change::Seat(claim));
+        let change = Change::Tier(tier::Change::Seat(claim).into());
         self.propose(now, Pending::SeatRequest(from), change, out);
     }
 
--- a/decision/src/tier.rs
+++ b/decision/src/tier.rs
@@ -39,6 +39,8 @@
     pub seats: Vec<Incarnation>,
     /// The last rollout of each service that had one.
     pub rollouts: BTreeMap<Name, Record>,
+    /// Revision at which each failure domain was last taken out of service or put back.
+    pub switched: BTreeMap<Name, u64>,
 }
 
 /// A change of the state.
@@ -81,6 +83,26 @@
     },
 }
 
+/// A change as a voter proposes it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Proposal {
+    /// The change.
+    pub change: Change,
+    /// Newest revision that an operator may have known who gave the change as an order. A newer
+    /// order on the same matter overtakes it.
+    pub known: u64,
+}
+
+impl From<Change> for Proposal {
+    /// Proposes a change that no order overtakes.
+    fn from(change: Change) -> Proposal {
+        Proposal {
+            change,
+            known: u64::MAX,
+        }
+    }
+}
+
 /// Request of a process without state for a voter's seat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
@@ -109,9 +131,31 @@
     Full,
     /// A rollout of the service is in progress; nothing changed.
     Conflict,
+    /// A newer order on the same matter was carried out first; nothing changed.
+    Overtaken,
 }
 
 impl State {
+    /// Applies a proposal as [`State::decide`] does, unless it was overtaken.
+    pub fn decide_proposal(&self, proposal: &Proposal) -> (Option<State>, Verdict) {
+        match self.decide(&proposal.change) {
+            (Some(_), _) if self.overtakes(proposal) => (None, Verdict::Overtaken),
+            decided => decided,
+        }
+    }
+
+    /// Whether this state holds an order on the same matter that is newer than what the operator
+    /// may have known. Configurations are ordered by their versions, seats by their epochs and
+    /// steps of rollouts by their numbers.
+    fn overtakes(&self, proposal: &Proposal) -> bool {
+        let ordered_at = match &proposal.change {
+            Change::Close(domain) | Change::Open(domain) => self.switched.get(domain).copied(),
+            Change::Rollout { service, .. } => self.rollouts.get(service).map(|last| last.id),
+            Change::Configure { .. } | Change::Seat(_) | Change::Step { .. } => None,
+        };
+        ordered_at.is_some_and(|revision| revision > proposal.known)
+    }
+
     /// Applies a change: returns the next state, or none if nothing changes, and the
     /// verdict.
     pub fn decide(&self, change: &Change) -> (Option<State>, Verdict) {
@@ -131,12 +175,14 @@
             Change::Close(domain) => {
                 let mut next = self.next();
                 next.closed.insert(domain.clone());
+                next.switched.insert(domain.clone(), next.revision);
                 (Some(next), Verdict::Done)
             }
             Change::Open(domain) if !self.closed.contains(domain) => (None, Verdict::Done),
             Change::Open(domain) => {
                 let mut next = self.next();
                 next.closed.remove(domain);
+                next.switched.insert(domain.clone(), next.revision);
                 (Some(next), Verdict::Done)
             }
             Change::Seat(claim) => self.seat(claim),
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -19,6 +19,7 @@
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::rollout;
 use wagtailbeam_decision::tier::Change;
+use wagtailbeam_decision::tier::State;
 use wagtailbeam_decision::voter::Body;
 use wagtailbeam_decision::voter::Mode;
 use wagtailbeam_decision::voter::Record;
@@ -230,6 +231,13 @@
         modes.filter(|mode| *mode == Mode::Voting).count()
     }
 
+    /// The state that a running machine knows to be chosen.
+    pub fn state(&self, at: usize) -> Arc<State> {
+        let controller = self.machines[&address(at)].controller.as_ref();
+        let state = controller.and_then(Controller::state);
+        state.expect("a chosen state").clone()
+    }
+
     /// Revision of the state that a machine knows to be chosen.
     pub fn revision(&self, at: usize) -> Option<u64> {
         let controller = self.machines.get(&address(at))?.controller.as_ref()?;
