A planned stop answers all requests that it took before the process ends

Those whose server stayed silent were cut without an answer when the process ended, also requests that may run at most once. With the platform's settings the process was killed at that moment.

Cause: the end of the stop bounded the process, not its requests; their deadlines lay after it.

Groups with a settings file ended their daemons the same way (read, not run) and do the same now. The times of a stop stand in one module for both kinds of daemon; they stood in two.

--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -107,7 +107,7 @@
         left: Span,
     ) {
         let links_lost = self.gateway.links() == uplink::State::Lost;
-        let busy = self.relayed.len() >= RELAYED_MAX || self.stopping_since.is_some();
+        let busy = self.relayed.len() >= RELAYED_MAX || self.stop.is_some();
         if links_lost || busy {
             return self.send_branch(from, branch::Message::RelayDeclined(relay));
         }
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -62,6 +62,7 @@
 use crate::pool::Response;
 use crate::readiness;
 use crate::signal::Signal;
+use crate::stop::Stop;
 use crate::tally::Tally;
 
 /// Capacity of each channel to the event loop, in events.
@@ -150,8 +151,8 @@
     pub(crate) load_watch: Watch,
     /// Whether a voter in contact with a majority recently confirmed the state it feeds.
     pub(crate) feed_fresh: bool,
-    /// When the stop was requested; absent while running.
-    pub(crate) stopping_since: Option<Instant>,
+    /// The planned stop; absent while running.
+    pub(crate) stop: Option<Stop>,
     pub(crate) rotation: Rotation,
     /// When the voters last read the list of replicas in use; absent before the first.
     pub(crate) list_read_at: Option<Time>,
@@ -240,7 +241,7 @@
         suspension: Suspension::new(clock.now()),
         load_watch: Watch::default(),
         feed_fresh: false,
-        stopping_since: None,
+        stop: None,
         rotation: Rotation::default(),
         list_read_at: None,
         entry_hosts: Vec::new(),
@@ -330,7 +331,7 @@
         let next = next.chain([self.subscriber.next_timer(self.now())]).min();
         let next = next.unwrap_or_default();
         let wake = self.clock.instant(next);
-        match self.stopping_since {
+        match self.stop {
             Some(_) => wake.min(Instant::now() + Duration::from_millis(20)),
             None => wake,
         }
@@ -428,14 +429,11 @@
         let peers = self.peers();
         let in_rotation = self.rotation.update(now, peers);
         let configured = self.gateway.catalog().version > 0 && self.gateway.replica_count() > 0;
-        let stopping = self.stopping_since.is_some();
-        let drain = Duration::from_micros(self.settings.drain.as_us());
+        let stopping = self.stop.is_some();
         let state = State {
             ready: configured && !stopping && in_rotation,
             draining: stopping || configured && !in_rotation,
-            closing: self
-                .stopping_since
-                .is_some_and(|since| since.elapsed() >= drain),
+            closing: self.stop.is_some_and(|stop| stop.is_closing()),
             limits: self.gateway.catalog().limits,
         };
         self.state.send_if_modified(|published| {
@@ -449,23 +447,29 @@
     /// Whether the stop is finished: the longest stop time has passed, or draining is over
     /// with no request pending and no caller connected.
     fn is_finished(&self) -> bool {
-        let Some(since) = self.stopping_since else {
+        let Some(stop) = self.stop else {
             return false;
         };
-        let drain = Duration::from_micros(self.settings.drain.as_us());
-        let longest = Duration::from_micros(self.settings.stop_max.as_us());
         // The readiness listener and each of its connections hold a receiver of the state, and
         // so does each open caller connection; all caller connections share one more.
-        let idle = self.pending.is_empty() && self.state.receiver_count() <= 2;
-        since.elapsed() >= longest || idle && since.elapsed() >= drain + Duration::from_millis(50)
+        let is_idle = self.pending.is_empty() && self.state.receiver_count() <= 2;
+        stop.is_over(is_idle, Duration::from_millis(50))
+    }
+
+    /// Begins a planned stop: all requests of callers are answered before it ends.
+    fn begin_stop(&mut self) {
+        tracing::info!(event = 101, host = %self.settings.name, "stop requested");
+        let stop = Stop::begin(self.settings.drain, self.settings.stop_max);
+        let end = self.now().after(stop.answers_left());
+        self.stop = Some(stop);
+        self.step_gateway(Event::EndBy(end));
+        self.step_fanout(fanout::Event::EndBy(end));
+        self.relay.end_by(end);
     }
 
     fn handle_signal(&mut self, signal: Signal) {
         match signal {
-            Signal::Stop if self.stopping_since.is_none() => {
-                tracing::info!(event = 101, host = %self.settings.name, "stop requested");
-                self.stopping_since = Some(Instant::now());
-            }
+            Signal::Stop if self.stop.is_none() => self.begin_stop(),
             Signal::Stop => {}
             Signal::Reload => self.reload(),
         }
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod signal;
 pub mod socket;
 pub mod status;
+mod stop;
 pub mod store;
 mod tally;
 pub mod voter;
--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -55,6 +55,7 @@
 use crate::settings::Config;
 use crate::status::Source;
 use crate::status::Status;
+use crate::stop::Stop;
 use crate::store;
 use crate::store::Store;
 use crate::wire;
@@ -199,8 +200,8 @@
     ledger_saved: Instant,
     /// Number of the latest `apply` call.
     last_apply: u64,
-    /// When the planned stop began; absent while running normally.
-    stopping_since: Option<Instant>,
+    /// The planned stop; absent while running normally.
+    stop: Option<Stop>,
     /// Most connections to each backend server, from the file in force.
     connection_limits: BTreeMap<SocketAddr, u32>,
 }
@@ -291,7 +292,7 @@
         view,
         ledger_saved: Instant::now(),
         last_apply: 0,
-        stopping_since: None,
+        stop: None,
         connection_limits: BTreeMap::new(),
     };
     node.run_loop(sources).await;
@@ -350,10 +351,11 @@
                 Some(report) = sources.peers.recv() => self.handle_peer_report(report),
                 Some(report) = sources.callers.recv() => self.handle_caller_report(report),
                 Some(command) = sources.operators.recv() => self.handle_operator_command(command),
-                Ok(()) = &mut sources.stop, if self.stopping_since.is_none() => {
-                    self.stopping_since = Some(Instant::now());
+                Ok(()) = &mut sources.stop, if self.stop.is_none() => {
+                    let stop = Stop::begin(self.config.drain, self.config.stop_max);
+                    self.stop = Some(stop);
                     event::Event::StopRequested.log(&self.config.host);
-                    self.step(Event::Stop);
+                    self.step(Event::Stop(self.clock.now().after(stop.answers_left())));
                 }
             }
             self.publish_view();
@@ -376,11 +378,8 @@
     fn publish_view(&self) {
         let manifest = self.daemon.manifest();
         let ready = self.daemon.is_ready();
-        let stopping = self.stopping_since.is_some();
-        let drain = Duration::from_micros(self.config.drain.as_us());
-        let closing = self
-            .stopping_since
-            .is_some_and(|since| since.elapsed() >= drain);
+        let stopping = self.stop.is_some();
+        let closing = self.stop.is_some_and(|stop| stop.is_closing());
         self.view.send_if_modified(|view| {
             let same_manifest = Arc::ptr_eq(&view.manifest, manifest);
             let same_flags =
@@ -400,16 +399,14 @@
 
     /// Whether a planned stop has drained all work or has reached its time limit.
     fn is_finished(&self) -> bool {
-        let Some(since) = self.stopping_since else {
+        let Some(stop) = self.stop else {
             return false;
         };
-        let is_idle = self.daemon.is_idle() && self.pending.is_empty();
-        let drain = Duration::from_micros(self.config.drain.as_us());
-        let stop_max = Duration::from_micros(self.config.stop_max.as_us());
-        let is_drained = since.elapsed() >= drain + TICK_INTERVAL && is_idle;
         // Each open connection of a caller holds a receiver of the view: more than two
         // receivers mean that at least one connection is still open.
-        is_drained && self.view.receiver_count() <= 2 || since.elapsed() >= stop_max
+        let is_idle = self.daemon.is_idle() && self.pending.is_empty();
+        let is_idle = is_idle && self.view.receiver_count() <= 2;
+        stop.is_over(is_idle, TICK_INTERVAL)
     }
 
     fn save_ledger_if_due(&mut self) {
@@ -590,7 +587,7 @@
             config: &self.config,
             daemon: &self.daemon,
             connections: self.backend.open_connections(),
-            stopping: self.stopping_since.is_some(),
+            stopping: self.stop.is_some(),
         };
         source.status()
     }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -43,7 +43,11 @@
         self.suspension.step(self.now());
         match event {
             ingress::Event::Request(id, request, answer) => {
-                let (request, known) = self.identify(*request);
+                let (mut request, known) = self.identify(*request);
+                if let Some(stop) = self.stop {
+                    let left = request.time_left.unwrap_or(Span::MAX);
+                    request.time_left = Some(left.min(stop.answers_left()));
+                }
                 let request = Arc::new(request);
                 let pending = Pending {
                     request: request.clone(),
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod quota;
 mod rollout;
+mod stop;
 mod stranded;
 mod tier;
 mod versioned;
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -225,7 +225,10 @@
                 let actions = self.entry.on_abandoned(now, id);
                 self.entry_actions(now, actions, &mut out);
             }
-            Event::Stop => self.leaving = true,
+            Event::Stop(end) => {
+                self.leaving = true;
+                self.entry.end_by(end);
+            }
             Event::Probed(Purpose::Links, _, reachable) => {
                 self.uplink.record_probe(now, reachable);
             }
--- a/decision/src/entry.rs
+++ b/decision/src/entry.rs
@@ -125,6 +125,8 @@
     pub(crate) attempts: BTreeMap<u64, Attempt>,
     /// Deadlines and retry times, with the query's identifier.
     pub(crate) timers: BTreeSet<(Time, u64)>,
+    /// Time by which all queries are answered, as the daemon stops; absent while it runs.
+    pub(crate) end: Option<Time>,
     pub(crate) last_attempt: u64,
     /// Upper half of all claim tokens of this daemon.
     pub(crate) seed: u64,
@@ -208,6 +210,7 @@
             return vec![Action::Answer(id, refusal(Cause::Overloaded, Ran::No))];
         }
         let mut query = Query::new(now, request, service, shards);
+        query.deadline = query.deadline.min(self.end.unwrap_or(query.deadline));
         query.pin = self.common_index(&query);
         self.timers.insert((query.deadline, id));
         let standing = standings.standing(now, &query.fingerprint);
@@ -593,6 +596,16 @@
         actions
     }
 
+    /// Moves the deadlines of all queries, also of later ones, to `end` at the latest.
+    pub fn end_by(&mut self, end: Time) {
+        self.end = Some(end);
+        for (id, query) in &mut self.queries {
+            self.timers.remove(&(query.deadline, *id));
+            query.deadline = query.deadline.min(end);
+            self.timers.insert((query.deadline, *id));
+        }
+    }
+
     /// Answers a query at its deadline. The claim of a job that did not run is released.
     fn on_deadline(&mut self, now: Time, id: u64) -> Vec<Action> {
         let Some(query) = self.queries.get(&id) else {
--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -106,6 +106,8 @@
     Undelivered(OrderId),
     /// The connection to a host broke.
     HostLost(SocketAddr),
+    /// The host stops: its requests are answered by this time.
+    EndBy(Time),
     /// A timer is due.
     Tick,
 }
@@ -259,6 +261,7 @@
             Event::Reply(reply) => self.store_reply(now, reply, &mut actions),
             Event::Undelivered(order) => self.move_order(now, order, false, &mut actions),
             Event::HostLost(host) => self.lose_host(now, host, &mut actions),
+            Event::EndBy(end) => self.end_by(end),
             Event::Tick => self.tick(now, &mut actions),
         }
         actions
@@ -556,6 +559,15 @@
         }
     }
 
+    /// Moves the deadlines of all requests to `end` at the latest.
+    fn end_by(&mut self, end: Time) {
+        for (id, flight) in &mut self.flights {
+            flight.deadline = flight.deadline.min(end);
+            flight.recheck_at = flight.recheck_at.min(end);
+            self.timers.push(Reverse((end, *id)));
+        }
+    }
+
     /// Moves orders whose confirmation is overdue and answers the request if it is due.
     fn recheck(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(flight) = self.flights.get_mut(&id).filter(|f| f.recheck_at <= now) else {
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::fleet::Instance;
 use crate::flight::EndpointId;
 use crate::flight::Flight;
+use crate::flight::Kind;
 use crate::flight::Stage;
 use crate::latency::Latency;
 use crate::load::capacity::Estimator;
@@ -225,6 +226,8 @@
     DomainsClosed(BTreeSet<Name>),
     /// The entry hosts or their assignment to services changed.
     Plan(Arc<Plan>),
+    /// The host stops: its requests, but not the branches of other hosts, are answered by this time.
+    EndBy(Time),
     /// A timer is due.
     Tick,
 }
@@ -453,6 +456,7 @@
                 self.keeps_connection.clear();
                 self.update_shares(now);
             }
+            Event::EndBy(end) => self.end_by(end),
             Event::Tick => self.tick(now, &mut actions),
         }
         self.serve_waiting(now, &mut actions);
@@ -559,6 +563,17 @@
         }
     }
 
+    /// Moves the deadlines of all requests to `end` at the latest.
+    fn end_by(&mut self, end: Time) {
+        let requests = self.flights.iter_mut();
+        let requests = requests.filter(|(_, flight)| matches!(flight.kind, Kind::Request));
+        for (id, flight) in requests {
+            flight.deadline = flight.deadline.min(end);
+            flight.recheck_at = flight.recheck_at.min(end);
+            self.timers.push(Reverse((end, *id)));
+        }
+    }
+
     /// Withdraws expired orphans and rechecks requests whose timers are due.
     pub(crate) fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
         while let Some((due, ticket)) = self.orphans.front().copied() {
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -163,8 +163,8 @@
     Apply(u64, Arc<str>),
     /// The caller of the request with this number disconnected.
     Abandoned(u64),
-    /// A planned stop begins.
-    Stop,
+    /// A planned stop begins; the requests of callers are answered by this time.
+    Stop(Time),
     /// A trial connection to a backend server ended; true if the server can be reached.
     Probed(Purpose, SocketAddr, bool),
     /// Periodic tick; handles due timers.
--- a/decision/src/relay.rs
+++ b/decision/src/relay.rs
@@ -232,6 +232,13 @@
         timers.min()
     }
 
+    /// Moves the deadlines of all requests to `end` at the latest.
+    pub fn end_by(&mut self, end: Time) {
+        for flight in self.flights.values_mut() {
+            flight.deadline = flight.deadline.min(end);
+        }
+    }
+
     /// Ends requests whose deadline passed, and moves those that were not confirmed in time.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/decision/tests/properties/entry.rs
+++ b/decision/tests/properties/entry.rs
@@ -144,3 +144,34 @@
         request_gets_one_answer as fn(Vec<u8>) -> TestResult,
     );
 }
+
+/// Guards against requests that a stopping daemon takes and then cuts without an answer: servers are
+/// silent, and the deadlines lie after the end of the stop.
+#[test]
+fn a_stopping_daemon_answers_each_request_that_it_took() {
+    let mut entry = Entry::new(1);
+    let host = Candidate {
+        host: "entry-1".into(),
+        domain: "z".into(),
+    };
+    entry.update(&manifest(), &[host], Spread::SameHost);
+    let request = Request {
+        caller: "a".into(),
+        service: "desk".into(),
+        method: "GET".to_owned(),
+        ..Request::default()
+    };
+    let request = Arc::new(request);
+    let end = Time::from_us(300_000);
+    entry.on_request(Time::from_us(1), 7, request.clone(), &Table::default());
+    entry.end_by(end);
+    entry.on_request(Time::from_us(200_000), 8, request, &Table::default());
+    assert_eq!(entry.pending(), 2);
+    let answers = entry.tick(end);
+    let answers = answers.iter().filter_map(|action| match action {
+        Action::Answer(id, _) => Some(*id),
+        _ => None,
+    });
+    assert_eq!(answers.collect::<Vec<_>>(), [7, 8]);
+    assert_eq!(entry.pending(), 0);
+}
