Identifiers of orders and relayed requests differ between runs of a process

What callers could see: an entry host is killed and starts again while another one is frozen.

Cause: the numbers began at zero at each start.

Change: their upper bits come from the seed of the run, 16 bits, and 24 count. A reply to an earlier run then belongs to no order.

Test: a_reply_to_an_earlier_run_counts_for_no_request, failed before ("Refused").

--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -31,6 +31,15 @@
 use crate::name::Name;
 use crate::relay::RelayId;
 
+/// Bits of an identifier that count within a run of a process; those above tell the runs apart.
+const COUNTER_BITS: u32 = 24;
+
+/// Number before the first identifier of a run of a process. Runs with different seeds have different
+/// identifiers, so that a late message to an earlier run belongs to nothing in this one.
+pub(crate) fn first_number(seed: u64) -> u64 {
+    (seed & 0xffff) << COUNTER_BITS
+}
+
 /// Identifies an order at the host that sent it.
 #[derive(
     Clone,
--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -28,6 +28,7 @@
 use crate::answer::Answer;
 use crate::answer::Refusal;
 use crate::answer::Report;
+use crate::branch;
 use crate::branch::OrderId;
 use crate::branch::Reply;
 use crate::catalog::Catalog;
@@ -179,7 +180,6 @@
     pub fn new(settings: Settings) -> Fanout {
         Fanout {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
-            settings,
             catalog: Arc::default(),
             plan: Arc::default(),
             fleet_read: Time::default(),
@@ -188,7 +188,8 @@
             peers: HashMap::new(),
             lost: BTreeSet::new(),
             timers: BinaryHeap::new(),
-            last_order: OrderId::default(),
+            last_order: OrderId(branch::first_number(settings.seed)),
+            settings,
         }
     }
 
--- a/decision/src/relay.rs
+++ b/decision/src/relay.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::branch;
 use crate::catalog::Repeat;
 use crate::clock::Span;
 use crate::clock::Time;
@@ -87,7 +88,7 @@
             hosts: Vec::new(),
             avoided: BTreeMap::new(),
             flights: BTreeMap::new(),
-            last_id: RelayId::default(),
+            last_id: RelayId(branch::first_number(seed)),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/decision/tests/tier/fanout.rs
+++ b/decision/tests/tier/fanout.rs
@@ -6,6 +6,7 @@
 
 use wagtailbeam_decision::answer::Answer;
 use wagtailbeam_decision::answer::Refusal;
+use wagtailbeam_decision::branch::OrderId;
 use wagtailbeam_decision::branch::Reply;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
@@ -219,6 +220,51 @@
     assert_eq!(prompt.settle.saturating_sub(late.settle), Span::from_ms(30));
 }
 
+/// Starts a request for all shards on a host of this seed, and returns the orders placed.
+fn start_request(seed: u64) -> (Fanout, Vec<OrderId>) {
+    let (catalog, _) = cluster::deployment(SHARDS);
+    let others = Plan::new(&catalog, &hosts(HOSTS)[1..]);
+    let mut fanout = Fanout::new(fanout::Settings {
+        host: cluster::host(0),
+        seed,
+    });
+    fanout.configure(Arc::new(catalog), Arc::new(others));
+    let route = fanout.split_route("desk.example", "/all/x");
+    let request = fanout::Request {
+        route: route.expect("a route"),
+        left: None,
+        others_only: false,
+        margin: Span::from_ms(11),
+        waited: Span::ZERO,
+    };
+    let actions = fanout.step(Time::from_us(1), fanout::Event::Request(7, request));
+    let orders = actions.iter().filter_map(|action| match action {
+        fanout::Action::Order(order) => Some(order.id),
+        _ => None,
+    });
+    let orders = orders.collect();
+    (fanout, orders)
+}
+
+/// Guards against replies to orders of an earlier run of the process, which come late and count for
+/// other requests of this run.
+#[test]
+fn a_reply_to_an_earlier_run_counts_for_no_request() {
+    let (_, earlier) = start_request(0x5eed_0001);
+    let (mut fanout, orders) = start_request(0x5eed_0002);
+    assert_eq!(earlier.len(), orders.len());
+    for order in earlier {
+        let reply = Reply {
+            order,
+            last: true,
+            ..Reply::default()
+        };
+        let answers = fanout.step(Time::from_us(2), fanout::Event::Reply(reply));
+        assert_eq!(answers, []);
+    }
+    assert_eq!(fanout.active_requests(), 1);
+}
+
 fn hosts(count: usize) -> Vec<Host> {
     (0..count).map(cluster::host).collect()
 }
