Bytes without progress in a message end its connection, wherever they stand

Cause: the head and the data of an answer were bounded, the bytes around the data of a chunk weren't, and reading them rarely gave way to other tasks.

Change: a connection counts the bytes that it reads without progress, in heads and bodies, and gives way after 64 KiB. 128 KiB are read ahead at most. Bodies are read by one function for servers, callers, operators and the list; that stood in six places.

Tests: chunk_lengths_without_end_end_the_call and calls_to_other_servers_are_answered_beside_answers_without_end failed before (no call ended within 2 s).

--- a/adapter/src/admin.rs
+++ b/adapter/src/admin.rs
@@ -7,8 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -32,9 +30,13 @@
 use wagtailbeam_decision::register::Decision;
 use wagtailbeam_decision::trace::Trace;
 
+use crate::body;
 use crate::frontend;
 use crate::frontend::View;
 use crate::http;
+use crate::metered::Meter;
+use crate::metered::Metered;
+use crate::metered::READ_AHEAD_MAX_BYTES;
 use crate::status::Status;
 
 /// Largest operators' file, in bytes.
@@ -109,13 +111,17 @@
         };
         let admin = admin.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
+            let meter = Meter::default();
+            let stream = Metered::new(stream, meter.clone());
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(meter.clone());
                 let admin = admin.clone();
                 async move { Ok::<_, std::convert::Infallible>(admin.handle(request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
+                .max_buf_size(READ_AHEAD_MAX_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             drop(connection.await);
         });
@@ -186,13 +192,12 @@
 
     /// Checks the file in the request body and proposes it to the voters.
     async fn apply(&self, request: Request<Incoming>) -> http::Reply {
-        let body = Limited::new(request.into_body(), FILE_MAX_BYTES)
-            .collect()
-            .await;
-        let Ok(body) = body else {
+        let meter = request.extensions().get::<Meter>().cloned();
+        let meter = meter.unwrap_or_default();
+        let Ok(body) = body::read(request.into_body(), FILE_MAX_BYTES, &meter).await else {
             return http::text(StatusCode::PAYLOAD_TOO_LARGE, "the file is too large\n");
         };
-        let Ok(text) = String::from_utf8(body.to_bytes().to_vec()) else {
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
             return http::text(StatusCode::BAD_REQUEST, "the file is not UTF-8\n");
         };
         let version = match parse::manifest(&text) {
--- a/adapter/src/discovery.rs
+++ b/adapter/src/discovery.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::client::conn::http1;
@@ -20,7 +18,11 @@
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::fleet::Versions;
 
+use crate::body;
 use crate::dialect::Dialect;
+use crate::metered::Meter;
+use crate::metered::Metered;
+use crate::metered::READ_AHEAD_MAX_BYTES;
 use crate::socket;
 
 /// Time limit for reading all pages.
@@ -83,7 +85,11 @@
 async fn fetch_pages(address: SocketAddr, dialect: Arc<dyn Dialect>) -> Result<(Fleet, usize)> {
     let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
     socket::tune(&stream).context(ConnectSnafu)?;
-    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+    let meter = Meter::default();
+    let stream = Metered::new(stream, meter.clone());
+    let (mut sender, driver) = http1::Builder::new()
+        .max_buf_size(READ_AHEAD_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .context(ExchangeSnafu)?;
     tokio::spawn(async move {
@@ -109,13 +115,11 @@
         if status != StatusCode::OK {
             return StatusSnafu { status }.fail();
         }
-        let body = Limited::new(response.into_body(), PAGE_MAX_BYTES).collect();
-        let body = body.await.map_err(|error| Error::Page {
+        let body = body::read(response.into_body(), PAGE_MAX_BYTES, &meter).await;
+        let body = body.map_err(|error| Error::Page {
             cause: error.to_string(),
         })?;
-        let page = dialect
-            .page(&body.to_bytes())
-            .map_err(|cause| Error::Page { cause })?;
+        let page = dialect.page(&body).map_err(|cause| Error::Page { cause })?;
         replicas.extend(page.replicas);
         versions.extend(page.versions);
         skipped += page.skipped;
--- a/adapter/src/frontend.rs
+++ b/adapter/src/frontend.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -39,7 +37,10 @@
 use wagtailbeam_decision::request::Cause;
 use wagtailbeam_decision::request::Ran;
 
+use crate::body;
 use crate::http;
+use crate::metered::Meter;
+use crate::metered::Metered;
 
 /// Largest accepted idempotency key, in bytes.
 const IDEMPOTENCY_KEY_MAX_BYTES: usize = 256;
@@ -171,7 +172,10 @@
 /// Serves one connection; once the view is closing, ends it after the current answer.
 async fn serve(stream: tokio::net::TcpStream, frontend: Arc<Frontend>) {
     let mut view = frontend.view.clone();
-    let service = service_fn(move |request| {
+    let meter = Meter::new(REQUEST_HEADER_MAX_BYTES);
+    let stream = Metered::new(stream, meter.clone());
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(meter.clone());
         let frontend = frontend.clone();
         async move { Ok::<_, std::convert::Infallible>(frontend.handle(request).await) }
     });
@@ -269,6 +273,7 @@
         id: &str,
     ) -> Result<request::Request, Rejection> {
         let (head, body) = request.into_parts();
+        let meter = head.extensions.get::<Meter>().cloned().unwrap_or_default();
         if view.manifest.version == 0 {
             let detail = "no configuration is in force here yet";
             return Err(rejection(
@@ -316,7 +321,7 @@
             content_type: content_type
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_owned),
-            body: self.read_body(body).await?,
+            body: self.read_body(body, &meter).await?,
             key,
             shards,
             deadline,
@@ -324,11 +329,11 @@
     }
 
     /// Reads a body within the limits of size and time.
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Rejection> {
-        let body = Limited::new(body, self.body_max).collect();
+    async fn read_body(&self, body: Incoming, meter: &Meter) -> Result<Bytes, Rejection> {
+        let body = body::read(body, self.body_max, meter);
         match tokio::time::timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(body::Error::TooLong { .. })) => {
                 let detail = format!("the body has more than {} bytes", self.body_max);
                 Err(rejection(
                     StatusCode::PAYLOAD_TOO_LARGE,
@@ -336,7 +341,7 @@
                     detail,
                 ))
             }
-            Ok(Err(_)) => Err(rejection(
+            Ok(Err(body::Error::Broken { .. })) => Err(rejection(
                 StatusCode::BAD_REQUEST,
                 "bad-body",
                 "the body was cut short",
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -11,8 +11,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
@@ -37,9 +35,12 @@
 use wagtailbeam_decision::digest::Digest;
 
 use crate::accounts;
+use crate::body;
 use crate::carriers::Carriers;
 use crate::dialect::Dialect;
 use crate::http;
+use crate::metered::Meter;
+use crate::metered::Metered;
 use crate::pool;
 
 /// Time within which a caller must have sent the whole body.
@@ -220,7 +221,11 @@
     let mut state = ingress.state.clone();
     let limits = state.borrow().limits;
     let used = AtomicBool::new(false);
-    let service = service_fn(move |request| {
+    let read_ahead = limits.head_max.max(8 * 1024).saturating_mul(2);
+    let meter = Meter::new(read_ahead);
+    let stream = Metered::new(stream, meter.clone());
+    let service = service_fn(move |mut request: hyper::Request<Incoming>| {
+        request.extensions_mut().insert(meter.clone());
         let ingress = ingress.clone();
         let first = !used.swap(true, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(ingress.handle(request, first).await) }
@@ -229,7 +234,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_max)
-        .max_buf_size(limits.head_max.max(8 * 1024) * 2)
+        .max_buf_size(read_ahead)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -291,7 +296,8 @@
         let left = http::header_text(&head.headers, names.deadline.as_str());
         let left = left.and_then(|text| text.trim().parse::<f64>().ok());
         let left = left.filter(|ms| ms.is_finite() && *ms > 0.0);
-        let body = read_body(body, limits.body_max).await?;
+        let meter = head.extensions.get::<Meter>().cloned().unwrap_or_default();
+        let body = read_body(body, limits.body_max, &meter).await?;
         let caller = head.headers.get(header::AUTHORIZATION);
         let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
         Ok(Request {
@@ -354,11 +360,11 @@
 }
 
 /// Reads a body within the size and time limits.
-async fn read_body(body: Incoming, body_max: usize) -> Result<Bytes, http::Reply> {
-    let body = Limited::new(body, body_max).collect();
+async fn read_body(body: Incoming, body_max: usize, meter: &Meter) -> Result<Bytes, http::Reply> {
+    let body = body::read(body, body_max, meter);
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Error::TooLong { .. })) => {
             let detail = "the body is longer than allowed";
             Err(problem_reply(
                 StatusCode::PAYLOAD_TOO_LARGE,
@@ -366,7 +372,7 @@
                 detail,
             ))
         }
-        Ok(Err(_)) => {
+        Ok(Err(body::Error::Broken { .. })) => {
             let detail = "the body was cut short";
             Err(problem_reply(StatusCode::BAD_REQUEST, "bad-body", detail))
         }
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -49,6 +49,7 @@
 mod admission;
 mod aggregate;
 pub mod backend;
+mod body;
 pub mod carriers;
 pub mod cli;
 pub mod client;
--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::Limited;
+use bytes::Bytes;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -24,9 +23,13 @@
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::tier::Change;
 
+use crate::body;
 use crate::dialect;
 use crate::dialect::Dialect;
 use crate::http;
+use crate::metered::Meter;
+use crate::metered::Metered;
+use crate::metered::READ_AHEAD_MAX_BYTES;
 
 /// Largest configuration, in bytes.
 const CONFIGURATION_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -77,13 +80,17 @@
         };
         let api = api.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
+            let meter = Meter::default();
+            let stream = Metered::new(stream, meter.clone());
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(meter.clone());
                 let api = api.clone();
                 async move { Ok::<_, Infallible>(api.handle(request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(READ_TIMEOUT)
+                .max_buf_size(READ_AHEAD_MAX_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "operator's connection failed");
@@ -127,18 +134,7 @@
 
     /// Reads and checks a configuration before it is submitted.
     async fn read_configuration(&self, request: Request<Incoming>) -> Result<Command, Refused> {
-        let body = Limited::new(request.into_body(), CONFIGURATION_MAX_BYTES).collect();
-        let document = match tokio::time::timeout(READ_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
-                let detail = format!("the body can't be read: {error}\n");
-                return Err(refuse(StatusCode::BAD_REQUEST, &detail));
-            }
-            Err(_) => {
-                let detail = "the body took too long\n";
-                return Err(refuse(StatusCode::REQUEST_TIMEOUT, detail));
-            }
-        };
+        let document = read_body(request, CONFIGURATION_MAX_BYTES).await?;
         match self.dialect.catalog(&document) {
             Ok(catalog) => Ok(Command::Change(Change::Configure {
                 version: catalog.version,
@@ -179,6 +175,24 @@
     }
 }
 
+/// Reads the body of an operator's request, of at most `max` bytes.
+pub(crate) async fn read_body(request: Request<Incoming>, max: usize) -> Result<Bytes, Refused> {
+    let meter = request.extensions().get::<Meter>().cloned();
+    let meter = meter.unwrap_or_default();
+    let body = body::read(request.into_body(), max, &meter);
+    match tokio::time::timeout(READ_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error)) => {
+            let detail = format!("the body can't be read: {error}\n");
+            Err(refuse(StatusCode::BAD_REQUEST, &detail))
+        }
+        Err(_) => {
+            let detail = "the body took too long\n";
+            Err(refuse(StatusCode::REQUEST_TIMEOUT, detail))
+        }
+    }
+}
+
 /// The answer if a newer order on the same matter was carried out first.
 pub(crate) fn overtaken() -> http::Reply {
     let detail = "a newer order was carried out since this one may have been given\n";
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -11,9 +11,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use derive_more::Display;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -29,12 +27,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::carriers::Carriers;
 use crate::carriers::ConnectionId;
 use crate::http;
 use crate::metered::Buffer;
 use crate::metered::Meter;
 use crate::metered::Metered;
+use crate::metered::READ_AHEAD_MAX_BYTES;
 use crate::probe;
 use crate::probe::Patience;
 use crate::socket;
@@ -136,7 +136,7 @@
         /// Response or failure.
         result: Result,
         /// The connection, if it can be reused.
-        connection: Option<Idle>,
+        connection: Option<Box<Idle>>,
     },
     /// The connection of this call broke before any response; its end follows when it is known
     /// whether the server ended.
@@ -312,7 +312,7 @@
                 biased;
                 _ = cancelled => {}
                 (result, connection) = task => {
-                    let connection = connection.filter(|_| keep);
+                    let connection = connection.filter(|_| keep).map(Box::new);
                     let event = Event::Done { ticket, address, result, connection };
                     drop(events.send(event).await);
                 }
@@ -357,7 +357,7 @@
                 connection,
             } => {
                 let server = self.servers.entry(address).or_default();
-                server.idle.extend(connection);
+                server.idle.extend(connection.map(|idle| *idle));
                 self.calls.remove(&ticket)?;
                 Some((ticket, result))
             }
@@ -476,9 +476,8 @@
         }
         Err(error) => return (Err(verdict.failure(address, &error).await), None),
     };
-    connection.meter.expect_body();
     let (head, incoming) = response.into_parts();
-    let body = match read_body(incoming, &bounds).await {
+    let body = match read_body(incoming, &bounds, &connection.meter).await {
         Ok(body) => body,
         Err(failure) => return (Err(failure), None),
     };
@@ -502,20 +501,18 @@
 }
 
 /// Reads a body within the bounds.
-async fn read_body(mut incoming: Incoming, bounds: &Bounds) -> std::result::Result<Bytes, Failure> {
+async fn read_body(
+    incoming: Incoming,
+    bounds: &Bounds,
+    meter: &Meter,
+) -> std::result::Result<Bytes, Failure> {
     let mut reserved = bounds.buffer.reserve();
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        let frame = frame.map_err(|error| Failure::Broken(error.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if body.len() + data.len() > bounds.body_max || !reserved.grow(data.len()) {
-            return Err(Failure::TooLong);
-        }
-        body.extend_from_slice(&data);
-    }
-    Ok(body.freeze())
+    let reserve = |bytes| reserved.grow(bytes);
+    let body = body::read_with(incoming, bounds.body_max, meter, reserve).await;
+    body.map_err(|error| match error {
+        body::Error::TooLong { .. } => Failure::TooLong,
+        body::Error::Broken { source } => Failure::Broken(source.to_string()),
+    })
 }
 
 /// The `timeout` that a server announces in its `Keep-Alive` header.
@@ -541,7 +538,9 @@
     let id = guard.connection;
     let meter = Meter::default();
     let stream = Metered::new(stream, meter.clone());
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(READ_AHEAD_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
     let task = tokio::spawn(async move {
--- a/adapter/src/rollout.rs
+++ b/adapter/src/rollout.rs
@@ -1,8 +1,5 @@
 //! The operators' calls for rollouts: requests one, and reads its state.
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -18,9 +15,9 @@
 
 use crate::http;
 use crate::operator::Api;
-use crate::operator::READ_TIMEOUT;
 use crate::operator::Refused;
 use crate::operator::overtaken;
+use crate::operator::read_body;
 use crate::operator::refuse;
 use crate::operator::unknown;
 
@@ -48,7 +45,7 @@
     }
 
     async fn try_begin(&self, request: Request<Incoming>) -> Result<http::Reply, Refused> {
-        let body = read_body(request).await?;
+        let body = read_body(request, REQUEST_MAX_BYTES).await?;
         let order = self.dialect.rollout(&body).map_err(|cause| {
             let detail = format!("{cause}\n");
             refuse(StatusCode::BAD_REQUEST, &detail)
@@ -103,21 +100,6 @@
     }
 }
 
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, Refused> {
-    let body = Limited::new(request.into_body(), REQUEST_MAX_BYTES).collect();
-    match tokio::time::timeout(READ_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => {
-            let detail = format!("the body can't be read: {error}\n");
-            Err(refuse(StatusCode::BAD_REQUEST, &detail))
-        }
-        Err(_) => Err(refuse(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body took too long\n",
-        )),
-    }
-}
-
 /// Logs a step of a rollout with what it was derived from.
 pub(crate) fn log_step(decision: &Decision) {
     let (record, step, sums) = (&decision.record, &decision.step, &decision.sums);
--- a/adapter/tests/endless.rs
+++ b/adapter/tests/endless.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step is a failed test")]
 
+use std::collections::HashMap;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,6 +29,9 @@
 /// Most bytes that may be taken of an answer without a final head.
 const HEAD_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// Most bytes that may be sent of a body without data: what is taken, and the sockets' buffers.
+const FRAMING_SENT_MAX: usize = 16 * 1024 * 1024;
+
 /// A server that sends `first` once and then `again` without end. Returns its address, the number
 /// of bytes that it could send, and the number of its open connections.
 fn start(
@@ -157,3 +162,68 @@
     }
     wait_closed(&open).await;
 }
+
+/// Guards against a chunk length without end, of zeros or of blanks: it is no data, so that no bound
+/// on data counts it, and reading it takes a whole core.
+#[tokio::test]
+async fn chunk_lengths_without_end_end_the_call() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const DATA: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1";
+    for (first, again) in [(HEAD, &[b'0'; 4_096]), (DATA, &[b' '; 4_096])] {
+        let (address, sent, open) = start(first, again);
+        let (mut pool, mut events) = pool();
+        call(&mut pool, 1, address);
+        let failure = next(&mut pool, &mut events).await;
+        assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+        wait_closed(&open).await;
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < FRAMING_SENT_MAX, "{sent} bytes");
+    }
+}
+
+/// Guards against bounds that refuse proper answers: a body in chunks of one byte, longer than all
+/// bounds on what is no data.
+#[tokio::test]
+async fn a_body_in_short_chunks_is_read() {
+    const BODY_BYTES: usize = 200_000;
+    let body = "1\r\nx\r\n".repeat(BODY_BYTES);
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}0\r\n\r\n");
+    let (address, _, _) = start(text.leak().as_bytes(), b"");
+    let (mut pool, mut events) = pool();
+    call(&mut pool, 1, address);
+    let event = timeout(END_MAX, events.recv()).await.unwrap().unwrap();
+    let (_, result) = pool.handle(event).unwrap();
+    assert_eq!(result.unwrap().body.len(), BODY_BYTES);
+}
+
+/// Guards against servers that keep the host from its other work: calls to another server are timed
+/// while several answers without end come in.
+#[tokio::test]
+async fn calls_to_other_servers_are_answered_beside_answers_without_end() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const BAD_CALLS: u32 = 8;
+    const CALL_MAX: Duration = Duration::from_millis(250);
+    let (bad, _, _) = start(HEAD, &[b'0'; 65_536]);
+    let (good, _, _) = start(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", b"");
+    let (mut pool, mut events) = pool();
+    let (mut started, mut slowest) = (HashMap::new(), Duration::ZERO);
+    let mut answered = 0;
+    let mut ticket = BAD_CALLS;
+    (0..BAD_CALLS).for_each(|bad_ticket| call(&mut pool, bad_ticket, bad));
+    while answered < 200 {
+        ticket += 1;
+        let is_bad = ticket.is_multiple_of(4);
+        started.insert(ticket, (Instant::now(), is_bad));
+        call(&mut pool, ticket, if is_bad { bad } else { good });
+        let event = timeout(END_MAX, events.recv()).await.unwrap().unwrap();
+        let Some((ended, _)) = pool.handle(event) else {
+            continue;
+        };
+        if let Some((at, false)) = started.remove(&ended) {
+            answered += 1;
+            slowest = slowest.max(at.elapsed());
+        }
+    }
+    println!("slowest of {answered}: {slowest:?}");
+    assert!(slowest < CALL_MAX, "{slowest:?}");
+}
--- a/bins/tests/processes/main.rs
+++ b/bins/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod accounts_report;
 mod accounts_scale;
 mod capacity;
+mod endless;
 mod faults;
 mod harness;
 mod lifecycle;
