--- a/adapter/src/admin.rs
+++ b/adapter/src/admin.rs
@@ -192,8 +192,7 @@
 
     /// Checks the file in the request body and proposes it to the voters.
     async fn apply(&self, request: Request<Incoming>) -> http::Reply {
-        let meter = request.extensions().get::<Meter>().cloned();
-        let meter = meter.unwrap_or_default();
+        let meter = Meter::of(request.extensions());
         let Ok(body) = body::read(request.into_body(), FILE_MAX_BYTES, &meter).await else {
             return http::text(StatusCode::PAYLOAD_TOO_LARGE, "the file is too large\n");
         };
--- a/adapter/src/frontend.rs
+++ b/adapter/src/frontend.rs
@@ -273,7 +273,7 @@
         id: &str,
     ) -> Result<request::Request, Rejection> {
         let (head, body) = request.into_parts();
-        let meter = head.extensions.get::<Meter>().cloned().unwrap_or_default();
+        let meter = Meter::of(&head.extensions);
         if view.manifest.version == 0 {
             let detail = "no configuration is in force here yet";
             return Err(rejection(
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -296,7 +296,7 @@
         let left = http::header_text(&head.headers, names.deadline.as_str());
         let left = left.and_then(|text| text.trim().parse::<f64>().ok());
         let left = left.filter(|ms| ms.is_finite() && *ms > 0.0);
-        let meter = head.extensions.get::<Meter>().cloned().unwrap_or_default();
+        let meter = Meter::of(&head.extensions);
         let body = read_body(body, limits.body_max, &meter).await?;
         let caller = head.headers.get(header::AUTHORIZATION);
         let caller = caller.map(HeaderValue::as_bytes).unwrap_or_default();
--- a/adapter/src/metered.rs
+++ b/adapter/src/metered.rs
@@ -11,6 +11,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use hyper::http::Extensions;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -56,6 +57,11 @@
         meter
     }
 
+    /// The meter of the connection on which a request came, from the request's extensions.
+    pub fn of(extensions: &Extensions) -> Meter {
+        extensions.get::<Meter>().cloned().unwrap_or_default()
+    }
+
     /// Bounds the next head.
     pub fn expect_head(&self) {
         let max = HEAD_MAX_BYTES.max(self.framing_max());
--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -177,8 +177,7 @@
 
 /// Reads the body of an operator's request, of at most `max` bytes.
 pub(crate) async fn read_body(request: Request<Incoming>, max: usize) -> Result<Bytes, Refused> {
-    let meter = request.extensions().get::<Meter>().cloned();
-    let meter = meter.unwrap_or_default();
+    let meter = Meter::of(request.extensions());
     let body = body::read(request.into_body(), max, &meter);
     match tokio::time::timeout(READ_TIMEOUT, body).await {
         Ok(Ok(body)) => Ok(body),
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -255,9 +255,10 @@
     }
 
     /// Starts a call on the usable connection that became idle last, or on a new one. A request with
-    /// [`Carriers`] goes over each connection once at most. At the connection limit the oldest idle connection, if any, is closed to make room. New
-    /// connections may exceed the limit by `CLOSING_CONNECTIONS_MAX`, also if none is
-    /// closing; beyond that the call fails as unreachable.
+    /// [`Carriers`] goes over each connection once at most. At the connection limit the oldest idle
+    /// connection, if any, is closed to make room. New connections may exceed the limit by
+    /// `CLOSING_CONNECTIONS_MAX`, also if none is closing; beyond that the call fails as
+    /// unreachable.
     pub fn call(&mut self, ticket: T, options: Options, request: Request<Full<Bytes>>) {
         let Options {
             address,
--- a/decision/src/account/suspension.rs
+++ b/decision/src/account/suspension.rs
@@ -1,6 +1,7 @@
-//! Notices that the process of an entry host was suspended, after which its keys may be outdated.
+//! Notices that a process was suspended, after which its keys or its operators' orders may be
+//! outdated.
 //!
-//! A host that resumes finds requests of its callers and earlier messages of the voters in its
+//! An entry host that resumes finds requests of its callers and earlier messages of the voters in its
 //! sockets, and can't tell how old they are. For a short time it takes no key, until the voters had
 //! time to tell it of a newer configuration. A host that has no contact to the voters then goes on
 //! with the keys that it has.
@@ -28,11 +29,11 @@
 impl Suspension {
     /// The process of an entry host that starts now.
     pub fn new(now: Time) -> Suspension {
-        Suspension::after(SUSPENDED_MIN, now)
+        Suspension::with_silence(SUSPENDED_MIN, now)
     }
 
     /// A process that starts now and counts as suspended from this time without a step on.
-    pub fn after(silence: Span, now: Time) -> Suspension {
+    pub fn with_silence(silence: Span, now: Time) -> Suspension {
         Suspension {
             stepped_at: now,
             resumed_at: None,
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -324,7 +324,7 @@
             limits: quota::Board::default(),
             steering: Steering::default(),
             load: report::Board::default(),
-            suspension: Suspension::after(SUSPENDED_MIN, now),
+            suspension: Suspension::with_silence(SUSPENDED_MIN, now),
             revision_before_suspension: 0,
         };
         (controller, out)
