Reads of the state wait for a change that another voter is deciding

Cause, from a trace of the model's ballots: a read is a ballot. It makes the others promise, so that the change's accepts are rejected and it begins again; the next read does the same. One rejection ended a ballot that a majority went on to accept. A rejected read came back after 2 ms, amid the other's accepts.

Change: a voter that was asked for a promise by another one lets its own reads wait until a value is accepted, 200 ms and more by its id at most; a rejected read waits as long. A change overtakes reads that wait. A ballot in its second phase goes on while a majority can still accept. Nothing changes between voters, so old and new builds mix; a read at a voter of an older build disturbs as before. Ballots that wait decide nothing, so safety is as it was; the properties of voters and groups hold.

--- a/decision/src/proposer.rs
+++ b/decision/src/proposer.rs
@@ -24,6 +24,12 @@
 /// Time after which a voter ends a proposal with [`Decision::Unknown`].
 const PROPOSAL_TIMEOUT: Span = Span::from_ms(2_500);
 
+/// Longest time for which a read waits for the ballot of another voter.
+const DEFER_MAX: Span = Span::from_ms(200);
+
+/// Further time for each voter with a lower id.
+const DEFER_STEP: Span = Span::from_ms(40);
+
 /// Unit of the backoff after a rejected ballot.
 const BACKOFF_UNIT: Span = Span::from_ms(2);
 
@@ -42,6 +48,8 @@
     Accept(BTreeSet<Id>, Box<Decision>),
     /// Was rejected and restarts at this time.
     Backoff(Time),
+    /// Waits for the ballot of another voter, until this time at most.
+    Deferred(Time),
 }
 
 /// Proposal of a key that is being decided.
@@ -53,7 +61,12 @@
     stage: Stage,
     sent_at: Time,
     started_at: Time,
+    /// Ballots that ended by rejections.
     rejections: u64,
+    /// Voters that rejected this ballot.
+    rejected_by: BTreeSet<Id>,
+    /// Highest round that a rejection named.
+    promised: u64,
 }
 
 /// A change that waits for the running proposal of its key.
@@ -72,6 +85,8 @@
     incarnations: Vec<Incarnation>,
     running: BTreeMap<Key, Running>,
     queues: BTreeMap<Key, VecDeque<Queued>>,
+    /// When another voter last asked for a promise for a key, until a value is accepted.
+    contended: BTreeMap<Key, Time>,
 }
 
 impl Proposer {
@@ -84,6 +99,7 @@
             incarnations,
             running: BTreeMap::new(),
             queues: BTreeMap::new(),
+            contended: BTreeMap::new(),
         }
     }
 
@@ -92,7 +108,7 @@
     }
 
     /// Starts a proposal with a ballot above `floor`, or queues it if one of the same key
-    /// runs already.
+    /// runs already. A read waits while another voter changes the key, as [`Proposer::defer`] says.
     pub fn propose(
         &mut self,
         now: Time,
@@ -106,29 +122,84 @@
             change,
             started_at: now,
         };
-        if self.running.contains_key(&key) {
+        let running = self.running.get(&key);
+        let is_deferred = running.is_some_and(|running| running.is_deferred());
+        if is_deferred && queued.change != Change::Read {
+            return self.overtake(now, key, queued, floor);
+        }
+        if running.is_some() {
             self.queues.entry(key).or_default().push_back(queued);
             return Vec::new();
         }
         self.start(now, key, queued, floor)
     }
 
+    /// Starts a change in place of a read that waits for another voter; the read is next.
+    fn overtake(&mut self, now: Time, key: Key, change: Queued, floor: Ballot) -> Vec<Body> {
+        let read = self.running.remove(&key).map(|read| Queued {
+            ticket: read.ticket,
+            change: read.change,
+            started_at: read.started_at,
+        });
+        let queue = self.queues.entry(key).or_default();
+        read.into_iter().for_each(|read| queue.push_front(read));
+        self.start(now, key, change, floor)
+    }
+
+    /// Records that another voter asked for a promise. Reads of its key wait until a value was
+    /// accepted, for [`DEFER_MAX`] at most: their ballots would make the other one start again.
+    pub fn defer(&mut self, now: Time, key: Key, ballot: Ballot) {
+        if ballot.voter != self.id {
+            self.contended.insert(key, now);
+        }
+    }
+
+    /// Records that a value was accepted with this ballot: a read that waited for it begins above.
+    pub fn release(&mut self, now: Time, key: Key, ballot: Ballot) {
+        self.contended.remove(&key);
+        if let Some(proposal) = self.running.get_mut(&key)
+            && let Stage::Deferred(_) = proposal.stage
+        {
+            proposal.ballot.round = proposal.ballot.round.max(ballot.round);
+            proposal.stage = Stage::Backoff(now);
+        }
+    }
+
+    /// Longest time for which a read of this voter waits; others wait for other times, so that their
+    /// reads don't meet again.
+    fn defer_time(&self) -> Span {
+        DEFER_MAX.plus_steps(DEFER_STEP, self.id)
+    }
+
+    /// Time until which a read of a key waits; absent if it needn't.
+    fn deferred_until(&self, now: Time, key: &Key, change: &Change) -> Option<Time> {
+        let asked = self.contended.get(key).filter(|_| *change == Change::Read);
+        let until = asked.map(|at| at.after(self.defer_time()));
+        until.filter(|until| *until > now)
+    }
+
     fn start(&mut self, now: Time, key: Key, queued: Queued, floor: Ballot) -> Vec<Body> {
         let ballot = Ballot {
             round: floor.round + 1,
             voter: self.id,
         };
+        let deferred = self.deferred_until(now, &key, &queued.change);
         let proposal = Running {
             ticket: queued.ticket,
             change: queued.change,
             ballot,
-            stage: Stage::Prepare(BTreeMap::new()),
+            stage: deferred.map_or(Stage::Prepare(BTreeMap::new()), Stage::Deferred),
             sent_at: now,
             started_at: queued.started_at,
             rejections: 0,
+            rejected_by: BTreeSet::new(),
+            promised: 0,
         };
         self.running.insert(key, proposal);
-        vec![Body::Prepare(key, ballot)]
+        match deferred {
+            Some(_) => Vec::new(),
+            None => vec![Body::Prepare(key, ballot)],
+        }
     }
 
     /// Restarts all ballots if an incarnation changed, because promises and acceptances of
@@ -139,6 +210,7 @@
         }
         self.incarnations = incarnations.to_vec();
         let restart = |(key, proposal): (&Key, &mut Running)| proposal.restart(now, *key);
+        self.contended.clear();
         self.running.iter_mut().map(restart).collect()
     }
 
@@ -215,7 +287,12 @@
         let Some(proposal) = self.running.remove(&key) else {
             return Step::default();
         };
-        let next = self.queues.get_mut(&key).and_then(VecDeque::pop_front);
+        let is_deferred = self.deferred_until(now, &key, &Change::Read).is_some();
+        let next = self.queues.get_mut(&key).and_then(|queue| {
+            let mut changes = queue.iter().map(|queued| queued.change != Change::Read);
+            let change = changes.position(|is_change| is_change);
+            queue.remove(change.filter(|_| is_deferred).unwrap_or(0))
+        });
         self.queues.retain(|_, queue| !queue.is_empty());
         let bodies = next.map(|next| self.start(now, key, next, proposal.ballot));
         (
@@ -224,10 +301,20 @@
         )
     }
 
-    /// Handles a rejection: the ballot restarts above the promised one after a backoff, which
-    /// grows with the number of rejections and with the voter's id.
-    pub fn handle_reject(&mut self, now: Time, key: Key, ballot: Ballot, promised: Ballot) {
-        let id = u64::from(self.id);
+    /// Handles a rejection. Once no majority can be had any more, the ballot restarts above the
+    /// promised ones after a backoff, which grows with the number of such ballots and with the
+    /// voter's id. A read waits for the voter that has the promises instead, as
+    /// [`Proposer::defer`] says.
+    pub fn handle_reject(
+        &mut self,
+        now: Time,
+        from: Id,
+        key: Key,
+        ballot: Ballot,
+        promised: Ballot,
+    ) {
+        let (id, rejections_max) = (u64::from(self.id), self.group_size - self.majority());
+        let defer_time = self.defer_time();
         let Some(proposal) = self
             .running
             .get_mut(&key)
@@ -235,10 +322,19 @@
         else {
             return;
         };
+        proposal.promised = proposal.promised.max(promised.round);
+        proposal.rejected_by.insert(from);
+        let may_be_accepted = proposal.rejected_by.len() <= rejections_max;
+        if matches!(proposal.stage, Stage::Accept(..)) && may_be_accepted {
+            return;
+        }
         proposal.rejections += 1;
-        proposal.ballot.round = proposal.ballot.round.max(promised.round);
         let steps = (proposal.rejections * (id + 1)).min(BACKOFF_STEPS_MAX);
-        proposal.stage = Stage::Backoff(now.after(BACKOFF_UNIT.saturating_mul(steps)));
+        let until = now.after(BACKOFF_UNIT.saturating_mul(steps));
+        proposal.stage = match proposal.change {
+            Change::Read => Stage::Deferred(now.after(defer_time)),
+            _ => Stage::Backoff(until),
+        };
     }
 
     /// Restarts ballots that are due and ends proposals that timed out.
@@ -261,17 +357,23 @@
 }
 
 impl Running {
+    /// Whether it waits for the ballot of another voter.
+    fn is_deferred(&self) -> bool {
+        matches!(self.stage, Stage::Deferred(_))
+    }
+
     /// Whether the backoff is over or the ballot went unanswered for too long.
     fn is_due(&self, now: Time) -> bool {
         match self.stage {
-            Stage::Backoff(until) => until <= now,
+            Stage::Backoff(until) | Stage::Deferred(until) => until <= now,
             Stage::Prepare(_) | Stage::Accept(..) => now.since(self.sent_at) >= BALLOT_TIMEOUT,
         }
     }
 
     /// Starts the next round and returns its first body.
     fn restart(&mut self, now: Time, key: Key) -> Body {
-        self.ballot.round += 1;
+        self.ballot.round = self.ballot.round.max(self.promised) + 1;
+        self.rejected_by.clear();
         self.stage = Stage::Prepare(BTreeMap::new());
         self.sent_at = now;
         Body::Prepare(key, self.ballot)
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -524,7 +524,8 @@
                 self.step_actions(step)
             }
             Body::Reject(key, ballot, promised) => {
-                self.proposer.handle_reject(now, key, ballot, promised);
+                self.proposer
+                    .handle_reject(now, from, key, ballot, promised);
                 Vec::new()
             }
             Body::QueryProgress => {
@@ -621,6 +622,7 @@
             .get(&key)
             .map(|stored| stored.cell.clone())
             .unwrap_or_default();
+        self.proposer.defer(now, key, ballot);
         if cell.promised > ballot || self.is_outdated_view(view) {
             return self.send_after_sync(from, Body::Reject(key, ballot, cell.promised));
         }
@@ -659,6 +661,7 @@
             accepted: Some(value),
         };
         let mut actions = vec![self.store_cell(now, key, cell)];
+        self.proposer.release(now, key, ballot);
         actions.extend(self.send_after_sync(from, Body::Accepted(key, ballot)));
         actions
     }
