--- a/decision/src/proposer.rs
+++ b/decision/src/proposer.rs
@@ -147,7 +147,7 @@
     }
 
     /// Records that another voter asked for a promise. Reads of its key wait until a value was
-    /// accepted, for [`DEFER_MAX`] at most: their ballots would make the other one start again.
+    /// accepted, for some time at most: their ballots would make the other one start again.
     pub fn defer(&mut self, now: Time, key: Key, ballot: Ballot) {
         if ballot.voter != self.id {
             self.contended.insert(key, now);
