--- a/adapter/src/body.rs
+++ b/adapter/src/body.rs
@@ -13,11 +13,8 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The body is longer than allowed.
-    #[snafu(display("longer than {max} bytes"))]
-    TooLong {
-        /// Most bytes allowed.
-        max: usize,
-    },
+    #[snafu(display("length limit exceeded"))]
+    TooLong,
     /// The connection ended within the body, or the body is malformed.
     #[snafu(display("{source}"))]
     Broken {
@@ -59,7 +56,7 @@
         };
         meter.record_data(data.len());
         if body.len() + data.len() > max || !reserve(data.len()) {
-            return TooLongSnafu { max }.fail();
+            return TooLongSnafu.fail();
         }
         body.extend_from_slice(&data);
     }
--- a/adapter/src/frontend.rs
+++ b/adapter/src/frontend.rs
@@ -333,7 +333,7 @@
         let body = body::read(body, self.body_max, meter);
         match tokio::time::timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => Ok(body),
-            Ok(Err(body::Error::TooLong { .. })) => {
+            Ok(Err(body::Error::TooLong)) => {
                 let detail = format!("the body has more than {} bytes", self.body_max);
                 Err(rejection(
                     StatusCode::PAYLOAD_TOO_LARGE,
--- a/adapter/src/ingress.rs
+++ b/adapter/src/ingress.rs
@@ -364,7 +364,7 @@
     let body = body::read(body, body_max, meter);
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(body::Error::TooLong { .. })) => {
+        Ok(Err(body::Error::TooLong)) => {
             let detail = "the body is longer than allowed";
             Err(problem_reply(
                 StatusCode::PAYLOAD_TOO_LARGE,
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -511,7 +511,7 @@
     let reserve = |bytes| reserved.grow(bytes);
     let body = body::read_with(incoming, bounds.body_max, meter, reserve).await;
     body.map_err(|error| match error {
-        body::Error::TooLong { .. } => Failure::TooLong,
+        body::Error::TooLong => Failure::TooLong,
         body::Error::Broken { source } => Failure::Broken(source.to_string()),
     })
 }
