--- a/decision/tests/tier/orders.rs
+++ b/decision/tests/tier/orders.rs
@@ -72,6 +72,15 @@
     group.state(at).closed.contains(&Name::from("east"))
 }
 
+/// Cuts a voter off, gives it an order, and gives the others the same one and a newer one.
+fn overtake_cut_off(group: &mut Group) {
+    order(group, 1, close());
+    group.set_isolated(&[0], true);
+    group.command(0, Command::Change(open()));
+    order(group, 1, open());
+    order(group, 2, close());
+}
+
 /// Guards against an acknowledged order that a suspended voter undoes: it finds an older order in
 /// its socket when it resumes, before or after it learned the newer state.
 #[test]
@@ -121,11 +130,7 @@
 fn a_voter_that_was_cut_off_carries_out_no_order_from_before_newer_ones() {
     for cut in [1_000, 1_700, 2_400] {
         let mut group = new_group();
-        order(&mut group, 1, close());
-        group.set_isolated(&[0], true);
-        group.command(0, Command::Change(open()));
-        order(&mut group, 1, open());
-        order(&mut group, 2, close());
+        overtake_cut_off(&mut group);
         group.advance(Span::from_ms(cut - 2 * 300));
         group.set_isolated(&[0], false);
         group.advance(SETTLE_TIME);
@@ -174,11 +179,7 @@
 #[test]
 fn restarted_voters_know_which_orders_are_newer() {
     let mut group = new_group();
-    order(&mut group, 1, close());
-    group.set_isolated(&[0], true);
-    group.command(0, Command::Change(open()));
-    order(&mut group, 1, open());
-    order(&mut group, 2, close());
+    overtake_cut_off(&mut group);
     (1..5).for_each(|at| group.crash(at));
     (1..5).for_each(|at| group.start(at));
     group.advance(Span::from_secs(1));
--- a/decision/tests/tier/voters.rs
+++ b/decision/tests/tier/voters.rs
@@ -207,6 +207,38 @@
     }
 }
 
+/// Guards against a voter that resumes, takes the others for silent and assigns the seat of a live one
+/// to a process whose request waited meanwhile.
+#[test]
+fn a_voter_that_resumes_assigns_no_seat_of_a_live_voter() {
+    let mut group = new_group();
+    group.configure(1, 3);
+    group.advance(Span::from_ms(500));
+    let before = group.revision(1);
+    group.add(9, false);
+    group.set_frozen(1, true);
+    group.advance(Span::from_ms(400));
+    group.crash(9);
+    group.advance(Span::from_ms(3_000));
+    group.set_frozen(1, false);
+    group.advance(SETTLE_TIME);
+    assert_eq!(group.revision(2), before);
+    assert_eq!(group.voting(), 5);
+}
+
+/// Guards against an older configuration that a suspended voter holds.
+#[test]
+fn a_voter_that_resumes_puts_no_older_configuration_in_force() {
+    let mut group = new_group();
+    group.set_frozen(0, true);
+    group.configure(1, 5);
+    group.advance(Span::from_ms(3_500));
+    group.set_frozen(0, false);
+    group.configure(0, 4);
+    group.advance(SETTLE_TIME);
+    assert_eq!(read(&mut group, 0), Some(5));
+}
+
 /// Guards against ballots without end: a process that requests a seat while all seats are held
 /// must not make the voters propose.
 #[test]
