A voter never gives out a ballot of its former lifetime, and promises each once

Cause: a voter's ballot can be decided by the others before its own promise is on its disk. After a crash it gave the same number to the next change, and an acceptor let an equal ballot pass: two values under one number.

Fix: the low half of a round is a random number of the voter's start, the high half counts attempts; an acceptor rejects a second Prepare of a ballot that it promised. Any second majority meets a voter whose promise is on disk. The number alone protects beside acceptors of earlier builds, the acceptor alone against proposers of earlier builds. Formats on the wire and on disk are unchanged.

--- a/decision/src/proposer.rs
+++ b/decision/src/proposer.rs
@@ -36,6 +36,10 @@
 /// Longest backoff, in units.
 const BACKOFF_STEPS_MAX: u64 = 16;
 
+/// Low bits of a round, which name the lifetime of its proposer; attempts are counted in the
+/// others.
+const LIFETIME_BITS: u32 = 32;
+
 /// Message bodies to send to all voters, and decisions with their tickets.
 pub type Step = (Vec<Body>, Vec<(u64, Decision)>);
 
@@ -82,6 +86,9 @@
 pub struct Proposer {
     id: Id,
     group_size: usize,
+    /// Random number of this lifetime, of [`LIFETIME_BITS`]. A ballot can be decided before the
+    /// promise of its own voter is synced, and a crash loses its number then.
+    lifetime: u64,
     incarnations: Vec<Incarnation>,
     running: BTreeMap<Key, Running>,
     queues: BTreeMap<Key, VecDeque<Queued>>,
@@ -90,12 +97,14 @@
 }
 
 impl Proposer {
-    /// Creates the proposer of voter `id` in a group of `group_size`.
-    pub fn new(id: Id, group_size: usize) -> Proposer {
+    /// Creates the proposer of voter `id` in a group of `group_size`. `nonce` is a random number
+    /// that differs between starts of the voter.
+    pub fn new(id: Id, group_size: usize, nonce: u64) -> Proposer {
         let incarnations = vec![Incarnation::default(); group_size];
         Proposer {
             id,
             group_size,
+            lifetime: nonce & ((1 << LIFETIME_BITS) - 1),
             incarnations,
             running: BTreeMap::new(),
             queues: BTreeMap::new(),
@@ -180,7 +189,7 @@
 
     fn start(&mut self, now: Time, key: Key, queued: Queued, floor: Ballot) -> Vec<Body> {
         let ballot = Ballot {
-            round: floor.round + 1,
+            round: round_above(floor.round, self.lifetime),
             voter: self.id,
         };
         let deferred = self.deferred_until(now, &key, &queued.change);
@@ -209,7 +218,8 @@
             return Vec::new();
         }
         self.incarnations = incarnations.to_vec();
-        let restart = |(key, proposal): (&Key, &mut Running)| proposal.restart(now, *key);
+        let lifetime = self.lifetime;
+        let restart = |(key, proposal): (&Key, &mut Running)| proposal.restart(now, *key, lifetime);
         self.contended.clear();
         self.running.iter_mut().map(restart).collect()
     }
@@ -349,7 +359,7 @@
                 step.0.extend(bodies);
                 step.1.extend(decided);
             } else if proposal.is_due(now) {
-                step.0.push(proposal.restart(now, key));
+                step.0.push(proposal.restart(now, key, self.lifetime));
             }
         }
         step
@@ -371,11 +381,18 @@
     }
 
     /// Starts the next round and returns its first body.
-    fn restart(&mut self, now: Time, key: Key) -> Body {
-        self.ballot.round = self.ballot.round.max(self.promised) + 1;
+    fn restart(&mut self, now: Time, key: Key, lifetime: u64) -> Body {
+        self.ballot.round = round_above(self.ballot.round.max(self.promised), lifetime);
         self.rejected_by.clear();
         self.stage = Stage::Prepare(BTreeMap::new());
         self.sent_at = now;
         Body::Prepare(key, self.ballot)
     }
 }
+
+/// The next attempt above a round, in this lifetime of the proposer. Voters of earlier builds
+/// count up by one; their rounds compare as well.
+fn round_above(round: u64, lifetime: u64) -> u64 {
+    let attempt = (round >> LIFETIME_BITS) + 1;
+    (attempt << LIFETIME_BITS) | lifetime
+}
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -38,14 +38,14 @@
 /// voters, else the number of its seat.
 pub type Id = u8;
 
-/// Number of a proposal, ordered by round, then voter. Unique, because each voter uses
-/// its own id.
+/// Number of a proposal, ordered by round, then voter. Unique, because each voter uses its own
+/// id, and each of its lifetimes its own rounds.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
 )]
 #[display("{round}.{voter}")]
 pub struct Ballot {
-    /// Rises with each attempt.
+    /// Rises with each attempt; its low half names the lifetime of the voter.
     pub round: u64,
     /// Id of the proposing voter.
     pub voter: Id,
@@ -66,7 +66,7 @@
 /// Acceptor state for one key.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Cell {
-    /// Highest ballot promised; lower ballots are rejected.
+    /// Highest ballot promised; lower ballots, and a second `Prepare` of this one, are rejected.
     pub promised: Ballot,
     /// The value last accepted, with its ballot; absent if none was.
     pub accepted: Option<(Ballot, Value)>,
@@ -243,7 +243,8 @@
     /// Creates a voter without state for an assigned seat; it repairs itself from the others
     /// under the seat's incarnation. Its records are numbered from `written` on.
     pub fn for_seat(now: Time, seat: &Seat, written: u64) -> Voter {
-        let mut voter = Voter::open(now, seat.id, seat.incarnations.len(), 0, Vec::new());
+        let nonce = seat.incarnation.nonce;
+        let mut voter = Voter::open(now, seat.id, seat.incarnations.len(), nonce, Vec::new());
         voter.incarnations.clone_from(&seat.incarnations);
         voter.incarnations[usize::from(seat.id)] = Incarnation::default();
         voter.repair.incarnation = seat.incarnation;
@@ -254,7 +255,8 @@
     }
 
     /// Restores a voter from its stored records; without any it repairs itself from the
-    /// others. `nonce` is the random number of the incarnation that a repair begins.
+    /// others. `nonce` is a random number that differs between starts: of the incarnation that a
+    /// repair begins, and of the ballots.
     pub fn open(now: Time, id: Id, group_size: usize, nonce: u64, records: Vec<Record>) -> Voter {
         let mut voter = Voter {
             id,
@@ -272,7 +274,7 @@
                 started: now,
                 ..Repair::default()
             },
-            proposer: Proposer::new(id, group_size),
+            proposer: Proposer::new(id, group_size, nonce),
             last_expiry: now,
             seated: false,
         };
@@ -620,6 +622,8 @@
         self.persist(Record::Cell(key, cell))
     }
 
+    /// Promises a ballot, once: a voter of an earlier build that lost its newest promise with the
+    /// power may give out a ballot again, for another value.
     fn handle_prepare(
         &mut self,
         now: Time,
@@ -637,15 +641,12 @@
             .map(|stored| stored.cell.clone())
             .unwrap_or_default();
         self.proposer.defer(now, key, ballot);
-        if cell.promised > ballot || self.is_outdated_view(view) {
+        if cell.promised >= ballot || self.is_outdated_view(view) {
             return self.send_after_sync(from, Body::Reject(key, ballot, cell.promised));
         }
         let accepted = cell.accepted.clone();
-        let mut actions = Vec::new();
-        if cell.promised < ballot {
-            cell.promised = ballot;
-            actions.push(self.store_cell(now, key, cell));
-        }
+        cell.promised = ballot;
+        let mut actions = vec![self.store_cell(now, key, cell)];
         actions.extend(self.send_after_sync(from, Body::Promise(key, ballot, accepted)));
         actions
     }
--- a/decision/tests/properties/group.rs
+++ b/decision/tests/properties/group.rs
@@ -26,6 +26,7 @@
 }
 
 /// Voters, their disks, the messages in flight and the decisions so far.
+#[derive(Clone)]
 pub struct Group {
     pub now: Time,
     pub voters: Vec<Option<Voter>>,
@@ -34,6 +35,8 @@
     pub decided: Vec<(u64, Decision)>,
     /// A voter that gets no ticks.
     pub paused: Option<usize>,
+    /// A voter whose disk takes no writes.
+    pub full: Option<usize>,
     boots: u64,
 }
 
@@ -51,6 +54,7 @@
             messages: Vec::new(),
             decided: Vec::new(),
             paused: None,
+            full: None,
             boots: 0,
         };
         (0..count).for_each(|at| group.start(at));
@@ -96,8 +100,11 @@
         self.disks[at] = Disk::default();
     }
 
-    /// Syncs all written records of a voter and reports it.
+    /// Syncs all written records of a voter and reports it, unless its disk is full.
     pub fn sync(&mut self, at: usize) {
+        if self.full == Some(at) {
+            return;
+        }
         let written = std::mem::take(&mut self.disks[at].written);
         let Some(last) = written.last().map(|(number, _)| *number) else {
             return;
