Branches of a gather are found by its shards, not by the name of its route

Cause: the plan kept branches by route name. Names may repeat, only host and prefix are unique, so that the later route's ranges cut the shards of the earlier one.

Fix: branches are kept under the list of shards that they split, so that what decides the ranges also selects them. Routes with equal shards share branches.

--- a/decision/src/fanout.rs
+++ b/decision/src/fanout.rs
@@ -238,7 +238,7 @@
     /// Route of this request if it is split into branches, else `None`.
     pub fn split_route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         let route = self.catalog.route(host, path)?;
-        self.plan.branches(&route.name)?;
+        self.plan.branches(route)?;
         Some(route.clone())
     }
 
@@ -283,7 +283,7 @@
             shards: 0..shards.len(),
             members: self.plan.hosts().to_vec(),
         }];
-        let planned = self.plan.branches(&route.name).unwrap_or(&whole);
+        let planned = self.plan.branches(&route).unwrap_or(&whole);
         let branches = planned.iter().map(|branch| Branch {
             shards: shards[branch.shards.clone()].to_vec(),
             members: branch.members.clone(),
--- a/decision/src/plan.rs
+++ b/decision/src/plan.rs
@@ -13,7 +13,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,8 +58,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     hosts: Vec<Host>,
-    /// Branches of each split route.
-    branches: HashMap<Name, Vec<Branch>>,
+    /// Branches of each split gather, by its shards. Names of routes may repeat, and a request may
+    /// match a route of another configuration; neither may select branches of other shards.
+    branches: HashMap<Vec<Name>, Vec<Branch>>,
     /// Hosts that gather from each service; services outside of split routes are absent.
     members: HashMap<Name, BTreeSet<SocketAddr>>,
 }
@@ -72,18 +72,21 @@
             hosts: hosts.to_vec(),
             ..Plan::default()
         };
-        let split = catalog
+        for shards in catalog
             .routes
             .iter()
-            .filter_map(|route| Some((route, split_shards(route)?)));
-        for (route, shards) in split {
-            plan.split(route, shards);
+            .filter_map(|route| split_shards(route))
+        {
+            plan.split(shards);
         }
         plan
     }
 
-    /// Splits a route into branches of nearly equal size.
-    fn split(&mut self, route: &Route, shards: &[Name]) {
+    /// Splits these shards into branches of nearly equal size.
+    fn split(&mut self, shards: &[Name]) {
+        if self.branches.contains_key(shards) {
+            return;
+        }
         let count = shards.len().div_ceil(BRANCH_SHARDS_MAX);
         let boundary = |index: usize| index * shards.len() / count;
         let ranges = (0..count).map(|index| boundary(index)..boundary(index + 1));
@@ -99,7 +102,7 @@
                 known.extend(addresses.clone());
             }
         }
-        self.branches.insert(route.name.clone(), branches);
+        self.branches.insert(shards.to_vec(), branches);
     }
 
     /// All entry hosts.
@@ -114,8 +117,8 @@
     }
 
     /// Branches of a route; `None` if each host gathers all its shards itself.
-    pub fn branches(&self, route: &Name) -> Option<&[Branch]> {
-        let branches = self.branches.get(route)?;
+    pub fn branches(&self, route: &Route) -> Option<&[Branch]> {
+        let branches = self.branches.get(split_shards(route)?)?;
         Some(branches)
     }
 
@@ -139,7 +142,7 @@
 }
 
 /// Shards of a route that is split into branches; `None` for other routes.
-fn split_shards(route: &Arc<Route>) -> Option<&[Name]> {
+fn split_shards(route: &Route) -> Option<&[Name]> {
     match &route.target {
         Target::Gather { shards, .. } if shards.len() >= SPLIT_SHARDS_MIN => Some(shards),
         Target::Gather { .. } | Target::Weighted(_) => None,
