Routes that share a name are told apart in all that is kept by route

Callers saw: with two traffic splits of one name, 9:1 and 1:9, all requests of each go to one service, and none to the other.

Turns of a split, latencies, demand for limited services and evidence on new versions are kept by the name of the route, which may repeat.

Evidence: `tier catalog::traffic_splits_of_one_name_follow_their_own_weights` before: 100 of 100 requests of each split at one service, 90 and 10 due.

Fix: the catalog makes names unique. A name that several routes have gets host and prefix, at each of them, so that no key by name mixes two routes, also not in what hosts tell each other. Names that are unique stay as they are. Two routes of one host and prefix are still rejected, under their own names.

Measured: all tests of `tier` pass.

--- a/decision/src/catalog.rs
+++ b/decision/src/catalog.rs
@@ -74,7 +74,8 @@
 /// Which requests a route matches, and how they are served.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
-    /// Name in logs and metrics.
+    /// Name in logs and metrics, and of what hosts learn of its requests. Unique in a catalog:
+    /// [`Catalog::new`] adds host and prefix to a name that the configuration gives to several.
     pub name: Name,
     /// Value of the `Host` header that the route matches.
     pub host: Arc<str>,
@@ -248,10 +249,13 @@
             limits,
             ..Catalog::default()
         };
-        for route in routes {
+        for route in &routes {
             route.check(&catalog.services)?;
-            catalog.insert(route)?;
         }
+        check_distinct(&routes)?;
+        with_unique_names(routes)
+            .into_iter()
+            .for_each(|route| catalog.insert(route));
         let routes = &catalog.routes;
         for indices in catalog.routes_by_host.values_mut() {
             indices.sort_by_key(|index| std::cmp::Reverse(routes[*index].prefix.len()));
@@ -264,21 +268,10 @@
         Catalog { accounts, ..self }
     }
 
-    fn insert(&mut self, route: Route) -> Result<()> {
+    fn insert(&mut self, route: Route) {
         let indices = self.routes_by_host.entry(route.host.clone()).or_default();
-        let duplicate = indices
-            .iter()
-            .map(|index| &self.routes[*index])
-            .find(|other| other.prefix == route.prefix);
-        if let Some(first) = duplicate {
-            return Err(Fault::DuplicateRoute {
-                first: first.name.clone(),
-                second: route.name,
-            });
-        }
         indices.push(self.routes.len());
         self.routes.push(Arc::new(route));
-        Ok(())
     }
 
     /// The route that matches a request: the one with the longest matching prefix among
@@ -292,3 +285,37 @@
             .find(matches)
     }
 }
+
+/// Rejects two routes of the same host and prefix.
+fn check_distinct(routes: &[Route]) -> Result<()> {
+    let mut names = HashMap::new();
+    for route in routes {
+        if let Some(first) = names.insert((&route.host, &route.prefix), &route.name) {
+            return Err(Fault::DuplicateRoute {
+                first: first.clone(),
+                second: route.name.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Adds host and prefix to each name that several routes have, until all names differ. All routes
+/// of a name change theirs, so that none takes over what was learned of another one.
+fn with_unique_names(mut routes: Vec<Route>) -> Vec<Route> {
+    loop {
+        let mut uses = HashMap::<Name, usize>::new();
+        for route in &routes {
+            *uses.entry(route.name.clone()).or_default() += 1;
+        }
+        if uses.len() == routes.len() {
+            return routes;
+        }
+        for route in routes.iter_mut().filter(|route| uses[&route.name] > 1) {
+            let Route {
+                name, host, prefix, ..
+            } = route;
+            *name = Name::from(format!("{name} {host:?} {prefix:?}"));
+        }
+    }
+}
--- a/decision/tests/tier/catalog.rs
+++ b/decision/tests/tier/catalog.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use wagtailbeam_decision::catalog::Catalog;
 use wagtailbeam_decision::catalog::Fault;
@@ -8,8 +9,17 @@
 use wagtailbeam_decision::catalog::Service;
 use wagtailbeam_decision::catalog::Target;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::digest::Digest;
+use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::gateway::Action;
+use wagtailbeam_decision::gateway::Event;
+use wagtailbeam_decision::gateway::Gateway;
+use wagtailbeam_decision::gateway::Request;
 use wagtailbeam_decision::name::Name;
 
+use crate::model;
+
 fn route(name: &str, prefix: &str, target: Target) -> Route {
     Route {
         name: Name::from(name),
@@ -83,3 +93,92 @@
         ]
     );
 }
+
+/// What hosts learn of routes is kept by name. Guards against two routes of one name that share it:
+/// the turns of their traffic splits, their latencies and their demand.
+#[test]
+fn routes_that_share_a_name_are_told_apart() {
+    let routes = vec![
+        route("gate", "/a/", single_service("gate")),
+        route("gate", "/b/", single_service("gate")),
+        route("other", "/c/", single_service("gate")),
+        route(
+            "gate \"desk.example\" \"/a/\"",
+            "/d/",
+            single_service("gate"),
+        ),
+    ];
+    let catalog = build(routes).expect("valid routes");
+    let names = catalog.routes.iter().map(|route| route.name.to_string());
+    assert_eq!(
+        names.collect::<Vec<_>>(),
+        [
+            "gate \"desk.example\" \"/a/\" \"desk.example\" \"/a/\"",
+            "gate \"desk.example\" \"/b/\"",
+            "other",
+            "gate \"desk.example\" \"/a/\" \"desk.example\" \"/d/\"",
+        ]
+    );
+}
+
+/// Guards against traffic splits of one name that use the same turns, so that the requests of each
+/// don't follow its weights.
+#[test]
+fn traffic_splits_of_one_name_follow_their_own_weights() {
+    let names = ["first", "second"].map(Name::from);
+    let split = |prefix: &str, weights: [f64; 2]| {
+        let parts = names.iter().cloned().zip(weights);
+        route("split", prefix, Target::Weighted(parts.collect()))
+    };
+    let service = Service {
+        health_path: "/healthz".into(),
+        connections_max: 26,
+        warmup: Span::ZERO,
+        warmup_per_s: 0.0,
+    };
+    let services = names.iter().map(|name| (name.clone(), service.clone()));
+    let routes = vec![split("/a/", [9.0, 1.0]), split("/b/", [1.0, 9.0])];
+    let catalog = Catalog::new(1, routes, services.collect(), Limits::default());
+    let replicas = names.iter().map(|name| model::replica(name, 0, "east"));
+    let now = Time::from_us(1);
+    let mut gateway = Gateway::new(model::settings());
+    gateway.step(
+        now,
+        Event::Catalog(Arc::new(catalog.expect("valid routes"))),
+    );
+    gateway.step(now, Event::Fleet(Arc::new(Fleet::new(replicas)), now));
+    let mut sent = BTreeMap::new();
+    for id in 0..200 {
+        let path = if id % 2 == 0 { "/a/x" } else { "/b/x" };
+        let request = Request {
+            host: "desk.example".into(),
+            path: path.into(),
+            fingerprint: Digest::default(),
+            left: None,
+            catalog_confirmed: true,
+            first_on_connection: false,
+            others_healthier: false,
+            priority: None,
+            account: None,
+            waited: Span::ZERO,
+        };
+        let now = now.after(Span::from_ms(100 * id));
+        for action in gateway.step(now, Event::Request(id, request)) {
+            if let Action::Send(call) = action {
+                *sent.entry((path, call.instance.to_string())).or_insert(0) += 1;
+            }
+        }
+        gateway.step(now, Event::Abandoned(id));
+    }
+    let sent = sent.into_iter();
+    let sent = sent.map(|((path, replica), count)| format!("{path} {replica} {count}"));
+    assert_eq!(
+        sent.collect::<Vec<_>>(),
+        [
+            "/a/x first-0 90",
+            "/a/x second-0 10",
+            "/b/x first-0 10",
+            "/b/x second-0 90",
+        ]
+    );
+}
