Each side of a cut grants its hosts' part of a quota, not the whole of a home's

Cause: a home that is cut off goes on granting its third to the hosts that are cut off with it, while the voters have named a successor for the same third.

Fix: an unconfirmed home asks the hosts of its domain whether the voters confirm them, and grants the part of those that answer and are not confirmed; a successor leaves out the part of hosts that vanished within two minutes. A host counts on one side at most, so the parts add up to one. A home that hears all hosts of its domain unconfirmed keeps everything, as no successor can exist.

--- a/decision/src/account/home.rs
+++ b/decision/src/account/home.rs
@@ -9,6 +9,7 @@
 
 use crate::account::Account;
 use crate::account::Quota;
+use crate::account::presence::Part;
 use crate::account::token::Outcome;
 use crate::account::token::Wait;
 use crate::clock::Span;
@@ -124,7 +125,12 @@
 /// An account's bucket.
 #[derive(Clone, Copy, Debug)]
 struct Holding {
+    /// The home's share while no host is cut off.
     share: Share,
+    /// Whether the account's home before vanished; it may be cut off and grant a part.
+    inherited: bool,
+    /// Part of the share that may be granted, from 0 to 1.
+    part: f64,
     bucket: Bucket,
     /// When the host became the account's home, or resumed after a suspension.
     since: Time,
@@ -135,15 +141,37 @@
     fn new(now: Time, share: Share, tokens: f64) -> Holding {
         Holding {
             share,
+            inherited: false,
+            part: 1.0,
             bucket: Bucket::holding(now, share, tokens),
             since: now,
         }
     }
 
+    /// Sets the share, and the part of it that may be granted from now on.
+    fn set_share(&mut self, now: Time, share: Share, part: Part) {
+        let part = match self.inherited {
+            true => part.inherited,
+            false => part.original,
+        };
+        if (share, part) == (self.share, self.part) {
+            return;
+        }
+        (self.share, self.part) = (share, part);
+        let granted = Share {
+            rate: share.rate * part,
+            burst: (share.burst * part).max(1.0),
+        };
+        self.bucket.set_share(now, granted);
+    }
+
     /// Whether the bucket grants tokens, by the time of the last confirmation by the voters. A
     /// bucket that is not settled stops soon after it, as hosts with an older list may use an
     /// earlier home.
     fn grants(&self, now: Time, confirmed_at: Time) -> bool {
+        if self.part <= 0.0 {
+            return false;
+        }
         let settled = confirmed_at.since(self.since) >= SETTLE_TIME;
         settled || now.since(confirmed_at) < CONFIRMED_MAX
     }
@@ -174,33 +202,39 @@
         }
     }
 
-    /// Sets the accounts of which the host is a home. A bucket is kept while it remains one.
-    pub fn configure<'a>(
+    /// Sets the accounts of which the host is a home, with whether their home before vanished. A
+    /// bucket is kept while the host remains one.
+    pub(crate) fn configure<'a>(
         &mut self,
         now: Time,
         map: &Map,
-        accounts: impl Iterator<Item = &'a Account>,
+        part: Part,
+        accounts: impl Iterator<Item = (&'a Account, bool)>,
     ) {
         self.notice_suspension(now);
         self.homes = map.homes();
         let mut earlier = std::mem::take(&mut self.buckets);
-        for account in accounts {
+        for (account, inherited) in accounts {
             let Some(quota) = account.quota else {
                 continue;
             };
             let share = self.terms.share(quota, map.count());
-            let holding = match earlier.remove(&account.name) {
-                Some(mut holding) => {
-                    holding.share = share;
-                    holding.bucket.set_share(now, share);
-                    holding
-                }
-                None => Holding::new(now, share, self.terms.start()),
-            };
+            let holding = earlier.remove(&account.name);
+            let mut holding =
+                holding.unwrap_or_else(|| Holding::new(now, share, self.terms.start()));
+            holding.inherited = inherited;
+            holding.set_share(now, share, part);
             self.buckets.insert(account.name.clone(), holding);
         }
     }
 
+    /// Sets the part of each share that may be granted from now on.
+    pub(crate) fn set_part(&mut self, now: Time, part: Part) {
+        for holding in self.buckets.values_mut() {
+            holding.set_share(now, holding.share, part);
+        }
+    }
+
     /// The voters confirmed that the host's view of the tier is the newest.
     pub fn confirm(&mut self, now: Time) {
         self.notice_suspension(now);
@@ -237,6 +271,11 @@
         Outcome::Empty(wait)
     }
 
+    /// Whether the host is the home of no account.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
     /// Tokens in the bucket of an account; absent if the host is not a home of it.
     pub fn tokens(&self, now: Time, account: &str) -> Option<f64> {
         let holding = self.buckets.get(account)?;
@@ -254,11 +293,10 @@
             let start = self.terms.start();
             let confirmed = self.is_confirmed(self.called_at);
             for holding in self.buckets.values_mut() {
-                let since = if confirmed { now } else { holding.since };
-                *holding = Holding {
-                    since,
-                    ..Holding::new(now, holding.share, start)
-                };
+                holding.bucket.restart(now, start);
+                if confirmed {
+                    holding.since = now;
+                }
             }
         }
         self.called_at = now;
--- a/decision/src/account/mod.rs
+++ b/decision/src/account/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod callers;
 pub mod home;
 pub mod overview;
+mod presence;
 pub mod quota;
 pub mod refusals;
 mod shortage;
--- a/decision/src/account/quota.rs
+++ b/decision/src/account/quota.rs
@@ -22,6 +22,7 @@
 use crate::account::home::Buckets;
 use crate::account::home::Map;
 use crate::account::home::Terms;
+use crate::account::presence::Presence;
 use crate::account::shortage::Shortage;
 use crate::account::token::Outcome;
 use crate::account::token::Reply;
@@ -33,6 +34,7 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::gateway::RequestId;
+use crate::name::Name;
 use crate::plan::Host;
 
 /// Time within which a home must answer.
@@ -119,6 +121,7 @@
     own: Host,
     terms: Terms,
     map: Map,
+    presence: Presence,
     pub(super) buckets: Buckets,
     waiting: BTreeMap<RequestId, Waiting>,
     /// Homes that did not answer, and until when they are tried last.
@@ -133,6 +136,7 @@
     pub fn new(settings: Settings) -> Gate {
         let Settings { own, terms, seed } = settings;
         Gate {
+            presence: Presence::new(own.clone()),
             own,
             buckets: Buckets::new(terms.clone()),
             terms,
@@ -148,18 +152,57 @@
     /// Sets the accounts and the live hosts.
     pub fn configure(&mut self, now: Time, accounts: &Directory, live: &[Host]) {
         self.map = Map::new(&self.terms, live);
+        self.presence.configure(now, live);
+        let known = live.iter().cloned().chain(self.presence.vanished());
+        let earlier = Map::new(&self.terms, &known.collect::<Vec<_>>());
         let (map, own) = (&self.map, &self.own);
+        let is_home = |map: &Map, account: &Account| {
+            map.home(&account.name, &own.domain) == Some(own.address)
+        };
         let limited = accounts.accounts().filter(|known| known.quota.is_some());
         let homed = limited
-            .filter(|known| map.home(&known.name, &own.domain) == Some(own.address))
-            .map(|known| &**known);
-        self.buckets.configure(now, map, homed);
+            .map(|account| &**account)
+            .filter(|account| is_home(map, account))
+            .map(|account| (account, !is_home(&earlier, account)));
+        let part = self.presence.part(now);
+        self.buckets.configure(now, map, part, homed);
         self.shortage.clear();
     }
 
     /// The voters confirmed that this host's view of the tier is the newest.
     pub fn confirm(&mut self, now: Time) {
+        self.presence.confirm(now);
         self.buckets.confirm(now);
+        self.buckets.set_part(now, self.presence.part(now));
+    }
+
+    /// Asks the other hosts of the domain whether the voters confirm them, if that is due and this
+    /// host is a home.
+    fn poll(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.buckets.is_empty() {
+            return actions;
+        }
+        for host in self.presence.poll(now) {
+            self.last_id.0 += 1;
+            let request = Request {
+                id: self.last_id,
+                account: Name::default(),
+                wanted: 0,
+            };
+            self.presence.polled(self.last_id, host);
+            actions.push(Action::Ask(host, request));
+        }
+        self.buckets.set_part(now, self.presence.part(now));
+        actions
+    }
+
+    /// Whether the voters confirm this host, for another one that asks.
+    fn confirmation(&self, now: Time) -> Outcome {
+        match self.presence.is_unconfirmed(now) {
+            true => Outcome::Unconfirmed,
+            false => Outcome::Unknown,
+        }
     }
 
     /// Number of requests that wait for tokens.
@@ -204,7 +247,7 @@
                         return Action::Admit(id, now.since(waiting.arrived));
                     }
                     Outcome::Empty(wait) => waiting.note_empty(wait, home),
-                    Outcome::Unknown => {}
+                    Outcome::Unknown | Outcome::Unconfirmed => {}
                 }
             } else if let Some(wait) = self.remembered(now, &waiting.account, home) {
                 waiting.note_empty(wait, home);
@@ -290,7 +333,10 @@
 
     /// Answers another host's request for tokens.
     pub fn answer(&mut self, now: Time, from: SocketAddr, request: &Request) -> Action {
-        let outcome = self.buckets.take(now, &request.account, request.wanted);
+        let outcome = match request.wanted {
+            0 => self.confirmation(now),
+            wanted => self.buckets.take(now, &request.account, wanted),
+        };
         let reply = Reply {
             id: request.id,
             outcome,
@@ -300,6 +346,11 @@
 
     /// Handles a home's answer.
     pub fn handle_reply(&mut self, now: Time, from: SocketAddr, reply: Reply) -> Vec<Action> {
+        let unconfirmed = reply.outcome == Outcome::Unconfirmed;
+        if self.presence.answered(now, from, reply.id, unconfirmed) {
+            self.buckets.set_part(now, self.presence.part(now));
+            return Vec::new();
+        }
         let asked = |waiting: &Waiting| {
             let ask = waiting.ask.filter(|ask| ask.id == reply.id);
             ask.is_some_and(|ask| ask.home == from && now.since(ask.sent_at) < ANSWER_AGE_MAX)
@@ -322,7 +373,7 @@
                 waiting.note_empty(wait, from);
                 self.proceed(now, id, waiting)
             }
-            Outcome::Unknown => self.proceed(now, id, waiting),
+            Outcome::Unknown | Outcome::Unconfirmed => self.proceed(now, id, waiting),
         };
         vec![ended, next]
     }
@@ -372,6 +423,8 @@
     /// Moves on from homes that did not answer in time. Must be called at least once a second.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         self.buckets.notice_suspension(now);
-        self.give_up(now, |ask| ask.sent_at.after(ANSWER_TIMEOUT) <= now)
+        let mut actions = self.give_up(now, |ask| ask.sent_at.after(ANSWER_TIMEOUT) <= now);
+        actions.extend(self.poll(now));
+        actions
     }
 }
--- a/decision/src/account/token.rs
+++ b/decision/src/account/token.rs
@@ -22,7 +22,7 @@
     pub id: TokenId,
     /// Name of the account.
     pub account: Name,
-    /// Most tokens that the sender can use.
+    /// Most tokens that the sender can use. Zero asks whether the voters confirm the receiver.
     pub wanted: u32,
 }
 
@@ -48,6 +48,10 @@
     /// no quota of the account.
     #[display("unknown")]
     Unknown,
+    /// The voters have not confirmed the sender's view for some time; only sent to hosts that ask
+    /// for no tokens.
+    #[display("unconfirmed")]
+    Unconfirmed,
 }
 
 /// When an empty bucket holds tokens again.
--- a/decision/src/quota.rs
+++ b/decision/src/quota.rs
@@ -366,6 +366,11 @@
         }
     }
 
+    /// Starts anew with this many tokens, at most the burst.
+    pub fn restart(&mut self, now: Time, tokens: f64) {
+        *self = Bucket::holding(now, self.share, tokens);
+    }
+
     /// Changes the share from now on.
     pub fn set_share(&mut self, now: Time, share: Share) {
         self.refill(now);
--- a/decision/tests/tier/quota/bound.rs
+++ b/decision/tests/tier/quota/bound.rs
@@ -311,3 +311,40 @@
     }
     assert_eq!(failed, []);
 }
+
+/// Cuts some hosts of each domain off together, from the voters and from all others.
+fn cut_some(model: &mut Model, hundredths: u64) -> BTreeSet<usize> {
+    let mut cut = BTreeSet::new();
+    while (cut.len() as u64) * 100 < model.hosts() as u64 * hundredths {
+        cut.insert(model.below(model.hosts() as u64) as usize);
+    }
+    model.cut(&cut);
+    cut
+}
+
+/// Guards against a home that is cut off together with other hosts and grants them the whole of its
+/// part beside its successor, on the other side of the cut.
+#[test]
+fn no_window_holds_more_than_the_bound_while_hosts_are_cut_off_with_their_home() {
+    let mut failed = Vec::new();
+    for seed in 1..=20 {
+        for (hundredths, spread) in [
+            (30, Spread::Even),
+            (50, Spread::Even),
+            (70, Spread::Even),
+            (30, Spread::Moving),
+            (50, Spread::Bursts),
+        ] {
+            let mut model = Model::new(36, 36, vec![busy("busy", spread, 70.0)], seed);
+            model.run(Span::from_ms(20_900));
+            for _ in 0..3 {
+                cut_some(&mut model, hundredths);
+                model.run(Span::from_secs(10));
+                model.cut(&BTreeSet::new());
+                model.run(Span::from_secs(6));
+            }
+            failed.extend(beyond(&model, seed));
+        }
+    }
+    assert_eq!(failed, []);
+}
--- a/decision/tests/tier/quota/settled.rs
+++ b/decision/tests/tier/quota/settled.rs
@@ -1,13 +1,16 @@
 //! Homes by the age of their buckets and of the last confirmation by the voters.
 
+use wagtailbeam_decision::account::home::Map;
 use wagtailbeam_decision::account::quota::Action;
 use wagtailbeam_decision::account::quota::Gate;
 use wagtailbeam_decision::account::token::Outcome;
+use wagtailbeam_decision::account::token::Reply;
 use wagtailbeam_decision::account::token::Request;
 use wagtailbeam_decision::account::token::TokenId;
 use wagtailbeam_decision::clock::Time;
 
 use super::directory;
+use super::gate;
 use super::gate::HOSTS;
 use super::gate::asked;
 use super::gate::at;
@@ -18,6 +21,7 @@
 use super::host;
 use super::hosts;
 use super::shared;
+use super::terms;
 
 /// A home that the voters confirmed every 100 ms until this time.
 fn confirmed_until(ms: u64) -> Gate {
@@ -126,3 +130,71 @@
     tick(&mut gate, 4_000, 10_000);
     assert_eq!(grants(&mut gate, at(20_000)), 2);
 }
+
+/// Has some of the polled hosts answer that the voters don't confirm them either, and the others
+/// that they know nothing, as hosts that are confirmed and older builds do.
+fn answer_polls(gate: &mut Gate, now: Time, unconfirmed: usize) {
+    let polls = gate
+        .tick(now)
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Ask(host, request) if request.wanted == 0 => Some((host, request.id)),
+            _ => None,
+        });
+    for (index, (host, id)) in polls.collect::<Vec<_>>().into_iter().enumerate() {
+        let outcome = match index < unconfirmed {
+            true => Outcome::Unconfirmed,
+            false => Outcome::Unknown,
+        };
+        assert_eq!(gate.handle_reply(now, host, Reply { id, outcome }), []);
+    }
+}
+
+/// Tokens that a home grants in the ten seconds from 10 s on, in which this many of the three other
+/// hosts of its domain answer that they are unconfirmed too.
+fn granted_while_cut_off(unconfirmed: usize) -> usize {
+    let mut gate = confirmed_until(3_000);
+    let mut granted = 0;
+    for ms in (3_400..20_000).step_by(400) {
+        answer_polls(&mut gate, at(ms), unconfirmed);
+        let now = grants(&mut gate, at(ms));
+        granted += if ms >= 10_000 { now } else { 0 };
+    }
+    granted
+}
+
+/// Guards against a home on one side of a cut that grants what its successor grants on the other,
+/// and against one that grants nothing when no successor can be there.
+#[test]
+fn an_unconfirmed_home_grants_the_part_of_the_hosts_on_its_side() {
+    let granted = (0..=3).map(granted_while_cut_off).collect::<Vec<_>>();
+    assert_eq!(granted, [27, 52, 79, 105]);
+}
+
+/// Guards against a successor that grants the part of a host, one of four, that may be cut off with
+/// others and grant them the part of its own.
+#[test]
+fn a_successor_leaves_out_the_part_of_vanished_hosts_for_two_minutes() {
+    let (all, home) = (hosts(HOSTS), near_home());
+    let left = all.iter().filter(|host| **host != home);
+    let left = left.cloned().collect::<Vec<_>>();
+    let successor = Map::new(&terms(), &left).home(&"limited".into(), &home.domain);
+    let own = all.iter().find(|host| Some(host.address) == successor);
+    let mut gate = gate(own.cloned().expect("a successor"), 1);
+    gate.configure(at(0), &directory(&[limited()]), &all);
+    confirm(&mut gate, 0, 2_000);
+    gate.configure(at(2_000), &directory(&[limited()]), &left);
+    let mut count = |from: u64, to: u64| {
+        let moments = (from..to).step_by(100);
+        let granted = moments.map(|ms| {
+            gate.confirm(at(ms));
+            gate.tick(at(ms));
+            grants(&mut gate, at(ms))
+        });
+        granted.sum::<usize>() as f64
+    };
+    count(2_100, 10_000);
+    let (early, _) = (count(10_000, 20_000), count(20_000, 123_000));
+    let late = count(123_000, 133_000);
+    assert!((early / late - 0.75).abs() < 0.02, "{early} of {late}");
+}
