Relayed requests stay within the attempts of their route over all hosts

Cause: a relay moved an idempotent request on to up to three hosts, and each gave it the whole number of attempts.

Fix: a relayed request is bound like a branch, by the same code. Only the first host chooses its first replica freely; all further ones are among the attempts_max - 1 that rendezvous hashing picks. A host is told that another may have run the request. With one attempt it doesn't move; lost with its host it ends 502. A split's service is chosen by the request's key.

--- a/adapter/src/aggregate.rs
+++ b/adapter/src/aggregate.rs
@@ -70,8 +70,8 @@
             }
             branch::Message::Reply(reply) => self.step_fanout(Event::Reply(reply)),
             branch::Message::Cancel(order) => self.cancel_branch(Some(from), order),
-            branch::Message::Relay(id, envelope, left, version) => {
-                self.accept_relayed(from, id, &envelope, left, *version);
+            branch::Message::Relay(id, envelope, left, version, moved) => {
+                self.accept_relayed(from, id, &envelope, left, *version, *moved);
             }
             branch::Message::RelayConfirmed(id) => self.relay.confirm(from, id),
             branch::Message::RelayDeclined(id) => {
@@ -278,7 +278,7 @@
 }
 
 /// Hash of a request's identifier by which all hosts choose the same replicas for it.
-fn placement_key(request: &Request) -> u64 {
+pub(crate) fn placement_key(request: &Request) -> u64 {
     Digest::of(request.id.as_bytes()).rank()
 }
 
--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -18,6 +18,7 @@
 use wagtailbeam_decision::branch::Relayed;
 use wagtailbeam_decision::catalog::Target;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::relay;
 use wagtailbeam_decision::relay::Action;
@@ -25,6 +26,7 @@
 use wagtailbeam_decision::relay::RelayId;
 
 use crate::aggregate::from_envelope;
+use crate::aggregate::placement_key;
 use crate::aggregate::to_envelope;
 use crate::entry::Driver;
 use crate::entry::Origin;
@@ -59,7 +61,7 @@
             .unwrap_or(route.timeout)
             .min(route.timeout)
             .saturating_sub(waited);
-        let actions = self.relay.start(now, id, route.repeat, left);
+        let actions = self.relay.start(now, id, &route, left);
         self.relay_actions(actions);
         true
     }
@@ -68,7 +70,7 @@
     pub(crate) fn relay_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(relay, id, host, left) => self.send_relay(relay, id, host, left),
+                Action::Send(order) => self.send_relay(&order),
                 Action::Cancel(host, relay) => {
                     self.send_branch(host, branch::Message::RelayCancel(relay));
                 }
@@ -86,8 +88,8 @@
         }
     }
 
-    fn send_relay(&mut self, relay: RelayId, id: u64, host: SocketAddr, left: Span) {
-        let Some(pending) = self.pending.get_mut(&id) else {
+    fn send_relay(&mut self, order: &relay::Order) {
+        let Some(pending) = self.pending.get_mut(&order.request) else {
             return;
         };
         let request = pending.request.clone();
@@ -95,12 +97,14 @@
             .envelope
             .get_or_insert_with(|| to_envelope(&request));
         let version = self.gateway.catalog().version;
-        let message = branch::Message::Relay(relay, envelope.clone(), left, version.into());
-        self.send_branch(host, message);
+        let (version, moved) = (version.into(), order.moved.into());
+        let message =
+            branch::Message::Relay(order.id, envelope.clone(), order.left, version, moved);
+        self.send_branch(order.host, message);
     }
 
     /// Serves a request of another host whose links are lost, or declines it. `version` is that of
-    /// the other host's configuration.
+    /// the other host's configuration, `moved` whether a further host may have received it before.
     pub(crate) fn accept_relayed(
         &mut self,
         from: SocketAddr,
@@ -108,6 +112,7 @@
         envelope: &Envelope,
         left: Span,
         version: u64,
+        moved: bool,
     ) {
         let busy = self.relayed.len() >= RELAYED_MAX || self.stop.is_some();
         if busy || !self.may_serve_relayed(from, envelope, version) {
@@ -138,7 +143,12 @@
         };
         self.pending.insert(id, pending);
         self.relayed.insert((from, relay), id);
-        self.serve_here(id, &request, Span::ZERO);
+        let shared = Shared {
+            key: placement_key(&request),
+            moved,
+            committed: false,
+        };
+        self.serve_here(id, &request, Span::ZERO, Some(shared));
     }
 
     /// Whether this host's links and configuration allow it to serve a relayed request; logs if the
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -15,6 +15,7 @@
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::fanout;
+use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway;
 use wagtailbeam_decision::gateway::Action;
 use wagtailbeam_decision::gateway::Call;
@@ -116,11 +117,18 @@
         if others_only && self.start_relay(id, request, waited) {
             return;
         }
-        self.serve_here(id, request, waited);
+        self.serve_here(id, request, waited, None);
     }
 
-    /// Passes a request that has waited this long to the gateway.
-    pub(crate) fn serve_here(&mut self, id: u64, request: &Request, waited: Span) {
+    /// Passes a request that has waited this long to the gateway. `shared` is set if other hosts
+    /// may send it to replicas as well.
+    pub(crate) fn serve_here(
+        &mut self,
+        id: u64,
+        request: &Request,
+        waited: Span,
+        shared: Option<Shared>,
+    ) {
         let path = request.target.path();
         let fingerprint = request.fingerprint;
         let gateway_request = gateway::Request {
@@ -134,6 +142,7 @@
             priority: request.priority(),
             account: request.account_name(),
             waited,
+            shared,
         };
         self.step_gateway(Event::Request(id, gateway_request));
     }
--- a/decision/src/branch.rs
+++ b/decision/src/branch.rs
@@ -151,8 +151,9 @@
     Cancel(OrderId),
     /// Asks the receiver to serve a whole request for one replica. Only sent while all entry hosts
     /// report the state of their links, which older builds don't. Ends with the version of the
-    /// sender's configuration; zero from older builds.
-    Relay(RelayId, Arc<Envelope>, Span, Appended<u64>),
+    /// sender's configuration, zero from older builds, and with whether another host may have
+    /// received the request before.
+    Relay(RelayId, Arc<Envelope>, Span, Appended<u64>, Appended<bool>),
     /// Confirms that a relayed request arrived; sent before it goes to a replica.
     RelayConfirmed(RelayId),
     /// Declines a relayed request; it did not run.
--- a/decision/src/flight.rs
+++ b/decision/src/flight.rs
@@ -121,25 +121,31 @@
     Branch {
         /// Order that asked for the branch.
         order: OrderId,
-        /// Rendezvous hashing key of the request, the same on all hosts, so that they
-        /// pick the same replicas.
-        key: u64,
-        /// Whether another host may have received an earlier order for the branch, and so may
-        /// send the same parts.
-        moved: bool,
-        /// Whether the order is committed to this host, so that no other host will send
-        /// its parts.
-        committed: bool,
         /// Number of answered parts in the last reply.
         reported: usize,
     },
 }
 
+/// Work that another host may send to replicas as well: a branch, or a relayed request. Together
+/// the hosts must stay within the route's `attempts_max`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Shared {
+    /// Rendezvous hashing key of the request, the same on all hosts, so that they pick the same
+    /// replicas.
+    pub key: u64,
+    /// Whether another host may have received the work before.
+    pub moved: bool,
+    /// Whether no other host will receive it.
+    pub committed: bool,
+}
+
 /// A request or branch in progress.
 #[derive(Clone, Debug)]
 pub struct Flight {
     /// Whether this is a caller's request or a branch.
     pub kind: Kind,
+    /// Set if other hosts may send the same parts.
+    pub shared: Option<Shared>,
     /// Route by which the request is served.
     pub route: Arc<Route>,
     /// Name of the request's account, if it has one.
@@ -249,6 +255,7 @@
         let objective = route.objective.saturating_sub(margin);
         Flight {
             kind: Kind::Request,
+            shared: None,
             account: None,
             fingerprint: Digest::default(),
             started: now,
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -45,6 +45,7 @@
 use crate::flight::EndpointId;
 use crate::flight::Flight;
 use crate::flight::Kind;
+use crate::flight::Shared;
 use crate::flight::Stage;
 use crate::latency::Latency;
 use crate::load::capacity::Estimator;
@@ -158,6 +159,8 @@
     pub account: Option<Name>,
     /// Time for which the request has waited at this host.
     pub waited: Span,
+    /// Set if other hosts may send the same request.
+    pub shared: Option<Shared>,
 }
 
 /// One request to one replica.
@@ -485,7 +488,10 @@
         };
         let route = route.with_priority(request.priority);
         self.count_request(now, &route.name);
-        let services = self.choose_services(&route);
+        let services = match &request.shared {
+            Some(shared) => services_by_key(&route, shared.key),
+            None => self.choose_services(&route),
+        };
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
         let margin = match request.first_on_connection {
             true => self.settings.margin_first,
@@ -495,6 +501,7 @@
             others_healthier: request.others_healthier,
             account: request.account.clone(),
             fingerprint: request.fingerprint,
+            shared: request.shared,
             ..Flight::new(now.before(request.waited), route, services, left, margin)
         };
         if flight.others_healthier && self.reachable(now, &flight) < flight.needed() {
@@ -626,6 +633,24 @@
     }
 }
 
+/// Services that receive a request with this key: one of several weighted services is the same at
+/// all hosts, so that they pick among the same replicas.
+fn services_by_key(route: &Route, key: u64) -> Vec<Name> {
+    let services = match &route.target {
+        Target::Gather { shards, .. } => return shards.clone(),
+        Target::Weighted(services) => services,
+    };
+    let total = services.iter().map(|(_, weight)| weight.max(0.0));
+    let mut point = total.sum::<f64>() * (key >> 11) as f64 / (1_u64 << 53) as f64;
+    let positive = services.iter().filter(|(_, weight)| *weight > 0.0);
+    let chosen = positive.clone().find(|(_, weight)| {
+        point -= weight;
+        point < 0.0
+    });
+    let chosen = chosen.or_else(|| positive.clone().next_back());
+    chosen.map(|(name, _)| name.clone()).into_iter().collect()
+}
+
 /// Picks the next service by smooth weighted round robin, so that over time each service
 /// gets the share given by its weight.
 fn next_weighted(credits: &mut Vec<f64>, weights: &[f64]) -> usize {
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -25,6 +25,7 @@
 use crate::flight::Flight;
 use crate::flight::Kind;
 use crate::flight::Part;
+use crate::flight::Shared;
 use crate::gateway::Action;
 use crate::gateway::Branch;
 use crate::gateway::Gateway;
@@ -57,11 +58,13 @@
             fingerprint: branch.fingerprint,
             kind: Kind::Branch {
                 order: branch.order,
+                reported: 0,
+            },
+            shared: Some(Shared {
                 key: branch.key,
                 moved: branch.moved,
                 committed: branch.committed,
-                reported: 0,
-            },
+            }),
             ..Flight::new(now, route, services, branch.left, Span::ZERO)
         };
         self.start_parts(now, id, flight, actions);
@@ -70,8 +73,8 @@
     /// Marks a branch as committed to this host.
     pub(crate) fn commit(&mut self, id: RequestId) {
         let flight = self.flights.get_mut(&id);
-        if let Some(Kind::Branch { committed, .. }) = flight.map(|flight| &mut flight.kind) {
-            *committed = true;
+        if let Some(shared) = flight.and_then(|flight| flight.shared.as_mut()) {
+            shared.committed = true;
         }
     }
 
@@ -104,8 +107,8 @@
     /// Replicas that a part may be sent to; `None` if any replica may be used.
     ///
     /// If another host may send the same part, the replicas are limited to those that
-    /// rendezvous hashing picks for the request, so that both hosts together stay within
-    /// `attempts_max`. Only the first replica is free, unless the order is a moved one.
+    /// rendezvous hashing picks for the request, so that all hosts together stay within
+    /// `attempts_max`. Only the first replica is free, unless the work was moved here.
     pub(crate) fn allowed_replicas(
         &self,
         flight: &Flight,
@@ -113,12 +116,11 @@
     ) -> Option<BTreeSet<EndpointId>> {
         let attempts_max = flight.route.attempts_max;
         let fixed = part.allowed_replicas(attempts_max);
-        let Kind::Branch {
+        let Some(Shared {
             key,
             moved,
             committed,
-            ..
-        } = flight.kind
+        }) = flight.shared
         else {
             return fixed;
         };
--- a/decision/src/relay.rs
+++ b/decision/src/relay.rs
@@ -2,8 +2,10 @@
 //! servers are lost.
 //!
 //! The whole request goes to a host whose links work, and that host never passes it on. Hosts that
-//! decline, or don't confirm in time, are followed by others. A request that may run only once goes
-//! to no second host once it may have reached the first one. Gathers go through `fanout` instead.
+//! decline, or don't confirm in time, are followed by others. A request that may run only once, or
+//! on one replica only, goes to no second host once it may have reached the first one. Others are
+//! marked as `moved` then, so that all hosts together stay within the route's `attempts_max` (see
+//! `gathering`). Gathers go through `fanout` instead.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -18,6 +20,7 @@
 
 use crate::branch;
 use crate::catalog::Repeat;
+use crate::catalog::Route;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::gateway::RequestId;
@@ -55,11 +58,26 @@
     links != uplink::State::Lost && version >= theirs
 }
 
+/// A request for another host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Identifies the relayed request at this host.
+    pub id: RelayId,
+    /// The caller's request.
+    pub request: RequestId,
+    /// Host that receives it.
+    pub host: SocketAddr,
+    /// Time until its deadline.
+    pub left: Span,
+    /// Whether another host may have received it before.
+    pub moved: bool,
+}
+
 /// Output of the state machine, to be carried out by the adapter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
-    /// Send a request to this host, with the time until its deadline.
-    Send(RelayId, RequestId, SocketAddr, Span),
+    /// Send a request to a host.
+    Send(Order),
     /// Tell a host that the request is no longer wanted.
     Cancel(SocketAddr, RelayId),
     /// Refuse a caller.
@@ -69,7 +87,8 @@
 #[derive(Clone, Debug)]
 struct Flight {
     id: RelayId,
-    repeat: Repeat,
+    /// Whether a second host may get it after the first one may have run it.
+    repeatable: bool,
     deadline: Time,
     host: SocketAddr,
     asked: BTreeSet<SocketAddr>,
@@ -124,17 +143,17 @@
         Some(*flight.0)
     }
 
-    /// Sends a request to a host.
+    /// Sends a request on a route to a host.
     pub fn start(
         &mut self,
         now: Time,
         request: RequestId,
-        repeat: Repeat,
+        route: &Route,
         left: Span,
     ) -> Vec<Action> {
         let flight = Flight {
             id: RelayId::default(),
-            repeat,
+            repeatable: route.repeat == Repeat::Idempotent && route.attempts_max > 1,
             deadline: now.after(left),
             host: SocketAddr::from(([0, 0, 0, 0], 0)),
             asked: BTreeSet::new(),
@@ -157,10 +176,15 @@
         flight.host = host;
         flight.asked.insert(host);
         flight.confirm_by = Some(now.after(CONFIRM_TIMEOUT));
-        let left = flight.deadline.since(now);
-        let action = Action::Send(flight.id, request, host, left);
+        let order = Order {
+            id: flight.id,
+            request,
+            host,
+            left: flight.deadline.since(now),
+            moved: flight.may_have_run,
+        };
         self.flights.insert(request, flight);
-        vec![action]
+        vec![Action::Send(order)]
     }
 
     fn choose(&mut self, now: Time, asked: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
@@ -220,12 +244,12 @@
             .flights
             .iter()
             .filter(|(_, flight)| flight.host == host);
-        let lost = lost.map(|(request, flight)| (*request, flight.repeat));
+        let lost = lost.map(|(request, flight)| (*request, flight.repeatable));
         let mut actions = Vec::new();
-        for (request, repeat) in lost.collect::<Vec<_>>() {
-            match repeat {
-                Repeat::Idempotent => actions.extend(self.move_on(now, request, true)),
-                Repeat::Once => {
+        for (request, repeatable) in lost.collect::<Vec<_>>() {
+            match repeatable {
+                true => actions.extend(self.move_on(now, request, true)),
+                false => {
                     self.flights.remove(&request);
                     actions.push(Action::Refuse(request, Ending::Failed));
                 }
@@ -247,8 +271,8 @@
     /// When the next tick is due; absent without requests.
     pub fn next_timer(&self) -> Option<Time> {
         let flights = self.flights.values();
-        let timers = flights.map(|flight| match (flight.repeat, flight.confirm_by) {
-            (Repeat::Idempotent, Some(confirm_by)) => confirm_by.min(flight.deadline),
+        let timers = flights.map(|flight| match (flight.repeatable, flight.confirm_by) {
+            (true, Some(confirm_by)) => confirm_by.min(flight.deadline),
             _ => flight.deadline,
         });
         timers.min()
@@ -276,7 +300,7 @@
         }
         let unconfirmed = self.flights.iter().filter(|(_, flight)| {
             let due = flight.confirm_by.is_some_and(|by| by <= now);
-            due && flight.repeat == Repeat::Idempotent
+            due && flight.repeatable
         });
         let unconfirmed = unconfirmed.map(|(request, flight)| (*request, flight.host, flight.id));
         for (request, host, id) in unconfirmed.collect::<Vec<_>>() {
--- a/decision/tests/load/arrivals.rs
+++ b/decision/tests/load/arrivals.rs
@@ -157,6 +157,7 @@
             priority: client.map(|client| client.priority),
             account: client.map(|client| client.account.into()),
             waited: Span::ZERO,
+            shared: None,
         };
         self.handle(host, Event::Request(id, request));
     }
--- a/decision/tests/tier/catalog.rs
+++ b/decision/tests/tier/catalog.rs
@@ -12,10 +12,12 @@
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway::Action;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::gateway::Gateway;
 use wagtailbeam_decision::gateway::Request;
+use wagtailbeam_decision::gateway::Settings;
 use wagtailbeam_decision::name::Name;
 
 use crate::model;
@@ -121,10 +123,9 @@
     );
 }
 
-/// Guards against traffic splits of one name that use the same turns, so that the requests of each
-/// don't follow its weights.
-#[test]
-fn traffic_splits_of_one_name_follow_their_own_weights() {
+/// A gateway with two splits of one name: `/a/` sends nine in ten requests to the first service,
+/// `/b/` to the second one.
+fn split_gateway(seed: u64) -> Gateway {
     let names = ["first", "second"].map(Name::from);
     let split = |prefix: &str, weights: [f64; 2]| {
         let parts = names.iter().cloned().zip(weights);
@@ -140,35 +141,54 @@
     let routes = vec![split("/a/", [9.0, 1.0]), split("/b/", [1.0, 9.0])];
     let catalog = Catalog::new(1, routes, services.collect(), Limits::default());
     let replicas = names.iter().map(|name| model::replica(name, 0, "east"));
+    let mut gateway = Gateway::new(Settings {
+        seed,
+        ..model::settings()
+    });
     let now = Time::from_us(1);
-    let mut gateway = Gateway::new(model::settings());
     gateway.step(
         now,
         Event::Catalog(Arc::new(catalog.expect("valid routes"))),
     );
     gateway.step(now, Event::Fleet(Arc::new(Fleet::new(replicas)), now));
+    gateway
+}
+
+/// Replica to which a gateway sends a request, which ends then.
+fn sent_to(gateway: &mut Gateway, id: u64, path: &str, shared: Option<Shared>) -> String {
+    let now = Time::from_us(1).after(Span::from_ms(100 * id));
+    let request = Request {
+        host: "desk.example".into(),
+        path: path.into(),
+        fingerprint: Digest::default(),
+        left: None,
+        catalog_confirmed: true,
+        first_on_connection: false,
+        others_healthier: false,
+        priority: None,
+        account: None,
+        waited: Span::ZERO,
+        shared,
+    };
+    let sent = gateway.step(now, Event::Request(id, request));
+    let sent = sent.into_iter().find_map(|action| match action {
+        Action::Send(call) => Some(call.instance.to_string()),
+        _ => None,
+    });
+    gateway.step(now, Event::Abandoned(id));
+    sent.expect("a call")
+}
+
+/// Guards against traffic splits of one name that use the same turns, so that the requests of each
+/// don't follow its weights.
+#[test]
+fn traffic_splits_of_one_name_follow_their_own_weights() {
+    let mut gateway = split_gateway(1);
     let mut sent = BTreeMap::new();
     for id in 0..200 {
         let path = if id % 2 == 0 { "/a/x" } else { "/b/x" };
-        let request = Request {
-            host: "desk.example".into(),
-            path: path.into(),
-            fingerprint: Digest::default(),
-            left: None,
-            catalog_confirmed: true,
-            first_on_connection: false,
-            others_healthier: false,
-            priority: None,
-            account: None,
-            waited: Span::ZERO,
-        };
-        let now = now.after(Span::from_ms(100 * id));
-        for action in gateway.step(now, Event::Request(id, request)) {
-            if let Action::Send(call) = action {
-                *sent.entry((path, call.instance.to_string())).or_insert(0) += 1;
-            }
-        }
-        gateway.step(now, Event::Abandoned(id));
+        let replica = sent_to(&mut gateway, id, path, None);
+        *sent.entry((path, replica)).or_insert(0) += 1;
     }
     let sent = sent.into_iter();
     let sent = sent.map(|((path, replica), count)| format!("{path} {replica} {count}"));
@@ -182,3 +202,24 @@
         ]
     );
 }
+
+/// Guards against a relayed request that a second host sends to another service of its route's
+/// split, and so to further replicas.
+#[test]
+fn all_hosts_send_a_shared_request_to_the_same_service() {
+    let mut gateways = [split_gateway(1), split_gateway(2)];
+    let mut first = 0;
+    for id in 0..1_000_u64 {
+        let shared = Shared {
+            key: Digest::of(&id.to_le_bytes()).rank(),
+            moved: false,
+            committed: false,
+        };
+        let sent = gateways
+            .each_mut()
+            .map(|gateway| sent_to(gateway, id, "/a/x", Some(shared)));
+        assert_eq!(sent[0], sent[1]);
+        first += usize::from(sent[0] == "first-0");
+    }
+    assert!((870..=930).contains(&first), "{first} of 1000, 900 due");
+}
--- a/decision/tests/tier/connections.rs
+++ b/decision/tests/tier/connections.rs
@@ -62,6 +62,7 @@
             priority: None,
             account: None,
             waited: Span::ZERO,
+            shared: None,
         };
         let actions = gateway.step(now, Event::Request(1, request));
         for action in actions {
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -114,6 +114,7 @@
         priority: None,
         account: None,
         waited: Span::ZERO,
+        shared: None,
     };
     simulation.handle(Event::Request(99, request));
     let (answer, _) = &simulation.answers[&99];
@@ -141,6 +142,7 @@
         priority: None,
         account: None,
         waited: Span::from_ms(100),
+        shared: None,
     };
     simulation.handle(Event::Request(99, request));
     simulation.run(Span::from_ms(199));
@@ -249,6 +251,7 @@
         priority: None,
         account: None,
         waited: Span::ZERO,
+        shared: None,
     };
     simulation.handle(Event::Request(1, request(true)));
     simulation.handle(Event::Request(2, request(false)));
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -30,6 +30,7 @@
 use wagtailbeam_decision::fanout;
 use wagtailbeam_decision::fanout::Fanout;
 use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway::Action;
 use wagtailbeam_decision::gateway::Branch;
 use wagtailbeam_decision::gateway::Completion;
@@ -91,7 +92,7 @@
     Reply(Reply),
     Cancel(OrderId),
     /// A request of a caller, with the version of the sender's configuration.
-    Relay(RelayId, u64, u64),
+    Relay(relay::Order, u64),
     RelayConfirmed(RelayId),
     RelayDeclined(RelayId),
     Relayed(RelayId, Answer),
@@ -119,8 +120,8 @@
     pub routes: HashMap<u64, &'static str>,
     /// Requests at each replica.
     pub arrivals: BTreeMap<SocketAddr, Vec<Time>>,
-    /// Calls that reached replicas, by request of a caller.
-    reached: HashMap<u64, usize>,
+    /// Replicas that calls reached, by request of a caller.
+    reached: HashMap<u64, Vec<SocketAddr>>,
     /// Request of a caller that a relayed one stands for, by host and local identifier.
     relayed: HashMap<(usize, u64), u64>,
     /// Host that got each request.
@@ -199,7 +200,8 @@
 }
 
 /// A catalog of this many shards and the service `wallet`. The routes `browse` and the more
-/// urgent `quick` gather from all shards, `fetch` and the unrepeatable `job` go to `wallet`.
+/// urgent `quick` gather from all shards; `fetch`, `lone`, which may run on one replica only, and the
+/// unrepeatable `job` go to `wallet`.
 fn catalog(shards: usize) -> Catalog {
     let service = Service {
         health_path: "/healthz".into(),
@@ -220,6 +222,10 @@
         route("browse", Repeat::Idempotent, 2, gather.clone()),
         route("quick", Repeat::Idempotent, 1, gather),
         route("fetch", Repeat::Idempotent, 2, single.clone()),
+        Route {
+            attempts_max: 1,
+            ..route("lone", Repeat::Idempotent, 2, single.clone())
+        },
         route("job", Repeat::Once, 1, single),
     ];
     let names = shards.into_iter().chain([wallet]);
@@ -311,6 +317,10 @@
     pub fn kill(&mut self, at: usize) {
         self.gateways[at] = None;
         self.replan();
+        for other in 0..self.relays.len() {
+            let actions = self.relays[other].lose_host(self.now, address(at));
+            self.relay_actions(other, actions);
+        }
     }
 
     /// Cuts hosts off from all replicas.
@@ -482,7 +492,7 @@
             .as_mut()
             .is_some_and(|gateway| gateway.needs_detour(now));
         if !detour {
-            return self.serve_here(at, id, route);
+            return self.serve_here(at, id, route, None);
         }
         let path = format!("/{route}/x");
         if let Some(route) = self.fanouts[at].detour_route("desk.example", &path) {
@@ -496,15 +506,15 @@
             return self.step_fanout(at, fanout::Event::Request(id, request));
         }
         let known = self.catalog.route("desk.example", &path).expect("a route");
-        let (repeat, left) = (known.repeat, known.timeout);
+        let (known, left) = (known.clone(), known.timeout);
         if !self.relays[at].is_available() {
-            return self.serve_here(at, id, route);
+            return self.serve_here(at, id, route, None);
         }
-        let actions = self.relays[at].start(now, id, repeat, left);
+        let actions = self.relays[at].start(now, id, &known, left);
         self.relay_actions(at, actions);
     }
 
-    fn serve_here(&mut self, at: usize, id: u64, route: &str) {
+    fn serve_here(&mut self, at: usize, id: u64, route: &str, shared: Option<Shared>) {
         let request = Request {
             host: "desk.example".into(),
             path: format!("/{route}/x").into(),
@@ -516,6 +526,7 @@
             priority: None,
             account: None,
             waited: Span::ZERO,
+            shared,
         };
         self.step(at, Event::Request(id, request));
     }
@@ -547,7 +558,8 @@
                     self.step(to, Event::Abandoned(id));
                 }
             }
-            Message::Relay(relay, request, version) => {
+            Message::Relay(order, version) => {
+                let (relay, request) = (order.id, order.request);
                 let gateway = self.gateways[to].as_ref();
                 let may_serve = gateway.is_none_or(|gateway| {
                     relay::may_serve(gateway.links(), gateway.catalog().version, version)
@@ -558,7 +570,12 @@
                 self.message(to, from, Message::RelayConfirmed(relay));
                 let id = self.local_id(to, Origin::Relay(from, relay));
                 self.relayed.insert((to, id), request);
-                self.serve_here(to, id, self.routes[&request]);
+                let shared = Shared {
+                    key: Digest::of(&request.to_le_bytes()).rank(),
+                    moved: order.moved,
+                    committed: false,
+                };
+                self.serve_here(to, id, self.routes[&request], Some(shared));
             }
             Message::RelayConfirmed(relay) => self.relays[to].confirm(address(from), relay),
             Message::RelayDeclined(relay) => {
@@ -628,10 +645,10 @@
     fn relay_actions(&mut self, at: usize, actions: Vec<relay::Action>) {
         for action in actions {
             match action {
-                relay::Action::Send(relay, request, host, _) => {
+                relay::Action::Send(order) => {
                     let version = self.gateways[at].as_ref().map(|g| g.catalog().version);
-                    let message = Message::Relay(relay, request, version.unwrap_or_default());
-                    self.message(at, index(host), message);
+                    let host = index(order.host);
+                    self.message(at, host, Message::Relay(order, version.unwrap_or_default()));
                 }
                 relay::Action::Cancel(..) => {}
                 relay::Action::Refuse(request, ending) => {
@@ -708,7 +725,7 @@
         }
         let caller = self.relayed.get(&(at, request)).copied().unwrap_or(request);
         if self.routes.contains_key(&caller) {
-            *self.reached.entry(caller).or_default() += 1;
+            self.reached.entry(caller).or_default().push(address);
         }
         let arrived = self.now.after(TRANSIT);
         self.arrivals.entry(address).or_default().push(arrived);
@@ -765,13 +782,30 @@
         lost.count()
     }
 
-    /// Most replicas that one request of a route reached.
+    /// Most calls of one request of a route that reached replicas.
     pub fn runs_max(&self, route: &str) -> usize {
+        self.reached_by(route)
+            .map(Vec::len)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Most replicas that one request of a route reached.
+    pub fn replicas_max(&self, route: &str) -> usize {
+        let distinct = |replicas: &Vec<SocketAddr>| replicas.iter().collect::<HashSet<_>>().len();
+        self.reached_by(route)
+            .map(distinct)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Replicas that each request of a route reached.
+    fn reached_by(&self, route: &str) -> impl Iterator<Item = &Vec<SocketAddr>> {
         let of_route = self
             .reached
             .iter()
-            .filter(|(id, _)| self.routes[id] == route);
-        of_route.map(|(_, runs)| *runs).max().unwrap_or_default()
+            .filter(move |(id, _)| self.routes[id] == route);
+        of_route.map(|(_, replicas)| replicas)
     }
 
     /// Share of the requests of a route at these hosts that got a success, among those sent from
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -260,6 +260,7 @@
             priority: None,
             account: None,
             waited: Span::ZERO,
+            shared: None,
         };
         self.schedule(wait, Step::Request(id, request));
     }
--- a/decision/tests/tier/rollout_model.rs
+++ b/decision/tests/tier/rollout_model.rs
@@ -236,6 +236,7 @@
                 priority: None,
                 account: None,
                 waited: Span::ZERO,
+                shared: None,
             };
             self.hosts[at].last_request = id;
             self.step(at, Event::Request(id, request));
--- a/decision/tests/tier/stranded.rs
+++ b/decision/tests/tier/stranded.rs
@@ -107,3 +107,35 @@
         assert!(served >= SERVED_MIN, "{cut:?}: {served}");
     }
 }
+
+/// Guards against requests that run on more replicas than their route allows, because the hosts that
+/// serve them for a cut-off one are killed one after the other.
+#[test]
+fn relayed_requests_stay_within_attempts_max_while_hosts_are_killed() {
+    for seed in 1..=4 {
+        let mut hosts = Hosts::new(6, 6, seed);
+        for route in ["fetch", "lone"] {
+            hosts.load_at(0, route, 200, Span::from_secs(16));
+        }
+        hosts.run(Span::from_secs(2));
+        hosts.cut(&[0], Cut::Hang);
+        hosts.run(Span::from_secs(2));
+        let since = hosts.now;
+        for turn in 0..15 {
+            let at = 1 + turn % 5;
+            hosts.kill(at);
+            hosts.run(Span::from_ms(100));
+            hosts.start(at);
+            hosts.run(Span::from_ms(600));
+        }
+        hosts.run(Span::from_secs(4));
+        let most = ["fetch", "lone"].map(|route| hosts.replicas_max(route));
+        assert!(most[0] <= 2 && most[1] <= 1, "seed {seed}: {most:?}");
+        let served = ["fetch", "lone"].map(|route| hosts.served_at(&[0], route, since));
+        println!("seed {seed}: {served:?} served");
+        assert!(
+            served.iter().all(|share| *share >= SERVED_MIN),
+            "{served:?}"
+        );
+    }
+}
--- a/decision/tests/tier/waiting.rs
+++ b/decision/tests/tier/waiting.rs
@@ -47,6 +47,7 @@
         priority: None,
         account: None,
         waited: Span::ZERO,
+        shared: None,
     }
 }
 
