A status outside the protocol's classes is no answer

Reported by other operators (MIXED): a replica in trouble sent the status 000, and the client got it as an answer.

Here 000 to 099 were no answer before: the HTTP library refuses them. But 600 to 999, which it accepts, and 101, which changes a protocol that was not asked for, went to the caller as the answer of the server.

Evidence: `adapter status::a_status_outside_the_protocol_is_no_answer` before: 101, 600 and 999 are returned as responses.

Fix: a response whose status is not between 200 and 599 is a broken call, whose connection is closed; another replica is asked where the request allows, else the caller gets 502. Both kinds of group use the pool; answers that other entry hosts relay are checked as well, as those may run an older build.

Measured: the test passes with the fix.

--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -32,6 +32,7 @@
 use crate::entry::Origin;
 use crate::entry::Pending;
 use crate::entry::log_id;
+use crate::http;
 use crate::ingress::Reply;
 use crate::ingress::Request;
 use crate::pool::Response;
@@ -270,8 +271,9 @@
         let name = HeaderName::from_bytes(name).ok()?;
         decoded.append(name, HeaderValue::from_bytes(value).ok()?);
     }
+    let status = StatusCode::from_u16(status).ok()?;
     Some(Response {
-        status: StatusCode::from_u16(status).ok()?,
+        status: Some(status).filter(|status| http::is_final(*status))?,
         headers: decoded,
         body: body.into(),
     })
--- a/adapter/src/http.rs
+++ b/adapter/src/http.rs
@@ -61,6 +61,12 @@
 /// A response with its complete body.
 pub type Reply = Response<Full<Bytes>>;
 
+/// Whether a status ends an exchange and has one of the protocol's classes: a server in trouble may
+/// send any three digits, and 101 changes a protocol that was not asked for.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// A response of the given status, media type and body.
 pub fn reply(status: StatusCode, kind: &str, body: impl Into<Bytes>) -> Reply {
     let response = Response::builder()
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -478,6 +478,10 @@
         Err(error) => return (Err(verdict.failure(address, &error).await), None),
     };
     let (head, incoming) = response.into_parts();
+    if !http::is_final(head.status) {
+        let cause = format!("status {} is no final answer", head.status.as_u16());
+        return (Err(Failure::Broken(cause)), None);
+    }
     let body = match read_body(incoming, &bounds, &connection.meter).await {
         Ok(body) => body,
         Err(failure) => return (Err(failure), None),
