An operator's command ends at an answer without end; trailers and kept connections tested

For servers, callers and the list of replicas this was bounded before (adapter endless, processes endless). New tests show it for trailers, chunk extensions and bytes behind a whole answer; they pass without a change of the product.

Not bounded was the operators' client: `an_answer_to_an_operator_without_end_is_ an_error` fails before, as the connection goes on reading after the call.

Fix: the client reads through the same meter and body reader as the others, 32 MiB at most, and its connection ends with the call.

--- a/adapter/src/client.rs
+++ b/adapter/src/client.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -18,16 +17,24 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use wagtailbeam_decision::trace::Trace;
 
 use crate::accounts;
 use crate::admin::Applied;
 use crate::admin::Burn;
+use crate::body;
+use crate::metered::Meter;
+use crate::metered::Metered;
+use crate::metered::READ_AHEAD_MAX_BYTES;
 use crate::status::Status;
 
 /// Longest time for one call, including the connection.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest answer, in bytes; the accounts of a large tier take a few megabytes.
+const ANSWER_MAX_BYTES: usize = 32 * 1024 * 1024;
+
 /// Interval at which `wait_in_force` asks for the status.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -118,7 +125,8 @@
         serde_json::from_slice(&body).context(AnswerSnafu)
     }
 
-    /// Sends one request over a new connection and returns the status and body.
+    /// Sends one request over a new connection, which closes with this call, and returns the status
+    /// and body.
     async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<(u16, Bytes)> {
         let unreachable = |cause: String| Error::Unreachable {
             address: self.address,
@@ -126,9 +134,15 @@
         };
         let stream = TcpStream::connect(self.address).await;
         let stream = stream.map_err(|error| unreachable(error.to_string()))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let meter = Meter::default();
+        let stream = Metered::new(stream, meter.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_AHEAD_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (mut sender, driver) = handshake.map_err(|error| unreachable(error.to_string()))?;
-        let driver = tokio::spawn(driver);
+        let mut connection = JoinSet::new();
+        connection.spawn(driver);
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -142,11 +156,8 @@
         let response = sender.send_request(request).await;
         let response = response.map_err(|error| unreachable(error.to_string()))?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await;
-        let body = body
-            .map_err(|error| unreachable(error.to_string()))?
-            .to_bytes();
-        driver.abort();
+        let body = body::read(response.into_body(), ANSWER_MAX_BYTES, &meter).await;
+        let body = body.map_err(|error| unreachable(error.to_string()))?;
         Ok((status, body))
     }
 
--- a/adapter/tests/endless.rs
+++ b/adapter/tests/endless.rs
@@ -18,6 +18,7 @@
 use hyper::Request;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use wagtailbeam_adapter::client::Client;
 use wagtailbeam_adapter::pool::Event;
 use wagtailbeam_adapter::pool::Failure;
 use wagtailbeam_adapter::pool::Options;
@@ -32,6 +33,13 @@
 /// Most bytes that may be sent of a body without data: what is taken, and the sockets' buffers.
 const FRAMING_SENT_MAX: usize = 16 * 1024 * 1024;
 
+/// Time within which an operator's call must end.
+const OPERATOR_END_MAX: Duration = Duration::from_secs(6);
+
+/// Most bytes that may be sent to an operator: the longest answer with the bytes around its chunks, and
+/// the sockets' buffers.
+const OPERATOR_SENT_MAX: usize = 192 * 1024 * 1024;
+
 /// A server that sends `first` once and then `again` without end. Returns its address, the number
 /// of bytes that it could send, and the number of its open connections.
 fn start(
@@ -181,6 +189,73 @@
     }
 }
 
+/// Guards against trailers and chunk extensions without end, which are neither head nor data.
+#[tokio::test]
+async fn trailers_and_extensions_without_end_end_the_call() {
+    const TRAILERS: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+    const EXTENSION: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+    for (first, again) in [
+        (TRAILERS, &b"x-more: 0123456789\r\n"[..]),
+        (EXTENSION, &[b'e'; 4_096]),
+    ] {
+        let (address, sent, open) = start(first, again);
+        let (mut pool, mut events) = pool();
+        call(&mut pool, 1, address);
+        let failure = next(&mut pool, &mut events).await;
+        assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+        wait_closed(&open).await;
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < FRAMING_SENT_MAX, "{sent} bytes");
+    }
+}
+
+/// Guards against bytes without end behind a whole answer, on a connection that is kept.
+#[tokio::test]
+async fn bytes_without_end_behind_an_answer_close_the_connection() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    for again in [&[b'0'; 4_096][..], b"HTTP/1.1 100 Continue\r\n\r\n"] {
+        let (address, sent, open) = start(ANSWER, again);
+        let (mut pool, mut events) = pool();
+        call(&mut pool, 1, address);
+        let result = loop {
+            let event = timeout(END_MAX, events.recv()).await.unwrap().unwrap();
+            if let Some((_, result)) = pool.handle(event) {
+                break result;
+            }
+        };
+        assert_eq!(result.unwrap().body.len(), 1);
+        wait_closed(&open).await;
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < FRAMING_SENT_MAX, "{sent} bytes");
+    }
+}
+
+/// Guards against an operator's command that keeps all bytes of a daemon's answer without end.
+#[tokio::test]
+async fn an_answer_to_an_operator_without_end_is_an_error() {
+    const BODY: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (first, again) in [
+        (BODY, &b"4\r\n0000\r\n"[..]),
+        (BODY, &[b'0'; 4_096]),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ] {
+        let (address, sent, open) = start(first, again);
+        let client = Client {
+            address,
+            key: String::new(),
+        };
+        assert!(
+            timeout(OPERATOR_END_MAX, client.status())
+                .await
+                .unwrap()
+                .is_err()
+        );
+        wait_closed(&open).await;
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < OPERATOR_SENT_MAX, "{sent} bytes");
+    }
+}
+
 /// Guards against bounds that refuse proper answers: a body in chunks of one byte, longer than all
 /// bounds on what is no data.
 #[tokio::test]
