--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The replicas of all services as published by the platform's list.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -64,11 +65,21 @@
 pub type Versions = BTreeMap<Instance, Name>;
 
 impl Fleet {
-    /// A fleet of these replicas. If a run is listed twice, the last entry counts.
+    /// A fleet of these replicas. If a run is listed twice, the last entry counts; one that is listed
+    /// under two services is left out, since the replica would run requests of either.
     pub fn new(replicas: impl IntoIterator<Item = Replica>) -> Fleet {
-        let by_run = |replica: Replica| (replica.instance.clone(), Arc::new(replica));
+        let mut by_run = BTreeMap::<Instance, Arc<Replica>>::new();
+        let mut ambiguous = BTreeSet::new();
+        for replica in replicas {
+            let (instance, service) = (replica.instance.clone(), replica.service.clone());
+            let earlier = by_run.insert(instance.clone(), Arc::new(replica));
+            if earlier.is_some_and(|earlier| earlier.service != service) {
+                ambiguous.insert(instance);
+            }
+        }
+        by_run.retain(|instance, _| !ambiguous.contains(instance));
         Fleet {
-            replicas: replicas.into_iter().map(by_run).collect(),
+            replicas: by_run,
             versions: Versions::new(),
         }
     }
--- a/decision/tests/tier/catalog.rs
+++ b/decision/tests/tier/catalog.rs
@@ -12,6 +12,8 @@
 use wagtailbeam_decision::clock::Time;
 use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::fleet::Fleet;
+use wagtailbeam_decision::fleet::Replica;
+use wagtailbeam_decision::fleet::State;
 use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway::Action;
 use wagtailbeam_decision::gateway::Event;
@@ -223,3 +225,30 @@
     }
     assert!((870..=930).contains(&first), "{first} of 1000, 900 due");
 }
+
+/// Guards against requests that run at another service: a readable entry of another writer names a
+/// server under a service that isn't its own, and the server can't tell.
+#[test]
+fn a_run_that_is_listed_under_two_services_is_used_under_neither() {
+    let good = model::replica("first", 0, "east");
+    let foreign = Replica {
+        service: Name::from("second"),
+        ..good.clone()
+    };
+    let other = model::replica("second", 1, "east");
+    let draining = Replica {
+        state: State::Draining,
+        ..other.clone()
+    };
+    for listed in [
+        vec![good.clone(), foreign.clone(), other.clone()],
+        vec![foreign.clone(), other.clone(), good.clone()],
+        vec![foreign, good.clone(), good, other.clone()],
+    ] {
+        let fleet = Fleet::new(listed);
+        let known = fleet.replicas.keys().collect::<Vec<_>>();
+        assert_eq!(known, [&other.instance]);
+    }
+    let last = Fleet::new([other.clone(), draining]);
+    assert_eq!(last.replicas[&other.instance].state, State::Draining);
+}
