A server that ends within the body of an answer is taken for ended

Cause: only a connection that broke before the head was followed by the probe that tells an ended server from a running one.

Evidence: `adapter probe::a_server_that_ends_within_its_answer_is_taken_for_ended` before: "broken: error reading a body from connection".

Fix: the probe follows wherever an answer breaks off. An answer that a running server cuts short is still broken (`a_server_that_cuts_an_answer_short_and_goes_on_is_not_taken_for_ended`).

--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -89,8 +89,8 @@
     /// The connection failed after sending began, or the response was malformed.
     #[display("broken: {_0}")]
     Broken(String),
-    /// The connection failed after sending began, before any response, and the server then
-    /// refused a new connection: its process ended.
+    /// The connection failed after sending began, before the response was whole, and the server
+    /// then refused a new connection: its process ended.
     #[display("server ended: {_0}")]
     Ended(String),
     /// The response body exceeds the pool's limit for one answer or for all together.
@@ -138,8 +138,8 @@
         /// The connection, if it can be reused.
         connection: Option<Box<Idle>>,
     },
-    /// The connection of this call broke before any response; its end follows when it is known
-    /// whether the server ended.
+    /// The connection of this call broke before the response was whole; its end follows when it is
+    /// known whether the server ended.
     Broke(T),
     /// A connection to this server closed.
     Closed(SocketAddr),
@@ -179,7 +179,7 @@
 }
 
 impl<T: Copy + Send + 'static> Verdict<T> {
-    /// Why a call that was sent has no response: its server ended, or it goes on running.
+    /// Why a call that was sent has no whole response: its server ended, or it goes on running.
     async fn failure(self, address: SocketAddr, error: &hyper::Error) -> Failure {
         let cause = error.to_string();
         if error.is_parse() {
@@ -484,7 +484,11 @@
     }
     let body = match read_body(incoming, &bounds, &connection.meter).await {
         Ok(body) => body,
-        Err(failure) => return (Err(failure), None),
+        Err(body::Error::TooLong) => return (Err(Failure::TooLong), None),
+        Err(body::Error::Broken { source }) => {
+            drop(connection);
+            return (Err(verdict.failure(address, &source).await), None);
+        }
     };
     let echo = bounds.echo.as_ref().and_then(|name| head.headers.get(name));
     let is_foreign = echo.is_some_and(|echo| identifier.as_ref() != Some(echo));
@@ -506,18 +510,10 @@
 }
 
 /// Reads a body within the bounds.
-async fn read_body(
-    incoming: Incoming,
-    bounds: &Bounds,
-    meter: &Meter,
-) -> std::result::Result<Bytes, Failure> {
+async fn read_body(incoming: Incoming, bounds: &Bounds, meter: &Meter) -> body::Result<Bytes> {
     let mut reserved = bounds.buffer.reserve();
     let reserve = |bytes| reserved.grow(bytes);
-    let body = body::read_with(incoming, bounds.body_max, meter, reserve).await;
-    body.map_err(|error| match error {
-        body::Error::TooLong => Failure::TooLong,
-        body::Error::Broken { source } => Failure::Broken(source.to_string()),
-    })
+    body::read_with(incoming, bounds.body_max, meter, reserve).await
 }
 
 /// The `timeout` that a server announces in its `Keep-Alive` header.
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -59,9 +59,9 @@
     }
 }
 
-/// Calls a server that breaks the connection and refuses new ones, beside one that answered and,
-/// if `refuses`, refuses new connections too.
-async fn break_call(refuses: bool) -> Failure {
+/// Calls a server that sends this part of an answer, breaks the connection and refuses new ones, beside
+/// one that answered and, if `refuses`, refuses new connections too.
+async fn break_call(sent: &[u8], refuses: bool) -> Failure {
     let (sender, mut events) = mpsc::channel(16);
     let mut pool = Pool::new(sender, 1_024).with_comparison();
     let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -71,7 +71,8 @@
     kept.write_all(ANSWER).await.unwrap();
     next(&mut pool, &mut events).await.unwrap();
     call(&mut pool, 2, broken.local_addr().unwrap());
-    let stream = accept(&broken).await;
+    let mut stream = accept(&broken).await;
+    stream.write_all(sent).await.unwrap();
     let other = (!refuses).then_some(other);
     drop((stream, broken));
     let failure = next(&mut pool, &mut events).await.unwrap_err();
@@ -83,17 +84,44 @@
 /// its connections break and all its new ones are refused.
 #[tokio::test]
 async fn a_server_that_refuses_like_all_others_is_not_taken_for_ended() {
-    let failure = break_call(true).await;
+    let failure = break_call(b"", true).await;
     assert!(matches!(failure, Failure::Broken(_)), "{failure}");
 }
 
 /// The same where another server accepts connections: the process of this one ended.
 #[tokio::test]
 async fn a_server_that_refuses_while_another_accepts_is_taken_for_ended() {
-    let failure = break_call(false).await;
+    let failure = break_call(b"", false).await;
     assert!(matches!(failure, Failure::Ended(_)), "{failure}");
 }
 
+/// Guards against a request under which servers end again and again, because they end while they write
+/// the head or the body of the answer.
+#[tokio::test]
+async fn a_server_that_ends_within_its_answer_is_taken_for_ended() {
+    let chunked = &b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nok"[..];
+    for sent in [&ANSWER[..12], &ANSWER[..ANSWER.len() - 1], chunked] {
+        let failure = break_call(sent, false).await;
+        assert!(matches!(failure, Failure::Ended(_)), "{failure}");
+        let failure = break_call(sent, true).await;
+        assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+    }
+}
+
+/// Guards against servers that are taken for ended because they cut an answer short.
+#[tokio::test]
+async fn a_server_that_cuts_an_answer_short_and_goes_on_is_not_taken_for_ended() {
+    let (sender, mut events) = mpsc::channel(16);
+    let mut pool = Pool::new(sender, 1_024);
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    call(&mut pool, 1, server.local_addr().unwrap());
+    let mut stream = accept(&server).await;
+    stream.write_all(&ANSWER[..ANSWER.len() - 1]).await.unwrap();
+    drop(stream);
+    let failure = next(&mut pool, &mut events).await.unwrap_err();
+    assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+}
+
 /// Guards against a host that takes its links for sound because a device on the way accepts its
 /// connections, to reset them a moment later.
 #[tokio::test]
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -150,8 +150,8 @@
     Unsent(Name, Message),
     /// A datagram from an address.
     Datagram(SocketAddr, Datagram),
-    /// The connection of a call broke before any answer. Its end follows when it is known whether
-    /// the server ended.
+    /// The connection of a call broke before its answer was whole. Its end follows when it is known
+    /// whether the server ended.
     CallBroke(Ticket),
     /// A call to a backend server ended.
     Exchange(Ticket, Exchange),
