Servers are silent from when they were asked, and slow routes are not silence

Cause: the silence that makes links count as lost was the time since the last answer, idle time included; and 700 ms of it sufficed whatever the calls usually take.

Evidence, on the code before: nine servers answered at 1,000 ms, calls to three of them are open at 3,130 ms: Lost at once, without a probe. Calls that usually take 900 ms: Lost after 700 ms although servers accept connections.

Fix: each server's unanswered calls count from their sending, and for the longest bound only beyond what such calls usually take (the route's high quantile; of an owner the service's). Hosts of discovered tiers and daemons of groups with a settings file hand over the same type. A cut where no server accepts a connection is found as before, 120 ms after the calls; a network that accepts connections and answers nothing 720 ms after, and 1,600 ms after on a route of 900 ms.

--- a/adapter/src/note.rs
+++ b/adapter/src/note.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/EVENTS.md lists the event numbers.
 
+use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::controller::Note;
 use wagtailbeam_decision::gateway::Evidence;
 use wagtailbeam_decision::uplink::State;
@@ -11,7 +12,7 @@
 /// Logs that the state of this host's links to the servers changed, and why.
 pub fn links_changed(state: State, evidence: Evidence) {
     let Evidence { failed, quiet, .. } = evidence;
-    let quiet_ms = evidence.quiet_for.as_ms();
+    let quiet_ms = evidence.open_for.map(Span::as_ms);
     match state {
         State::Sound => {
             tracing::info!(event = 718, %state, failed, quiet, quiet_ms, "links to the servers changed")
--- a/decision/src/detour.rs
+++ b/decision/src/detour.rs
@@ -40,16 +40,18 @@
         {
             return;
         }
-        let quiet = self.quiet_servers(now);
+        let endpoints = self.endpoints.values();
+        let unanswered = endpoints.filter_map(|endpoint| endpoint.unanswered(now));
+        let unanswered = unanswered.collect::<Vec<_>>();
         let evidence = Evidence {
             failed: self.uplink.suspects(),
-            quiet,
-            quiet_for: self.uplink.quiet_for(now),
+            quiet: self.uplink.quiet(now, &unanswered),
+            open_for: unanswered.iter().map(|server| server.open).max(),
         };
         let endpoints = self.endpoints.values();
         let servers = endpoints.filter(|endpoint| endpoint.listed);
         let servers = servers.map(|endpoint| endpoint.replica.address);
-        let probes = self.uplink.check(now, quiet, servers);
+        let probes = self.uplink.check(now, &unanswered, servers);
         actions.extend(probes.into_iter().map(Action::Probe));
         let state = self.uplink.state();
         if state != self.links {
@@ -60,15 +62,4 @@
             actions.push(Action::Links(state, evidence));
         }
     }
-
-    /// Number of servers with a call that has been open for long, if none has answered for as
-    /// long.
-    fn quiet_servers(&self, now: Time) -> usize {
-        if self.uplink.quiet_for(now) < uplink::QUIET_MIN {
-            return 0;
-        }
-        let endpoints = self.endpoints.values();
-        let quiet = endpoints.filter(|endpoint| endpoint.has_call_open_for(now, uplink::QUIET_MIN));
-        quiet.count()
-    }
 }
--- a/decision/src/endpoint.rs
+++ b/decision/src/endpoint.rs
@@ -15,6 +15,7 @@
 use crate::load::capacity::Sample;
 use crate::quota::Bucket;
 use crate::quota::Share;
+use crate::uplink::Unanswered;
 
 /// Factor on the slowdown of a cold replica.
 const COLD_SLOWDOWN: f64 = 1.6;
@@ -196,9 +197,14 @@
         now < self.cold_until
     }
 
-    /// Whether a call has been open for this long or longer.
-    pub fn has_call_open_for(&self, now: Time, span: Span) -> bool {
-        self.sent.iter().any(|sent| now.since(sent.at) >= span)
+    /// The calls that have not ended; absent without any.
+    pub fn unanswered(&self, now: Time) -> Option<Unanswered> {
+        let calls = self.sent.iter();
+        let calls = calls.map(|sent| (now.since(sent.at), sent.overdue_at.since(sent.at)));
+        let all = calls.fold(Unanswered::default(), |all, (open, usual)| {
+            all.add(open, usual)
+        });
+        (!self.sent.is_empty()).then_some(all)
     }
 
     /// Number of calls that have not ended.
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -240,10 +240,10 @@
 pub struct Evidence {
     /// Servers at which calls failed lately.
     pub failed: usize,
-    /// Servers with a call that has been open for long.
+    /// Servers with a call that has been open for long, while none answers.
     pub quiet: usize,
-    /// Time since a server last answered.
-    pub quiet_for: Span,
+    /// Time for which the oldest call has been open; absent without any.
+    pub open_for: Option<Span>,
 }
 
 /// Output of the state machine, to be carried out by the adapter.
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -34,6 +34,10 @@
 use crate::request::Outcome;
 use crate::request::Request;
 use crate::silence::Silence;
+use crate::uplink::Unanswered;
+
+/// Quantile of a service's latencies up to which a call takes its usual time.
+const USUAL_QUANTILE: f64 = 0.99;
 
 /// Priority of hedges and canaries, above that of all services: they take the next free
 /// slot.
@@ -334,14 +338,20 @@
         Some(subrequest.replica)
     }
 
-    /// Number of replicas with a call that has been open for this time or longer.
-    pub fn quiet_replicas(&self, now: Time, time: Span) -> usize {
-        let open = self.subrequests.values().filter(|subrequest| {
-            let sent_at = subrequest.sent_at;
-            sent_at.is_some_and(|sent_at| now.since(sent_at) >= time)
-        });
-        let replicas = open.map(|subrequest| subrequest.replica);
-        replicas.collect::<BTreeSet<_>>().len()
+    /// The calls to each replica that are not answered yet.
+    pub fn unanswered(&self, now: Time) -> Vec<Unanswered> {
+        let mut replicas = BTreeMap::<SocketAddr, Unanswered>::new();
+        for subrequest in self.subrequests.values() {
+            let Some(sent_at) = subrequest.sent_at else {
+                continue;
+            };
+            let policy = self.policies.get(&subrequest.request.service);
+            let usual = policy.and_then(|policy| policy.latency.quantile(USUAL_QUANTILE));
+            let usual = usual.unwrap_or(Span::ZERO);
+            let calls = replicas.entry(subrequest.replica).or_default();
+            *calls = calls.add(now.since(sent_at), usual);
+        }
+        replicas.into_values().collect()
     }
 
     /// Number of sub-requests that wait or run.
--- a/decision/src/ownership.rs
+++ b/decision/src/ownership.rs
@@ -48,9 +48,9 @@
 
     /// Judges the links and tries servers if the links are suspected.
     pub(crate) fn check_links(&mut self, now: Time, out: &mut Vec<Action>) {
-        let quiet = self.owner.quiet_replicas(now, uplink::QUIET_MIN);
+        let unanswered = self.owner.unanswered(now);
         let servers = self.entry.router.owners().map(|(server, _)| *server);
-        let probes = self.uplink.check(now, quiet, servers);
+        let probes = self.uplink.check(now, &unanswered, servers);
         let probes = probes.into_iter();
         out.extend(probes.map(|server| Action::Probe(Purpose::Links, server)));
         let state = self.uplink.state();
--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -4,8 +4,9 @@
 //! still reach it. Connections hang or are reset, or old ones live on while new ones are refused.
 //! A host that only sees calls fail can't tell that from many servers that fail at once. So calls
 //! that fail at several servers are a suspicion, and the host then tries to open connections to
-//! servers, first to those that answered last. If none of them accepts one, or all stay silent,
-//! the links are lost. They count as back once servers answer trial calls.
+//! servers, first to those that answered last. If none of them accepts one, or all stay silent for
+//! longer than such calls usually take, the links are lost. They count as back once servers answer
+//! trial calls. Servers are silent from when they were asked: time without calls shows nothing.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -26,9 +27,10 @@
 
 /// Time without any answer, while calls to several servers are open for as long, after which the
 /// links are suspected.
-pub const QUIET_MIN: Span = Span::from_ms(120);
+const QUIET_MIN: Span = Span::from_ms(120);
 
-/// The same after which the links count as lost even if servers accept connections.
+/// The same beyond what the calls usually take, after which the links count as lost even if servers
+/// accept connections.
 const QUIET_MAX: Span = Span::from_ms(700);
 
 /// Servers to which connections are tried in one round.
@@ -78,6 +80,25 @@
     Trial,
 }
 
+/// The calls to a server that are not answered yet.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Unanswered {
+    /// Time since the oldest was sent.
+    pub open: Span,
+    /// Longest time beyond what such a call usually takes.
+    pub late: Span,
+}
+
+impl Unanswered {
+    /// Adds a call that was sent this long ago and usually takes `usual`.
+    pub fn add(self, open: Span, usual: Span) -> Unanswered {
+        Unanswered {
+            open: self.open.max(open),
+            late: self.late.max(open.saturating_sub(usual)),
+        }
+    }
+}
+
 /// A host's evidence on its links.
 #[derive(Clone, Debug, Default)]
 pub struct Uplink {
@@ -94,6 +115,8 @@
     probing: usize,
     /// When the last round or probe began.
     probed_at: Option<Time>,
+    /// When the evidence began for which the last round of probes was sent.
+    suspected_at: Time,
     /// Whether the last round of probes found a server that accepts connections.
     accepted: bool,
     /// Rounds in a row that found none.
@@ -117,9 +140,28 @@
         self.failed.len()
     }
 
-    /// Time since a server last answered.
-    pub fn quiet_for(&self, now: Time) -> Span {
-        now.since(self.heard_at)
+    /// Time for which at least `count` servers have been asked and none has answered, by one of the
+    /// measures of [`Unanswered`]; zero if fewer are asked.
+    fn silence(
+        &self,
+        now: Time,
+        count: usize,
+        unanswered: &[Unanswered],
+        measure: impl Fn(&Unanswered) -> Span,
+    ) -> Span {
+        let mut spans = unanswered.iter().map(measure).collect::<Vec<_>>();
+        spans.sort_unstable_by(|a, b| b.cmp(a));
+        let asked = count.checked_sub(1).and_then(|at| spans.get(at));
+        let asked = asked.copied().unwrap_or(Span::ZERO);
+        asked.min(now.since(self.heard_at))
+    }
+
+    /// Number of servers with a call that has been open for [`QUIET_MIN`] or longer, if none has
+    /// answered for as long.
+    pub fn quiet(&self, now: Time, unanswered: &[Unanswered]) -> usize {
+        let heard = now.since(self.heard_at);
+        let quiet = |server: &&Unanswered| server.open.min(heard) >= QUIET_MIN;
+        unanswered.iter().filter(quiet).count()
     }
 
     /// Records an answer of a server.
@@ -167,7 +209,8 @@
     /// proves little: servers reset connections beyond their limit.
     fn end_round(&mut self, now: Time) {
         self.failed_rounds += 1;
-        if self.failed_rounds >= ROUNDS_MIN || self.quiet_for(now) >= QUIET_MIN {
+        let quiet_since = self.heard_at.max(self.suspected_at);
+        if self.failed_rounds >= ROUNDS_MIN || now.since(quiet_since) >= QUIET_MIN {
             self.enter(now, State::Lost);
         }
     }
@@ -192,37 +235,39 @@
         self.probed_at = Some(now);
     }
 
-    /// Judges the links and returns the servers to which connections are to be tried. `quiet` is
-    /// the number of servers with a call that has been open for [`QUIET_MIN`] or longer; `servers`
-    /// are all servers.
+    /// Judges the links and returns the servers to which connections are to be tried. `unanswered`
+    /// are the calls to each server that has any; `servers` are all servers.
     pub fn check(
         &mut self,
         now: Time,
-        quiet: usize,
+        unanswered: &[Unanswered],
         servers: impl Iterator<Item = SocketAddr>,
     ) -> Vec<SocketAddr> {
         let servers = servers.collect::<Vec<_>>();
         let needed = SUSPECTS_MIN.min(servers.len()).max(1);
-        let is_quiet = quiet >= needed && self.quiet_for(now) >= QUIET_MIN;
+        let silence = self.silence(now, needed, unanswered, |server| server.open);
+        let late = self.silence(now, needed, unanswered, |server| server.late);
         let due = |every| self.probed_at.is_none_or(|at| now.since(at) >= every);
         match self.state {
-            State::Sound if is_quiet && self.quiet_for(now) >= QUIET_MAX => {
+            State::Sound if late >= QUIET_MAX => {
                 self.enter(now, State::Lost);
                 Vec::new()
             }
             State::Sound => {
                 self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
-                let suspected = is_quiet || self.failed.len() >= needed;
-                match suspected && self.probing == 0 && due(ROUND_EVERY) {
-                    true => self.probe(now, PROBES, &servers),
-                    false => Vec::new(),
+                let suspected = silence >= QUIET_MIN || self.failed.len() >= needed;
+                if !suspected || self.probing > 0 || !due(ROUND_EVERY) {
+                    return Vec::new();
                 }
+                let asked_at = now.before(silence);
+                self.suspected_at = self.failed.values().copied().fold(asked_at, Time::min);
+                self.probe(now, PROBES, &servers)
             }
             State::Lost if due(PROBE_EVERY) && self.probing == 0 => self.probe(now, 1, &servers),
             State::Lost => Vec::new(),
             State::Trial => {
                 let over = now.since(self.since) >= self.trial_time;
-                let failing = !self.failed.is_empty() || quiet > 0;
+                let failing = !self.failed.is_empty() || self.quiet(now, unanswered) > 0;
                 if self.failed.len() >= needed || over && failing {
                     self.enter(now, State::Lost);
                     return Vec::new();
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -31,6 +31,7 @@
 mod rotation;
 mod state;
 mod stranded;
+mod uplink;
 mod usage;
 mod voters;
 mod waiting;
--- /dev/null
+++ b/decision/tests/tier/uplink.rs
@@ -0,0 +1,79 @@
+//! What a host makes of servers that don't answer.
+
+use std::net::SocketAddr;
+
+use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::clock::Time;
+use wagtailbeam_decision::uplink::State;
+use wagtailbeam_decision::uplink::Unanswered;
+use wagtailbeam_decision::uplink::Uplink;
+
+const SERVERS: u8 = 9;
+
+fn at(ms: u64) -> Time {
+    Time::default().after(Span::from_ms(ms))
+}
+
+fn servers() -> impl Iterator<Item = SocketAddr> {
+    (0..SERVERS).map(|index| SocketAddr::from(([10, 0, 0, index], 80)))
+}
+
+/// Links over which all servers answered one second after the start.
+fn answered() -> Uplink {
+    let mut uplink = Uplink::default();
+    servers().for_each(|server| uplink.record_answer(at(1_000), server));
+    uplink
+}
+
+/// Judges the links every 10 ms between these times, while calls to three servers are open that were
+/// sent at the first one and usually take this long. New connections are accepted or not. Returns
+/// when the links were taken for lost.
+fn lost_at(uplink: &mut Uplink, sent: u64, until: u64, usual: u64, accepts: bool) -> Option<u64> {
+    for ms in (sent..until).step_by(10) {
+        let calls = Unanswered::default().add(Span::from_ms(ms - sent), Span::from_ms(usual));
+        for _ in uplink.check(at(ms), &[calls; 3], servers()) {
+            uplink.record_probe(at(ms), accepts);
+        }
+        if uplink.state() == State::Lost {
+            return Some(ms - sent);
+        }
+    }
+    None
+}
+
+/// Guards against hosts that refuse their callers because they were idle: calls that have been open
+/// for 130 ms after two idle seconds were taken for two seconds of silence.
+#[test]
+fn time_without_calls_is_no_silence() {
+    let calls = Unanswered::default().add(Span::from_ms(130), Span::from_ms(20));
+    let mut uplink = answered();
+    uplink.check(at(3_130), &[calls; 3], servers());
+    assert_eq!(uplink.state(), State::Sound);
+    assert_eq!(lost_at(&mut answered(), 3_000, 3_700, 20, true), None);
+}
+
+/// Guards against hosts that take a slow route for lost links: its calls take 900 ms.
+#[test]
+fn calls_that_usually_take_long_are_no_silence() {
+    assert_eq!(lost_at(&mut answered(), 3_000, 3_900, 900, true), None);
+}
+
+/// Guards against links that are never taken for lost: connections are accepted, and nothing is
+/// answered.
+#[test]
+fn servers_that_accept_connections_and_never_answer_are_found() {
+    assert_eq!(lost_at(&mut answered(), 1_000, 9_000, 20, true), Some(720));
+    assert_eq!(
+        lost_at(&mut answered(), 3_000, 9_000, 900, true),
+        Some(1_600)
+    );
+}
+
+/// Guards against cuts that are found late because the host was idle or the route is slow.
+#[test]
+fn a_cut_is_found_as_soon_as_no_server_accepts_a_connection() {
+    for (sent, usual) in [(1_000, 20), (3_000, 20), (3_000, 900)] {
+        let lost = lost_at(&mut answered(), sent, 9_000, usual, false);
+        assert_eq!(lost, Some(120), "sent at {sent}, usually {usual} ms");
+    }
+}
