A server that sends what is no answer is not probed for its end

Fix: malformed or endless bytes, told by the kind of the error, show a server that runs; only a connection that broke leads to the probe.

--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -5,6 +5,8 @@
 //! passes them back to [`Pool::handle`], which returns the result of each call.
 
 use std::collections::BTreeMap;
+use std::error::Error as _;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::ops::Bound;
 use std::time::Duration;
@@ -182,7 +184,7 @@
     /// Why a call that was sent has no whole response: its server ended, or it goes on running.
     async fn failure(self, address: SocketAddr, error: &hyper::Error) -> Failure {
         let cause = error.to_string();
-        if error.is_parse() {
+        if is_malformed(error) {
             return Failure::Broken(cause);
         }
         let Verdict {
@@ -509,6 +511,14 @@
     )
 }
 
+/// Whether a call ended because of what its server sent, and not because the connection broke: a
+/// server that sends bytes has not ended.
+fn is_malformed(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    let kind = source.map(std::io::Error::kind);
+    error.is_parse() || matches!(kind, Some(ErrorKind::InvalidData | ErrorKind::InvalidInput))
+}
+
 /// Reads a body within the bounds.
 async fn read_body(incoming: Incoming, bounds: &Bounds, meter: &Meter) -> body::Result<Bytes> {
     let mut reserved = bounds.buffer.reserve();
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -108,6 +108,15 @@
     }
 }
 
+/// Guards against probes of servers that go on sending what is no answer, each of which costs a
+/// connection and the time of the call.
+#[tokio::test]
+async fn a_server_that_sends_what_is_no_answer_is_not_taken_for_ended() {
+    let malformed = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
+    let failure = break_call(malformed, false).await;
+    assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+}
+
 /// Guards against servers that are taken for ended because they cut an answer short.
 #[tokio::test]
 async fn a_server_that_cuts_an_answer_short_and_goes_on_is_not_taken_for_ended() {
