Splits of routes in a module of their own; tests name only what differs in a request

The choice of a weighted service leaves the gateway for `split`; polls of a home go to `account::presence`. `gateway::Request` has a default, and the tests of endless answers share one check.

--- a/adapter/tests/endless.rs
+++ b/adapter/tests/endless.rs
@@ -112,30 +112,34 @@
     );
 }
 
-/// Guards against interim answers that go on after the call, and take a whole core.
-#[tokio::test]
-async fn interim_answers_without_end_end_the_call() {
-    let (address, sent, open) = start(b"", b"HTTP/1.1 100 Continue\r\n\r\n");
+/// Checks that a call to such a server breaks, that its connection closes, and that the server could
+/// send fewer bytes than this.
+async fn check_broken(first: &'static [u8], again: &'static [u8], bytes_max: usize) {
+    let (address, sent, open) = start(first, again);
     let (mut pool, mut events) = pool();
     call(&mut pool, 1, address);
     let failure = next(&mut pool, &mut events).await;
     assert!(matches!(failure, Failure::Broken(_)), "{failure}");
     wait_closed(&open).await;
     let sent = sent.load(Ordering::Relaxed);
-    assert!(sent < HEAD_BYTES_MAX, "{sent} bytes");
+    assert!(sent < bytes_max, "{sent} bytes");
+}
+
+/// Guards against interim answers that go on after the call, and take a whole core.
+#[tokio::test]
+async fn interim_answers_without_end_end_the_call() {
+    check_broken(b"", b"HTTP/1.1 100 Continue\r\n\r\n", HEAD_BYTES_MAX).await;
 }
 
 /// Guards against header lines without end.
 #[tokio::test]
 async fn header_lines_without_end_end_the_call() {
-    let (address, sent, open) = start(b"HTTP/1.1 200 OK\r\n", b"x-more: 0123456789\r\n");
-    let (mut pool, mut events) = pool();
-    call(&mut pool, 1, address);
-    let failure = next(&mut pool, &mut events).await;
-    assert!(matches!(failure, Failure::Broken(_)), "{failure}");
-    wait_closed(&open).await;
-    let sent = sent.load(Ordering::Relaxed);
-    assert!(sent < HEAD_BYTES_MAX, "{sent} bytes");
+    check_broken(
+        b"HTTP/1.1 200 OK\r\n",
+        b"x-more: 0123456789\r\n",
+        HEAD_BYTES_MAX,
+    )
+    .await;
 }
 
 /// Guards against connections that go on after their call was cancelled.
@@ -178,14 +182,7 @@
     const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const DATA: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1";
     for (first, again) in [(HEAD, &[b'0'; 4_096]), (DATA, &[b' '; 4_096])] {
-        let (address, sent, open) = start(first, again);
-        let (mut pool, mut events) = pool();
-        call(&mut pool, 1, address);
-        let failure = next(&mut pool, &mut events).await;
-        assert!(matches!(failure, Failure::Broken(_)), "{failure}");
-        wait_closed(&open).await;
-        let sent = sent.load(Ordering::Relaxed);
-        assert!(sent < FRAMING_SENT_MAX, "{sent} bytes");
+        check_broken(first, again, FRAMING_SENT_MAX).await;
     }
 }
 
@@ -198,14 +195,7 @@
         (TRAILERS, &b"x-more: 0123456789\r\n"[..]),
         (EXTENSION, &[b'e'; 4_096]),
     ] {
-        let (address, sent, open) = start(first, again);
-        let (mut pool, mut events) = pool();
-        call(&mut pool, 1, address);
-        let failure = next(&mut pool, &mut events).await;
-        assert!(matches!(failure, Failure::Broken(_)), "{failure}");
-        wait_closed(&open).await;
-        let sent = sent.load(Ordering::Relaxed);
-        assert!(sent < FRAMING_SENT_MAX, "{sent} bytes");
+        check_broken(first, again, FRAMING_SENT_MAX).await;
     }
 }
 
--- a/decision/src/account/presence.rs
+++ b/decision/src/account/presence.rs
@@ -11,9 +11,14 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use crate::account::quota::Action;
+use crate::account::quota::Gate;
+use crate::account::token::Outcome;
+use crate::account::token::Request;
 use crate::account::token::TokenId;
 use crate::clock::Span;
 use crate::clock::Time;
+use crate::name::Name;
 use crate::plan::Host;
 
 /// Time without a confirmation by the voters after which a host counts as unconfirmed.
@@ -169,3 +174,34 @@
         }
     }
 }
+
+impl Gate {
+    /// Asks the other hosts of the domain whether the voters confirm them, if that is due and this
+    /// host is a home.
+    pub(super) fn poll(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.buckets.is_empty() {
+            return actions;
+        }
+        for host in self.presence.poll(now) {
+            self.last_id.0 += 1;
+            let request = Request {
+                id: self.last_id,
+                account: Name::default(),
+                wanted: 0,
+            };
+            self.presence.polled(self.last_id, host);
+            actions.push(Action::Ask(host, request));
+        }
+        self.buckets.set_part(now, self.presence.part(now));
+        actions
+    }
+
+    /// Whether the voters confirm this host, for another one that asks.
+    pub(super) fn confirmation(&self, now: Time) -> Outcome {
+        match self.presence.is_unconfirmed(now) {
+            true => Outcome::Unconfirmed,
+            false => Outcome::Unknown,
+        }
+    }
+}
--- a/decision/src/account/quota.rs
+++ b/decision/src/account/quota.rs
@@ -34,7 +34,6 @@
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::gateway::RequestId;
-use crate::name::Name;
 use crate::plan::Host;
 
 /// Time within which a home must answer.
@@ -121,13 +120,13 @@
     own: Host,
     terms: Terms,
     map: Map,
-    presence: Presence,
+    pub(super) presence: Presence,
     pub(super) buckets: Buckets,
     waiting: BTreeMap<RequestId, Waiting>,
     /// Homes that did not answer, and until when they are tried last.
     avoided: BTreeMap<SocketAddr, Time>,
     shortage: Shortage,
-    last_id: TokenId,
+    pub(super) last_id: TokenId,
     random: ChaCha8Rng,
 }
 
@@ -176,35 +175,6 @@
         self.buckets.set_part(now, self.presence.part(now));
     }
 
-    /// Asks the other hosts of the domain whether the voters confirm them, if that is due and this
-    /// host is a home.
-    fn poll(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if self.buckets.is_empty() {
-            return actions;
-        }
-        for host in self.presence.poll(now) {
-            self.last_id.0 += 1;
-            let request = Request {
-                id: self.last_id,
-                account: Name::default(),
-                wanted: 0,
-            };
-            self.presence.polled(self.last_id, host);
-            actions.push(Action::Ask(host, request));
-        }
-        self.buckets.set_part(now, self.presence.part(now));
-        actions
-    }
-
-    /// Whether the voters confirm this host, for another one that asks.
-    fn confirmation(&self, now: Time) -> Outcome {
-        match self.presence.is_unconfirmed(now) {
-            true => Outcome::Unconfirmed,
-            false => Outcome::Unknown,
-        }
-    }
-
     /// Number of requests that wait for tokens.
     pub fn waiting_requests(&self) -> usize {
         self.waiting.len()
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -59,6 +59,8 @@
 use crate::quota::Rate;
 use crate::rollout::order::Orders;
 use crate::rollout::traffic::Traffic;
+use crate::split;
+use crate::split::Splits;
 use crate::suspect::Standing;
 use crate::throttle::Throttle;
 use crate::uplink;
@@ -137,7 +139,7 @@
 }
 
 /// The properties of a caller's request that decide how the request is served.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Request {
     /// Value of the `Host` header.
     pub host: Arc<str>,
@@ -319,8 +321,8 @@
     pub(crate) service_latencies: HashMap<(Name, Name), Latency>,
     /// How the capacity of replicas is estimated.
     pub(crate) estimator: Estimator,
-    /// State of the weighted round robin by route; one credit for each service.
-    pub(crate) credits: HashMap<Name, Vec<f64>>,
+    /// Turns of the services that share a route.
+    pub(crate) splits: Splits,
     /// Requests and branches in progress.
     pub(crate) flights: HashMap<RequestId, Flight>,
     pub(crate) calls: HashMap<Ticket, Outstanding>,
@@ -365,7 +367,7 @@
             keeps_connection: HashMap::new(),
             latencies: HashMap::new(),
             service_latencies: HashMap::new(),
-            credits: HashMap::new(),
+            splits: Splits::default(),
             flights: HashMap::new(),
             calls: HashMap::new(),
             waiting: Waiting::default(),
@@ -489,8 +491,8 @@
         let route = route.with_priority(request.priority);
         self.count_request(now, &route.name);
         let services = match &request.shared {
-            Some(shared) => services_by_key(&route, shared.key),
-            None => self.choose_services(&route),
+            Some(shared) => split::services_by_key(&route, shared.key),
+            None => self.splits.services(&route),
         };
         let left = request.left.unwrap_or(route.timeout).min(route.timeout);
         let margin = match request.first_on_connection {
@@ -542,21 +544,6 @@
         self.try_answer(now, id, None, actions);
     }
 
-    /// Services that receive a request of this route: all shards of a gather, or one
-    /// of several weighted services.
-    pub(crate) fn choose_services(&mut self, route: &Route) -> Vec<Name> {
-        match &route.target {
-            Target::Gather { shards, .. } => shards.clone(),
-            Target::Weighted(services) if services.len() == 1 => vec![services[0].0.clone()],
-            Target::Weighted(services) => {
-                let weights = services.iter().map(|(_, weight)| weight.max(0.0));
-                let weights = weights.collect::<Vec<_>>();
-                let credits = self.credits.entry(route.name.clone()).or_default();
-                vec![services[next_weighted(credits, &weights)].0.clone()]
-            }
-        }
-    }
-
     /// Median and high quantile of recent latencies on this route.
     pub(crate) fn expected_latency(&mut self, route: &Route) -> Expected {
         let initial = route.objective.divided_by(4);
@@ -632,42 +619,3 @@
         self.try_answer(now, id, None, actions);
     }
 }
-
-/// Services that receive a request with this key: one of several weighted services is the same at
-/// all hosts, so that they pick among the same replicas.
-fn services_by_key(route: &Route, key: u64) -> Vec<Name> {
-    let services = match &route.target {
-        Target::Gather { shards, .. } => return shards.clone(),
-        Target::Weighted(services) => services,
-    };
-    let total = services.iter().map(|(_, weight)| weight.max(0.0));
-    let mut point = total.sum::<f64>() * (key >> 11) as f64 / (1_u64 << 53) as f64;
-    let positive = services.iter().filter(|(_, weight)| *weight > 0.0);
-    let chosen = positive.clone().find(|(_, weight)| {
-        point -= weight;
-        point < 0.0
-    });
-    let chosen = chosen.or_else(|| positive.clone().next_back());
-    chosen.map(|(name, _)| name.clone()).into_iter().collect()
-}
-
-/// Picks the next service by smooth weighted round robin, so that over time each service
-/// gets the share given by its weight.
-fn next_weighted(credits: &mut Vec<f64>, weights: &[f64]) -> usize {
-    credits.resize(weights.len(), 0.0);
-    let total = weights.iter().sum::<f64>();
-    for (credit, weight) in credits.iter_mut().zip(weights) {
-        *credit = (*credit + weight).clamp(-2.0 * total, 2.0 * total);
-    }
-    let higher_credit = |best: usize, index: usize| {
-        if credits[index] > credits[best] {
-            index
-        } else {
-            best
-        }
-    };
-    let eligible = (0..weights.len()).filter(|index| weights[*index] > 0.0);
-    let chosen = eligible.reduce(higher_credit).unwrap_or_default();
-    credits[chosen] -= total;
-    chosen
-}
--- a/decision/src/gathering.rs
+++ b/decision/src/gathering.rs
@@ -51,7 +51,7 @@
             return actions.push(Action::Reply(id, declined));
         }
         let route = branch.route.clone();
-        let services = self.choose_services(&route);
+        let services = self.splits.services(&route);
         let flight = Flight {
             settle_at: now.after(branch.settle),
             account: branch.account.clone(),
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -74,6 +74,7 @@
 mod scatter;
 mod seats;
 pub mod silence;
+mod split;
 pub mod spread;
 pub mod suspect;
 mod throttle;
--- a/decision/tests/load/arrivals.rs
+++ b/decision/tests/load/arrivals.rs
@@ -150,14 +150,10 @@
             host: "desk.example".into(),
             path: format!("/r{}/x", arrival.route).into(),
             fingerprint: Digest::of(&id.to_le_bytes()),
-            left: None,
             catalog_confirmed: true,
-            first_on_connection: false,
-            others_healthier: false,
             priority: client.map(|client| client.priority),
             account: client.map(|client| client.account.into()),
-            waited: Span::ZERO,
-            shared: None,
+            ..Request::default()
         };
         self.handle(host, Event::Request(id, request));
     }
--- a/decision/tests/tier/catalog.rs
+++ b/decision/tests/tier/catalog.rs
@@ -162,15 +162,9 @@
     let request = Request {
         host: "desk.example".into(),
         path: path.into(),
-        fingerprint: Digest::default(),
-        left: None,
         catalog_confirmed: true,
-        first_on_connection: false,
-        others_healthier: false,
-        priority: None,
-        account: None,
-        waited: Span::ZERO,
         shared,
+        ..Request::default()
     };
     let sent = gateway.step(now, Event::Request(id, request));
     let sent = sent.into_iter().find_map(|action| match action {
--- a/decision/tests/tier/connections.rs
+++ b/decision/tests/tier/connections.rs
@@ -6,7 +6,6 @@
 
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::fleet::Fleet;
 use wagtailbeam_decision::gateway::Action;
 use wagtailbeam_decision::gateway::Event;
@@ -54,15 +53,9 @@
         let request = Request {
             host: "desk.example".into(),
             path: "/all/x".into(),
-            fingerprint: Digest::default(),
             left: Some(Span::from_secs(1)),
             catalog_confirmed: true,
-            first_on_connection: false,
-            others_healthier: false,
-            priority: None,
-            account: None,
-            waited: Span::ZERO,
-            shared: None,
+            ..Request::default()
         };
         let actions = gateway.step(now, Event::Request(1, request));
         for action in actions {
--- a/decision/tests/tier/gateway.rs
+++ b/decision/tests/tier/gateway.rs
@@ -7,7 +7,6 @@
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::answer::Report;
 use wagtailbeam_decision::clock::Span;
-use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::name::Name;
 
@@ -106,15 +105,9 @@
     let request = wagtailbeam_decision::gateway::Request {
         host: "desk.example".into(),
         path: "/all/x".into(),
-        fingerprint: Digest::default(),
-        left: None,
         catalog_confirmed: true,
-        first_on_connection: false,
         others_healthier: true,
-        priority: None,
-        account: None,
-        waited: Span::ZERO,
-        shared: None,
+        ..wagtailbeam_decision::gateway::Request::default()
     };
     simulation.handle(Event::Request(99, request));
     let (answer, _) = &simulation.answers[&99];
@@ -134,15 +127,10 @@
     let request = wagtailbeam_decision::gateway::Request {
         host: "desk.example".into(),
         path: "/all/x".into(),
-        fingerprint: Digest::default(),
         left: Some(Span::from_ms(300)),
         catalog_confirmed: true,
-        first_on_connection: false,
-        others_healthier: false,
-        priority: None,
-        account: None,
         waited: Span::from_ms(100),
-        shared: None,
+        ..wagtailbeam_decision::gateway::Request::default()
     };
     simulation.handle(Event::Request(99, request));
     simulation.run(Span::from_ms(199));
@@ -243,15 +231,8 @@
     let request = |catalog_confirmed| wagtailbeam_decision::gateway::Request {
         host: "desk.example".into(),
         path: "/none/".into(),
-        fingerprint: Digest::default(),
-        left: None,
         catalog_confirmed,
-        first_on_connection: false,
-        others_healthier: false,
-        priority: None,
-        account: None,
-        waited: Span::ZERO,
-        shared: None,
+        ..wagtailbeam_decision::gateway::Request::default()
     };
     simulation.handle(Event::Request(1, request(true)));
     simulation.handle(Event::Request(2, request(false)));
--- a/decision/tests/tier/hosts.rs
+++ b/decision/tests/tier/hosts.rs
@@ -519,14 +519,9 @@
             host: "desk.example".into(),
             path: format!("/{route}/x").into(),
             fingerprint: Digest::of(&id.to_le_bytes()),
-            left: None,
             catalog_confirmed: true,
-            first_on_connection: false,
-            others_healthier: false,
-            priority: None,
-            account: None,
-            waited: Span::ZERO,
             shared,
+            ..Request::default()
         };
         self.step(at, Event::Request(id, request));
     }
--- a/decision/tests/tier/model.rs
+++ b/decision/tests/tier/model.rs
@@ -253,14 +253,8 @@
             host: "desk.example".into(),
             path: format!("/{route}/x").into(),
             fingerprint: self.fingerprint(id, route),
-            left: None,
             catalog_confirmed: true,
-            first_on_connection: false,
-            others_healthier: false,
-            priority: None,
-            account: None,
-            waited: Span::ZERO,
-            shared: None,
+            ..Request::default()
         };
         self.schedule(wait, Step::Request(id, request));
     }
--- a/decision/tests/tier/rollout_model.rs
+++ b/decision/tests/tier/rollout_model.rs
@@ -229,14 +229,8 @@
                 host: "desk.example".into(),
                 path: ["/all/x", "/once/x"][id as usize % 2].into(),
                 fingerprint: Digest::of(&id.to_le_bytes()),
-                left: None,
                 catalog_confirmed: true,
-                first_on_connection: false,
-                others_healthier: false,
-                priority: None,
-                account: None,
-                waited: Span::ZERO,
-                shared: None,
+                ..Request::default()
             };
             self.hosts[at].last_request = id;
             self.step(at, Event::Request(id, request));
--- a/decision/tests/tier/waiting.rs
+++ b/decision/tests/tier/waiting.rs
@@ -7,7 +7,6 @@
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::clock::Span;
 use wagtailbeam_decision::clock::Time;
-use wagtailbeam_decision::digest::Digest;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
 use wagtailbeam_decision::gateway::Action;
@@ -39,15 +38,8 @@
     Request {
         host: "desk.example".into(),
         path: format!("/{route}/x").into(),
-        fingerprint: Digest::default(),
-        left: None,
         catalog_confirmed: true,
-        first_on_connection: false,
-        others_healthier: false,
-        priority: None,
-        account: None,
-        waited: Span::ZERO,
-        shared: None,
+        ..Request::default()
     }
 }
 
