A connection that is accepted and reset later is no proof of sound links

Cause: a connection that stays open for 100 ms counted as a server that can be reached. It ended trials without a call, and outweighed calls that all broke.

Fix: a trial without calls ends well if servers keep connections open for one second, on probes that begin at its end; calls that break at several servers for 700 ms while none is answered show lost links whatever probes say. Both users of `uplink` get both.

--- a/adapter/src/node.rs
+++ b/adapter/src/node.rs
@@ -456,9 +456,9 @@
                 self.backend.call(&call, connections);
             }
             Action::Abort(ticket) => self.backend.abort(ticket),
-            Action::Probe(purpose, address) => {
-                let result = move |reachable| Event::Probed(purpose, address, reachable);
-                probe::start(address, self.probes.clone(), result);
+            Action::Probe(purpose, probe) => {
+                let result = move |reachable| Event::Probed(purpose, probe.server, reachable);
+                probe::start(probe, self.probes.clone(), result);
             }
             Action::CloseConnections(replica) => self.backend.close_idle(&replica),
             Action::Persist(number, record) => {
--- a/adapter/src/probe.rs
+++ b/adapter/src/probe.rs
@@ -14,14 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use wagtailbeam_decision::uplink::Probe;
 
 /// Time within which a server that runs accepts a connection; a call waits for the result.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time for which a connection must stay open to show that a server can be reached. A device on the
-/// way may accept connections and reset them a moment later.
-const REACHABLE_MIN: Duration = Duration::from_millis(100);
-
 /// Connections that a server may accept and close before it counts as running. A process that ends
 /// rarely accepts more than one, while a cut link may close all of them.
 const CLOSED_MAX: u32 = 3;
@@ -114,21 +111,21 @@
     timeout(time, stream.read(&mut byte)).await.is_err()
 }
 
-/// Whether a server can be reached: accepts a connection and keeps it open for a while.
-pub async fn accepts(address: SocketAddr) -> bool {
-    accepts_for(address, REACHABLE_MIN).await
+/// Whether a server can be reached: accepts a connection and keeps it open for long enough.
+pub async fn accepts(probe: Probe) -> bool {
+    accepts_for(probe.server, Duration::from_micros(probe.open_for.as_us())).await
 }
 
 /// Starts a task that finds out whether a server can be reached and sends what `result` makes of it.
 pub fn start<T: Send + 'static>(
-    address: SocketAddr,
+    probe: Probe,
     results: mpsc::Sender<T>,
     result: impl FnOnce(bool) -> T + Send + 'static,
 ) {
     tokio::spawn(async move {
-        let reachable = accepts(address).await;
+        let reachable = accepts(probe).await;
         if results.send(result(reachable)).await.is_err() {
-            tracing::debug!(%address, "result of a probe came after the stop");
+            tracing::debug!(server = %probe.server, "result of a probe came after the stop");
         }
     });
 }
--- a/adapter/src/serve.rs
+++ b/adapter/src/serve.rs
@@ -183,8 +183,8 @@
                         self.subscriber.hurry();
                     }
                 }
-                Action::Probe(address) => {
-                    probe::start(address, self.probes.clone(), |accepted| accepted);
+                Action::Probe(probe) => {
+                    probe::start(probe, self.probes.clone(), |accepted| accepted);
                 }
                 Action::Links(state, evidence) => note::links_changed(state, evidence),
                 Action::Leaving(service, replica) => {
--- a/adapter/tests/probe.rs
+++ b/adapter/tests/probe.rs
@@ -21,6 +21,8 @@
 use wagtailbeam_adapter::pool::Options;
 use wagtailbeam_adapter::pool::Pool;
 use wagtailbeam_adapter::probe;
+use wagtailbeam_decision::uplink::Probe;
+use wagtailbeam_decision::uplink::REACHABLE_TIME;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
@@ -143,7 +145,11 @@
         drop(stream);
         std::future::pending::<()>().await;
     });
-    assert!(!probe::accepts(address).await);
+    let probe = Probe {
+        server: address,
+        open_for: REACHABLE_TIME,
+    };
+    assert!(!probe::accepts(probe).await);
 }
 
 /// Whether a port counts as closed whose connections end like these, one after the other; later ones
--- a/decision/src/daemon.rs
+++ b/decision/src/daemon.rs
@@ -469,8 +469,10 @@
                         );
                     }
                 }
-                owner::Action::Probe(replica) => {
-                    out.push(Action::Probe(Purpose::Restart, replica));
+                owner::Action::Probe(server) => {
+                    let open_for = uplink::REACHABLE_TIME;
+                    let probe = uplink::Probe { server, open_for };
+                    out.push(Action::Probe(Purpose::Restart, probe));
                 }
                 owner::Action::CloseConnections(replica) => {
                     out.push(Action::CloseConnections(replica))
--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -269,7 +269,7 @@
     Extra(RequestId, Name, Name, Extra),
     /// Try to open a connection to a server, and report with [`Event::Probed`] whether it was
     /// accepted.
-    Probe(SocketAddr),
+    Probe(uplink::Probe),
     /// The state of this host's links to the servers changed.
     Links(uplink::State, Evidence),
     /// A replica of this service said that it is leaving.
--- a/decision/src/message.rs
+++ b/decision/src/message.rs
@@ -220,7 +220,7 @@
     Abort(Ticket),
     /// Try to open a connection to a backend server, and report with [`Event::Probed`] whether the
     /// server can be reached.
-    Probe(Purpose, SocketAddr),
+    Probe(Purpose, uplink::Probe),
     /// Close the connections to a backend server.
     CloseConnections(SocketAddr),
     /// Append the voter's record with this number and sync it.
--- a/decision/src/ownership.rs
+++ b/decision/src/ownership.rs
@@ -52,7 +52,7 @@
         let servers = self.entry.router.owners().map(|(server, _)| *server);
         let probes = self.uplink.check(now, &unanswered, servers);
         let probes = probes.into_iter();
-        out.extend(probes.map(|server| Action::Probe(Purpose::Links, server)));
+        out.extend(probes.map(|probe| Action::Probe(Purpose::Links, probe)));
         let state = self.uplink.state();
         if state != self.links {
             self.links = state;
--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -30,7 +30,8 @@
 const QUIET_MIN: Span = Span::from_ms(120);
 
 /// The same beyond what the calls usually take, after which the links count as lost even if servers
-/// accept connections.
+/// accept connections; and the time for which calls must fail at several servers, and none be
+/// answered.
 const QUIET_MAX: Span = Span::from_ms(700);
 
 /// Servers to which connections are tried in one round.
@@ -62,6 +63,14 @@
 /// Time after which links that are back count as lost anew.
 const RELAPSE_MAX: Span = Span::from_secs(15);
 
+/// Time for which a connection must stay open to show that a server can be reached. A device on the
+/// way may accept connections and reset them a moment later.
+pub const REACHABLE_TIME: Span = Span::from_ms(100);
+
+/// The same for the connections that end a trial without calls, since a device that is busy resets
+/// them later.
+const TRIAL_REACHABLE_TIME: Span = Span::from_ms(1_000);
+
 /// Last answers that are remembered, to pick servers for probes.
 const ANSWERED_MAX: usize = 16;
 
@@ -80,6 +89,15 @@
     Trial,
 }
 
+/// A connection to be tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Probe {
+    /// The server.
+    pub server: SocketAddr,
+    /// Time for which the connection must stay open.
+    pub open_for: Span,
+}
+
 /// The calls to a server that are not answered yet.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Unanswered {
@@ -111,6 +129,8 @@
     answered: Vec<SocketAddr>,
     /// Servers at which a call failed, with the time of the last one.
     failed: BTreeMap<SocketAddr, Time>,
+    /// When the first call failed since the last answer.
+    failing_since: Option<Time>,
     /// Probes that have not ended.
     probing: usize,
     /// When the last round or probe began.
@@ -127,6 +147,8 @@
     trials: BTreeSet<SocketAddr>,
     /// Length of the current trial, or of the last one.
     trial_time: Span,
+    /// Whether the probes under way end the trial.
+    ends_trial: bool,
 }
 
 impl Uplink {
@@ -167,6 +189,7 @@
     /// Records an answer of a server.
     pub fn record_answer(&mut self, now: Time, server: SocketAddr) {
         self.heard_at = now;
+        self.failing_since = None;
         self.failed.remove(&server);
         self.answered.retain(|other| *other != server);
         self.answered.push(server);
@@ -183,6 +206,7 @@
 
     /// Records that a call to a server failed at the connection, or that the server is silent.
     pub fn record_failure(&mut self, now: Time, server: SocketAddr) {
+        self.failing_since.get_or_insert(now);
         self.failed.insert(server, now);
         self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
     }
@@ -198,7 +222,7 @@
             State::Lost if accepted => self.enter(now, State::Trial),
             State::Sound if self.probing == 0 && !self.accepted => self.end_round(now),
             State::Trial if !accepted => self.enter(now, State::Lost),
-            State::Trial if self.probing == 0 && now.since(self.since) >= self.trial_time => {
+            State::Trial if self.probing == 0 && self.ends_trial => {
                 self.enter(now, State::Sound);
             }
             _ => {}
@@ -229,8 +253,10 @@
         self.state = state;
         self.since = now;
         self.failed.clear();
+        self.failing_since = None;
         self.failed_rounds = 0;
         self.trials.clear();
+        self.ends_trial = false;
         self.trial_at = now;
         self.probed_at = Some(now);
     }
@@ -242,20 +268,24 @@
         now: Time,
         unanswered: &[Unanswered],
         servers: impl Iterator<Item = SocketAddr>,
-    ) -> Vec<SocketAddr> {
+    ) -> Vec<Probe> {
         let servers = servers.collect::<Vec<_>>();
         let needed = SUSPECTS_MIN.min(servers.len()).max(1);
         let silence = self.silence(now, needed, unanswered, |server| server.open);
         let late = self.silence(now, needed, unanswered, |server| server.late);
         let due = |every| self.probed_at.is_none_or(|at| now.since(at) >= every);
+        if self.state == State::Sound {
+            self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
+        }
+        let is_failing = self.failed.len() >= needed;
+        let failing_for = self.failing_since.map_or(Span::ZERO, |at| now.since(at));
         match self.state {
-            State::Sound if late >= QUIET_MAX => {
+            State::Sound if late >= QUIET_MAX || is_failing && failing_for >= QUIET_MAX => {
                 self.enter(now, State::Lost);
                 Vec::new()
             }
             State::Sound => {
-                self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
-                let suspected = silence >= QUIET_MIN || self.failed.len() >= needed;
+                let suspected = silence >= QUIET_MIN || is_failing;
                 if !suspected || self.probing > 0 || !due(ROUND_EVERY) {
                     return Vec::new();
                 }
@@ -268,21 +298,27 @@
             State::Trial => {
                 let over = now.since(self.since) >= self.trial_time;
                 let failing = !self.failed.is_empty() || self.quiet(now, unanswered) > 0;
-                if self.failed.len() >= needed || over && failing {
+                if is_failing || over && failing {
                     self.enter(now, State::Lost);
                     return Vec::new();
                 }
-                let count = if over { PROBES } else { 1 };
-                match self.probing == 0 && (over || due(PROBE_EVERY)) {
-                    true => self.probe(now, count, &servers),
-                    false => Vec::new(),
+                if self.probing > 0 || !over && !due(PROBE_EVERY) {
+                    return Vec::new();
                 }
+                self.ends_trial = over;
+                let probes = self.probe(now, if over { PROBES } else { 1 }, &servers);
+                let open_for = match over {
+                    true => TRIAL_REACHABLE_TIME,
+                    false => REACHABLE_TIME,
+                };
+                let probes = probes.into_iter();
+                probes.map(|probe| Probe { open_for, ..probe }).collect()
             }
         }
     }
 
     /// Picks servers for probes: those that answered last, then any others.
-    fn probe(&mut self, now: Time, count: usize, servers: &[SocketAddr]) -> Vec<SocketAddr> {
+    fn probe(&mut self, now: Time, count: usize, servers: &[SocketAddr]) -> Vec<Probe> {
         let failed = |server: &SocketAddr| self.failed.contains_key(server);
         let answered = self.answered.iter().rev().copied();
         let mut chosen = answered
@@ -299,7 +335,11 @@
         self.probing = chosen.len();
         self.accepted = false;
         self.probed_at = Some(now);
-        chosen
+        let probe = |server| Probe {
+            server,
+            open_for: REACHABLE_TIME,
+        };
+        chosen.into_iter().map(probe).collect()
     }
 
     /// Whether a call may be sent on links that are not known to work. A few may
--- a/decision/tests/tier/uplink.rs
+++ b/decision/tests/tier/uplink.rs
@@ -77,3 +77,83 @@
         assert_eq!(lost, Some(120), "sent at {sent}, usually {usual} ms");
     }
 }
+
+/// Links that are lost, and on trial since this time.
+fn on_trial(since: u64) -> Uplink {
+    let mut uplink = answered();
+    assert!(lost_at(&mut uplink, 1_000, 9_000, 20, false).is_some());
+    uplink.record_probe(at(since), true);
+    assert_eq!(uplink.state(), State::Trial);
+    uplink
+}
+
+/// Runs a trial without calls to its end; connections are reset this long after they were accepted.
+/// Returns the state then.
+fn trial(reset_after: Option<Span>) -> State {
+    let mut uplink = on_trial(2_000);
+    let mut under_way = Vec::<(u64, bool)>::new();
+    for ms in (2_000..6_000).step_by(10) {
+        let (ended, open) = under_way.into_iter().partition(|(until, _)| *until <= ms);
+        under_way = open;
+        let ended: Vec<(u64, bool)> = ended;
+        for (_, accepted) in ended {
+            uplink.record_probe(at(ms), accepted);
+            if uplink.state() != State::Trial {
+                return uplink.state();
+            }
+        }
+        for probe in uplink.check(at(ms), &[], servers()) {
+            let accepted = reset_after.is_none_or(|reset| reset > probe.open_for);
+            let took = reset_after.map_or(probe.open_for, |reset| reset.min(probe.open_for));
+            under_way.push((ms + took.as_ms(), accepted));
+        }
+    }
+    uplink.state()
+}
+
+/// Guards against links that count as back because connections are reset late, by a device or a server
+/// that is busy, while the daemon has no calls that would show it.
+#[test]
+fn connections_that_are_reset_after_a_moment_do_not_end_a_trial_well() {
+    assert_eq!(trial(None), State::Sound);
+    for ms in [50, 150, 400, 900] {
+        assert_eq!(trial(Some(Span::from_ms(ms))), State::Lost, "{ms} ms");
+    }
+}
+
+/// Guards against links that are never taken for lost: connections are accepted, and reset with each
+/// call only after a moment.
+#[test]
+fn calls_that_all_break_on_accepted_connections_show_lost_links() {
+    let mut uplink = answered();
+    let mut lost = None;
+    for ms in (3_000..9_000).step_by(10) {
+        let failing = servers().nth((ms as usize / 10) % usize::from(SERVERS));
+        uplink.record_failure(at(ms), failing.expect("a server"));
+        for _ in uplink.check(at(ms), &[], servers()) {
+            uplink.record_probe(at(ms), true);
+        }
+        if uplink.state() == State::Lost {
+            lost = lost.or(Some(ms - 3_000));
+        }
+    }
+    assert_eq!(lost, Some(700));
+}
+
+/// Guards against links that are taken for lost because some servers fail while another answers.
+#[test]
+fn calls_that_break_at_some_servers_while_others_answer_are_no_silence() {
+    let mut uplink = answered();
+    let answering = servers().last().expect("a server");
+    for ms in (3_000..9_000).step_by(10) {
+        let failing = servers().nth((ms as usize / 10) % 5);
+        uplink.record_failure(at(ms), failing.expect("a server"));
+        if ms % 500 == 0 {
+            uplink.record_answer(at(ms), answering);
+        }
+        for _ in uplink.check(at(ms), &[], servers()) {
+            uplink.record_probe(at(ms), true);
+        }
+        assert_eq!(uplink.state(), State::Sound, "after {} ms", ms - 3_000);
+    }
+}
