Calls that broke before an idle time don't add to those that break now

A call that broke, an idle time and then three that break at once showed lost links without a probe, as if calls had broken all the while.

Evidence: `tier uplink::a_call_that_broke_long_ago_does_not_add_to_those_that_break_now` fails before.

Measured: all tests of `tier` pass.

--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -129,7 +129,8 @@
     answered: Vec<SocketAddr>,
     /// Servers at which a call failed, with the time of the last one.
     failed: BTreeMap<SocketAddr, Time>,
-    /// When the first call failed since the last answer.
+    /// When the first call failed of those that failed since the last answer, at most
+    /// [`FAILURE_TTL`] apart.
     failing_since: Option<Time>,
     /// Probes that have not ended.
     probing: usize,
@@ -206,9 +207,12 @@
 
     /// Records that a call to a server failed at the connection, or that the server is silent.
     pub fn record_failure(&mut self, now: Time, server: SocketAddr) {
+        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
+        if self.failed.is_empty() {
+            self.failing_since = None;
+        }
         self.failing_since.get_or_insert(now);
         self.failed.insert(server, now);
-        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
     }
 
     /// Records the end of a probe: whether the server accepted a connection.
--- a/decision/tests/tier/uplink.rs
+++ b/decision/tests/tier/uplink.rs
@@ -157,3 +157,16 @@
         assert_eq!(uplink.state(), State::Sound, "after {} ms", ms - 3_000);
     }
 }
+
+/// Guards against links that are taken for lost at once because a call had failed before an idle time.
+#[test]
+fn a_call_that_broke_long_ago_does_not_add_to_those_that_break_now() {
+    let mut uplink = answered();
+    let mut failing = servers();
+    uplink.record_failure(at(2_000), failing.next().expect("a server"));
+    for server in failing.take(3) {
+        uplink.record_failure(at(5_000), server);
+    }
+    let probes = uplink.check(at(5_000), &[], servers());
+    assert_eq!((uplink.state(), probes.len()), (State::Sound, 3));
+}
