--- a/decision/src/uplink.rs
+++ b/decision/src/uplink.rs
@@ -179,7 +179,7 @@
         asked.min(now.since(self.heard_at))
     }
 
-    /// Number of servers with a call that has been open for [`QUIET_MIN`] or longer, if none has
+    /// Number of servers with a call that has been open for long enough to be suspected, if none has
     /// answered for as long.
     pub fn quiet(&self, now: Time, unanswered: &[Unanswered]) -> usize {
         let heard = now.since(self.heard_at);
