An answer before counts for ends that another host reported

Cause: a request that was answered before may end five servers, others two. A host applied that to its own first record only. It adopted the first end from a host that had restarted and knew of no answer, while it had nine answers itself; the voters were down, so that an answer at a third host couldn't be told.

Fix: a host that knows of an answer adopts such a record as that of an answered request; the mark is the greater one, and others adopt it. A request that nobody answered is quarantined after three ends as before (same test).

Measured: all tests of `tier` pass.

--- a/decision/src/quarantine.rs
+++ b/decision/src/quarantine.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// The mark for a process that knows that the part was answered before it became suspect.
+    fn with_answer_before(self) -> Mark {
+        Mark {
+            epoch: match self.cleared {
+                true => self.epoch,
+                false => self.epoch.max(2),
+            },
+            ..self
+        }
+    }
+
     /// The mark after one more server ended.
     fn crashed(self) -> Mark {
         let new_epoch = self.cleared || self.epoch == 0;
@@ -270,8 +281,8 @@
         cleared
     }
 
-    /// Adopts the newer ones of another process's records. Returns the parts whose standing
-    /// changed.
+    /// Adopts the newer ones of another process's records. The other one may not know that a server
+    /// answered a part before, as after a restart. Returns the parts whose standing changed.
     pub fn merge(&mut self, now: Time, records: Vec<Record>) -> Vec<(Digest, Name, Standing)> {
         let mut changed = Vec::new();
         self.purge(now);
@@ -282,13 +293,17 @@
             if known.is_some_and(|known| known >= record.mark) {
                 continue;
             }
+            let mark = match self.answered.contains(now, &key) {
+                true => record.mark.with_answer_before(),
+                false => record.mark,
+            };
             let entry = Entry {
-                mark: record.mark,
+                mark,
                 crashed_at: now,
                 expires_at,
             };
             self.entries.insert(key, entry);
-            let standing = record.mark.standing();
+            let standing = mark.standing();
             if known.map(Mark::standing) != Some(standing) {
                 changed.push((record.fingerprint, record.service, standing));
             }
--- a/decision/tests/tier/records.rs
+++ b/decision/tests/tier/records.rs
@@ -130,6 +130,26 @@
     }
 }
 
+/// Guards against a harmless request that a host quarantines although it was answered there, because
+/// a restarted host, which doesn't know of the answer, reported the first end.
+#[test]
+fn an_answer_before_counts_for_ends_that_another_host_reported() {
+    for (answered, expected) in [(true, Standing::Suspect), (false, Standing::Quarantined)] {
+        let (mut knowing, mut restarted) = (Ledger::default(), Ledger::default());
+        if answered {
+            knowing.record_answer(ms(1), &fatal(), &service());
+        }
+        crash(&mut restarted, 10, 15);
+        knowing.merge(ms(16), restarted.summary(ms(16), 0).records);
+        crash(&mut knowing, 20, 25);
+        crash(&mut knowing, 30, 35);
+        let standing = |ledger: &Ledger| ledger.standing(ms(40), &fatal(), &service());
+        assert_eq!(standing(&knowing), Some(expected));
+        restarted.merge(ms(40), knowing.summary(ms(40), 0).records);
+        assert_eq!(standing(&restarted), Some(expected));
+    }
+}
+
 /// Guards against a host without the answer that quarantines the request for all others.
 #[test]
 fn a_host_adopts_the_record_of_one_where_the_request_was_answered() {
