--- a/decision/tests/properties/main.rs
+++ b/decision/tests/properties/main.rs
@@ -1,6 +1,7 @@
 //! Property tests of the state machines under faults, with fixed seeds.
 
 mod admission;
+mod ballot;
 mod burn;
 mod entry;
 mod group;
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -22,6 +22,7 @@
 mod notice;
 mod older;
 mod orders;
+mod plan;
 mod quota;
 mod records;
 mod relays;
