--- a/review/13/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # trouble out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review-3/lab || exit 2
-exec target/review-3/lab fails-503 review/13
+exec target/review-3/lab fails-503 review/14
--- a/review/lab-3/lab.rs
+++ b/review/lab-3/lab.rs
@@ -268,7 +268,7 @@
     }
 
     /// The settings as the platform renders them from the templates in `platform/`.
-    fn settings(&self, group: u8, index: u8) -> String {
+    fn settings(&self, group: u8, index: u8, first_start: bool) -> String {
         let zone = ZONES[usize::from(index) % ZONES.len()];
         let seeds = (1..=3).map(|seed| self.address(1, seed, 0).to_string());
         let seeds = seeds.collect::<Vec<_>>().join(",");
@@ -299,7 +299,9 @@
         text += &format!("[voters]\nseeds = {seeds}\nport = {voter_port}\nlosses = 2\n");
         if group == 1 {
             return text
-                + &format!("found = true\n\n[list]\naddress = {list}\nlag = 800ms\n\n[rollout]\n");
+                + &format!(
+                    "found = {first_start}\n\n[list]\naddress = {list}\nlag = 800ms\n\n[rollout]\n"
+                );
         }
         text + &format!(
             "\n[list]\naddress = {list}\nlag = 800ms\n\n[extra]\nratio = 0.2\nslack = 54\nwindow = 10s\n\n[cold]\noverage = 1.5\nslack = 5\n\n[stop]\nlongest = 6s\n"
@@ -308,8 +310,12 @@
 
     /// Starts a process with the command of the deploy file.
     fn start(&mut self, group: u8, index: u8) -> Result<()> {
+        self.start_as(group, index, true)
+    }
+
+    fn start_as(&mut self, group: u8, index: u8, first_start: bool) -> Result<()> {
         let path = self.folder.join(format!("settings-{group}-{index}.ini"));
-        std::fs::write(&path, self.settings(group, index))?;
+        std::fs::write(&path, self.settings(group, index, first_start))?;
         let log = File::create(self.folder.join(format!("log-{group}-{index}")))?;
         let process = Command::new("target/release/wagtailbeamd")
             .args(["--discover", "--settings-from", "WAGTAILBEAM_BOOT"])
@@ -336,8 +342,13 @@
     Ok(())
 }
 
-/// Makes one call over a new connection and returns the status.
+/// Makes one call over a new connection and returns the status; 0 without an answer.
 fn call(address: SocketAddr, head: &str, body: &str) -> Result<u16> {
+    let answer = exchange(address, head, body)?;
+    Ok(answer.map_or(0, |answer| status_of(&answer)))
+}
+
+fn exchange(address: SocketAddr, head: &str, body: &str) -> Result<Option<Message>> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(4)))?;
     write!(
@@ -345,8 +356,7 @@
         "{head} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )?;
-    let answer = read_message(&mut stream, &mut Vec::new())?;
-    Ok(answer.map_or(0, |answer| status_of(&answer)))
+    read_message(&mut stream, &mut Vec::new())
 }
 
 fn status_of(answer: &Message) -> u16 {
@@ -399,9 +409,19 @@
     Ok(status)
 }
 
+/// Time after the seeds at which the other voters start: all machines start within 0.3 s.
+const START_SPREAD_MS: u64 = 290;
+
 /// Replicas of the service, as `pass-wallet` has them.
 const REPLICAS: u8 = 5;
 
+/// The first manifest: one route that isn't idempotent.
+fn manifest() -> String {
+    format!(
+        "{{\"Version\":1,\"Routes\":[{{\"Name\":\"orders\",\"Hostname\":\"{HOSTNAME}\",\"PathPrefix\":\"/orders/\",\"Type\":\"non_idempotent\",\"TimeoutMs\":3000,\"TargetLatencyMs\":500,\"Priority\":1,\"Service\":\"wallet\",\"MaxAttempts\":2}}],\"Services\":[{{\"Name\":\"wallet\",\"HealthPath\":\"/healthz\",\"MaxConnections\":100,\"Protocol\":\"h1\",\"Tls\":false,\"WarmupS\":3.0,\"WarmupPerS\":0.0}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}"
+    )
+}
+
 /// Starts everything, sends requests for a while and returns what was seen; `None` if the tier
 /// doesn't serve.
 fn play(fault: Fault, faulty_replicas: u8, trouble_s: f64) -> Option<Arc<World>> {
@@ -458,9 +478,7 @@
     for index in 1..=ENTRIES {
         deployment.start(2, index).ok()?;
     }
-    let manifest = format!(
-        "{{\"Version\":1,\"Routes\":[{{\"Name\":\"orders\",\"Hostname\":\"{HOSTNAME}\",\"PathPrefix\":\"/orders/\",\"Type\":\"non_idempotent\",\"TimeoutMs\":3000,\"TargetLatencyMs\":500,\"Priority\":1,\"Service\":\"wallet\",\"MaxAttempts\":2}}],\"Services\":[{{\"Name\":\"wallet\",\"HealthPath\":\"/healthz\",\"MaxConnections\":100,\"Protocol\":\"h1\",\"Tls\":false,\"WarmupS\":3.0,\"WarmupPerS\":0.0}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}"
-    );
+    let manifest = manifest();
     let wait = Instant::now();
     let mut turn = 0;
     while !matches!(
@@ -519,12 +537,126 @@
     Some(world)
 }
 
+/// A voter loses its disk right after it has acknowledged the first manifest, and comes back after
+/// 3 s with an empty one. Returns what the operator read at the end of 60 s; `None` if the case
+/// couldn't run.
+fn lose_first_disk(folder: &Path) -> Option<bool> {
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let mut deployment = Deployment::new()?;
+    let record = Record {
+        started: Instant::now(),
+        lines: Mutex::default(),
+    };
+    listen(deployment.address(4, 1, 0), |mut stream| {
+        let mut rest = Vec::new();
+        let list = "{\"Instances\":[],\"NextPageToken\":null}";
+        while let Ok(Some(_)) = read_message(&mut stream, &mut rest) {
+            let sent = write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{list}",
+                list.len()
+            );
+            if sent.is_err() {
+                return;
+            }
+        }
+    })
+    .ok()?;
+    for index in 1..=3 {
+        deployment.start(1, index).ok()?;
+    }
+    record.add("voters 1 to 3, the seeds, started".to_owned());
+    let mut late = Some(Instant::now() + Duration::from_millis(START_SPREAD_MS));
+    let (manifest, mut turn) = (manifest(), 0);
+    let acknowledged_by = loop {
+        if late.is_some_and(|at| at <= Instant::now()) {
+            late = None;
+            for index in 4..=VOTERS {
+                deployment.start(1, index).ok()?;
+            }
+            record.add("voters 4 and 5 started".to_owned());
+        }
+        let index = turn % 3 + 1;
+        turn += 1;
+        let status = call(
+            deployment.address(1, index, 0),
+            "PUT /wagtailbeam/config",
+            &manifest,
+        );
+        if let Ok(status) = status {
+            record.add(format!(
+                "operator: PUT of version 1 at voter {index}: {status}"
+            ));
+        }
+        if matches!(status, Ok(200)) {
+            break index;
+        }
+        if record.started.elapsed() > Duration::from_secs(20) {
+            return None;
+        }
+        thread::sleep(Duration::from_millis(20));
+    };
+    if trouble {
+        let process = &mut deployment.processes[usize::from(acknowledged_by) - 1];
+        process.kill().ok()?;
+        process.wait().ok()?;
+        let data = deployment.folder.join(format!("data-{acknowledged_by}"));
+        std::fs::remove_dir_all(data).ok()?;
+        record.add(format!("voter {acknowledged_by} killed, its disk is lost"));
+    }
+    let rest = late.map_or(Duration::ZERO, |at| {
+        at.saturating_duration_since(Instant::now())
+    });
+    thread::sleep(rest);
+    if late.is_some() {
+        for index in 4..=VOTERS {
+            deployment.start(1, index).ok()?;
+        }
+        record.add("voters 4 and 5 started".to_owned());
+    }
+    thread::sleep(Duration::from_secs(3));
+    if trouble {
+        deployment.start_as(1, acknowledged_by, false).ok()?;
+        record.add(format!(
+            "voter {acknowledged_by} started with an empty disk"
+        ));
+    }
+    let mut read_at_end = false;
+    while record.started.elapsed() < Duration::from_secs(60) {
+        thread::sleep(Duration::from_secs(1));
+        for index in 1..=VOTERS {
+            let answer = exchange(
+                deployment.address(1, index, 0),
+                "GET /wagtailbeam/config",
+                "",
+            );
+            let answer = answer.ok().flatten();
+            let status = answer.as_ref().map_or(0, status_of);
+            record.add(format!("operator: GET at voter {index}: {status}"));
+            let held = answer.is_some_and(|answer| answer.body == manifest.as_bytes());
+            let at_end = record.started.elapsed() > Duration::from_secs(50);
+            read_at_end |= at_end && status == 200 && held;
+        }
+    }
+    let verdict = match read_at_end {
+        true => "the acknowledged manifest was read back".to_owned(),
+        false => "CONFIG: the acknowledged manifest can't be read back at any voter".to_owned(),
+    };
+    println!("{verdict}");
+    record.write(folder, &[verdict]).ok()?;
+    Some(read_at_end)
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
         eprintln!("lab CASE FOLDER");
         std::process::exit(2);
     };
+    if case == "first-disk" {
+        let held = lose_first_disk(Path::new(&folder));
+        std::process::exit(held.map_or(2, |held| i32::from(!held)));
+    }
     let world = match case.as_str() {
         "late-bytes" => play(Fault::LateBytes, 3, 5.0),
         "fails-503" => play(Fault::Fails(503), 1, 6.5),
