An answer that names no request proves nothing, nor does a bare 421

With a server that answers 421 without "not run" a request ran on up to six.

Cause: the identifier in an answer was compared only if the answer had one, so that bytes which belong to no request counted as the answer, with their "not run", limits and pauses; and status 421 alone counted as "not run".

Change: decision::evidence says in one type what an answer proves, from its identifier, "not run" and its success. Calls of discovered tiers and of groups with a settings file ask it. The pool compares the identifier, which all replicas of a platform must echo; where servers may echo nothing, "shed" counts for jobs only with the echo. No message or record changes.

--- a/adapter/src/backend.rs
+++ b/adapter/src/backend.rs
@@ -14,6 +14,9 @@
 use hyper::header::HeaderName;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
+use wagtailbeam_decision::evidence::Evidence;
+use wagtailbeam_decision::evidence::Identity;
+use wagtailbeam_decision::evidence::Proof;
 use wagtailbeam_decision::exchange::Call;
 use wagtailbeam_decision::exchange::Exchange;
 use wagtailbeam_decision::limiter::Ticket;
@@ -34,10 +37,10 @@
 
 /// Properties that the response to a call must have.
 struct Expected {
-    /// Request identifier that the server must echo, if it echoes one.
-    id: String,
     /// Whether a successful response must be valid JSON.
     is_json: bool,
+    /// Whether the request may run more than once.
+    is_repeatable: bool,
 }
 
 /// Running calls to backend servers and their connection pool.
@@ -70,7 +73,12 @@
             keep: true,
         };
         let is_json = call.request.method == "GET";
-        self.expected.insert(call.ticket, Expected { id, is_json });
+        let is_repeatable = call.request.is_repeatable();
+        let expected = Expected {
+            is_json,
+            is_repeatable,
+        };
+        self.expected.insert(call.ticket, expected);
         self.pool.call(call.ticket, options, request);
     }
 
@@ -134,11 +142,21 @@
     builder.body(body).unwrap_or_default()
 }
 
-/// Checks a complete response. An echo of another identifier, or invalid JSON where JSON is
-/// expected, is an [`Exchange::BadAnswer`].
+/// Checks a complete response. One that proves nothing, or invalid JSON where JSON is expected, is an
+/// [`Exchange::BadAnswer`]. Servers may shed requests without naming them; only a request that may run
+/// more than once counts as shed then.
 fn exchange_of(expected: &Expected, response: Response) -> Exchange {
     let text = |name: &str| http::header_text(&response.headers, name);
-    if text(http::REQUEST).is_some_and(|echoed_id| echoed_id != expected.id) {
+    let evidence = Evidence {
+        identity: response.identity,
+        not_run: text(http::SHED).is_some(),
+        success: response.status.is_success(),
+    };
+    let proof = evidence.proof();
+    let is_foreign = evidence.identity == Identity::Foreign;
+    let may_be_shed = evidence.not_run && expected.is_repeatable && !is_foreign;
+    let shed = may_be_shed || proof == Proof::NotRun;
+    if proof == Proof::Nothing && !shed {
         return Exchange::BadAnswer;
     }
     let must_be_json = expected.is_json && response.status.is_success();
@@ -156,7 +174,7 @@
         answer,
         boot: text(http::BOOT).map(Name::from),
         draining: text(http::DRAINING).is_some(),
-        shed: text(http::SHED).is_some(),
+        shed,
         limit: http::limit_statement(&response.headers, http::LIMIT),
         pause: overloaded
             .then(|| http::retry_after(&response.headers))
--- a/adapter/src/detour.rs
+++ b/adapter/src/detour.rs
@@ -18,6 +18,7 @@
 use wagtailbeam_decision::branch::Relayed;
 use wagtailbeam_decision::catalog::Target;
 use wagtailbeam_decision::clock::Span;
+use wagtailbeam_decision::evidence::Identity;
 use wagtailbeam_decision::flight::Shared;
 use wagtailbeam_decision::gateway::Event;
 use wagtailbeam_decision::relay;
@@ -276,5 +277,6 @@
         status: Some(status).filter(|status| http::is_final(*status))?,
         headers: decoded,
         body: body.into(),
+        identity: Identity::Own,
     })
 }
--- a/adapter/src/entry.rs
+++ b/adapter/src/entry.rs
@@ -233,7 +233,7 @@
         probes: probe_sender,
         pool: Pool::new(pool_sender, ANSWER_MAX_BYTES)
             .with_comparison()
-            .with_echo(dialect.headers().request.clone()),
+            .with_required_echo(dialect.headers().request.clone()),
         pending: HashMap::new(),
         calls: HashMap::new(),
         held_response: None,
--- a/adapter/src/pool.rs
+++ b/adapter/src/pool.rs
@@ -22,12 +22,14 @@
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
+use wagtailbeam_decision::evidence::Identity;
 
 use crate::body;
 use crate::carriers::Carriers;
@@ -76,6 +78,8 @@
     pub headers: HeaderMap,
     /// The body, within the pool's size limit.
     pub body: Bytes,
+    /// Whose response it is.
+    pub identity: Identity,
 }
 
 /// Why a call has no full response.
@@ -111,6 +115,8 @@
     meter: Meter,
     driver: AbortHandle,
     id: ConnectionId,
+    /// Whether an answer over it named its request.
+    has_named: bool,
 }
 
 impl Drop for Connection {
@@ -167,8 +173,35 @@
     body_max: usize,
     /// Bytes that all calls together may buffer.
     buffer: Buffer,
-    /// Header with the identifier of a request that servers echo; absent if it isn't compared.
-    echo: Option<HeaderName>,
+    /// How servers name requests; absent if it isn't compared.
+    echo: Option<Echo>,
+}
+
+/// How servers name the request that they answer.
+#[derive(Clone)]
+struct Echo {
+    /// Header with the identifier.
+    header: HeaderName,
+    /// Whether all servers do.
+    is_required: bool,
+}
+
+impl Echo {
+    /// Whose response these headers belong to, on a connection over which a server named a request
+    /// before or did not.
+    fn identity(
+        &self,
+        identifier: Option<&HeaderValue>,
+        headers: &HeaderMap,
+        has_named: bool,
+    ) -> Identity {
+        match headers.get(&self.header) {
+            Some(echo) if identifier == Some(echo) => Identity::Own,
+            Some(_) => Identity::Foreign,
+            None if self.is_required || has_named => Identity::Missing,
+            None => Identity::Unnamed,
+        }
+    }
 }
 
 /// Finds out whether a server ended after it broke the connection of a call.
@@ -386,10 +419,23 @@
         self
     }
 
-    /// Closes a connection that delivers the answer to another request, as this header shows, which
-    /// servers echo: what else comes over it belongs to earlier requests too.
+    /// Tells by this header, which servers may echo, whose answer a response is. A connection that
+    /// delivers the answer to another request is closed: what else comes over it belongs to earlier
+    /// requests too.
     pub fn with_echo(mut self, header: HeaderName) -> Pool<T> {
-        self.bounds.echo = Some(header);
+        self.bounds.echo = Some(Echo {
+            header,
+            is_required: false,
+        });
+        self
+    }
+
+    /// The same for servers that all echo the header: a response without it answers no request.
+    pub fn with_required_echo(mut self, header: HeaderName) -> Pool<T> {
+        self.bounds.echo = Some(Echo {
+            header,
+            is_required: true,
+        });
         self
     }
 
@@ -451,10 +497,8 @@
 ) -> (Result, Option<Idle>) {
     let reused = connection.is_some();
     let request_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
-    let identifier = bounds
-        .echo
-        .as_ref()
-        .and_then(|name| request.headers().get(name));
+    let echo = bounds.echo.as_ref();
+    let identifier = echo.and_then(|echo| request.headers().get(&echo.header));
     let identifier = identifier.cloned();
     let connection = match (connection, guard) {
         (Some(idle), _) => Ok(idle.connection),
@@ -492,9 +536,12 @@
             return (Err(verdict.failure(address, &source).await), None);
         }
     };
-    let echo = bounds.echo.as_ref().and_then(|name| head.headers.get(name));
-    let is_foreign = echo.is_some_and(|echo| identifier.as_ref() != Some(echo));
-    let closing = announces_close(&head.headers) || is_foreign;
+    let has_named = connection.has_named;
+    let identity = echo.map(|echo| echo.identity(identifier.as_ref(), &head.headers, has_named));
+    let identity = identity.unwrap_or(Identity::Unnamed);
+    let names_other = matches!(identity, Identity::Foreign | Identity::Missing);
+    let closing = announces_close(&head.headers) || names_other;
+    connection.has_named |= identity == Identity::Own;
     let idle = Idle {
         connection,
         since: Instant::now(),
@@ -504,6 +551,7 @@
         status: head.status,
         headers: head.headers,
         body,
+        identity,
     };
     (
         Ok(response),
@@ -566,6 +614,7 @@
         sender,
         meter,
         driver: task.abort_handle(),
+        has_named: false,
     })
 }
 
--- a/adapter/src/response.rs
+++ b/adapter/src/response.rs
@@ -10,6 +10,9 @@
 use wagtailbeam_decision::answer::Refusal;
 use wagtailbeam_decision::endpoint::Ending;
 use wagtailbeam_decision::endpoint::Ticket;
+use wagtailbeam_decision::evidence::Evidence;
+use wagtailbeam_decision::evidence::Identity;
+use wagtailbeam_decision::evidence::Proof;
 use wagtailbeam_decision::gateway::Completion;
 use wagtailbeam_decision::notice::Notice;
 
@@ -56,24 +59,35 @@
             }
         };
         let names = self.dialect.headers();
-        let echo = response.headers.get(&names.request);
-        if echo.is_some_and(|echo| *echo != request.id) {
-            let cause = "answer to another request";
+        let headers = &response.headers;
+        let success = response.status.is_success();
+        let evidence = Evidence {
+            identity: response.identity,
+            not_run: headers.contains_key(&names.not_run),
+            success,
+        };
+        let proof = evidence.proof();
+        if proof == Proof::Nothing {
+            let cause = match evidence.identity {
+                Identity::Foreign => "answer to another request",
+                Identity::Missing | Identity::Unnamed => "answer that names no request",
+                Identity::Own => "success that did not run",
+            };
             let id = log_id(request);
             self.logger.replica_failed(id, &address.to_string(), cause);
             return without_body(Ending::Broken);
         }
-        if response.status == StatusCode::MISDIRECTED_REQUEST {
+        let denied = response.status == StatusCode::MISDIRECTED_REQUEST;
+        if proof == Proof::NotRun && denied {
             return without_body(Ending::Denied);
         }
-        let headers = &response.headers;
         let overloaded = response.status == StatusCode::SERVICE_UNAVAILABLE;
         let notice = Notice {
             limit: http::limit_statement(headers, names.limit.as_str()),
             leaving: http::header_text(headers, names.leaving.as_str()) == Some(LEAVING),
             pause: overloaded.then(|| http::retry_after(headers)).flatten(),
         };
-        if response.headers.contains_key(&names.not_run) {
+        if proof == Proof::NotRun {
             return Completion {
                 notice,
                 ..without_body(Ending::Shed)
@@ -82,7 +96,6 @@
         let stamp = http::header_text(&response.headers, names.stamp.as_str());
         let stamp = stamp.map(Arc::<str>::from);
         let body = response.body.clone();
-        let success = response.status.is_success();
         if success && stamp.is_none() {
             return without_body(Ending::Broken);
         }
--- a/bins/tests/processes/promise.rs
+++ b/bins/tests/processes/promise.rs
@@ -28,8 +28,21 @@
 const CALLER: &str = "airline-one";
 
 /// Statuses of the servers. Each is the last part of a path.
-const STATUSES: [&str; 11] = [
-    "200", "400", "404", "408", "409", "425", "429", "500", "502", "503", "504",
+const STATUSES: [&str; 12] = [
+    "200", "400", "404", "408", "409", "421", "425", "429", "500", "502", "503", "504",
+];
+
+/// Paths at which the server first sends bytes that belong to no request, and those bytes.
+const STRAY: [(&str, &str); 6] = [
+    ("stray-400", "400 Bad Request\r\nX-Not-Executed: 1"),
+    (
+        "stray-503",
+        "503 Full\r\nX-Not-Executed: 1\r\nRetry-After: 30",
+    ),
+    ("stray-421", "421 Misdirected\r\nX-Not-Executed: 1"),
+    ("stray-leaving", "503 Full\r\nServer-Leaving: 1"),
+    ("stray-limit", "503 Full\r\nServer-Limit: 0.01"),
+    ("stray-200", "200 OK\r\nX-Server-Stamp: another"),
 ];
 
 /// Routes, one whose requests may run once and one whose requests may run more often.
@@ -38,6 +51,9 @@
 /// Servers of the tier; a host tells lost links from a lost server by several.
 const SERVERS: usize = 6;
 
+/// Time between bytes that belong to no request and the answer that is due.
+const STRAY_LEAD: Duration = Duration::from_millis(20);
+
 /// Longest time in which a request must reach a server.
 const REACHED_MAX: Duration = Duration::from_secs(30);
 
@@ -65,18 +81,25 @@
         if is_cut_off(&seen, peer) {
             return;
         }
+        seen.lock().unwrap().ran += 1;
         let text = String::from_utf8(std::mem::take(&mut head)).unwrap();
         let prefix = format!("{}: ", names.request);
         let id = text.lines().find_map(|line| line.strip_prefix(&prefix));
         let id = id.unwrap_or_default().to_owned();
         let path = text.split(' ').nth(1).unwrap_or_default();
         let status = path.rsplit('/').next().unwrap_or_default();
+        let stray = STRAY.iter().find(|(path, _)| *path == status);
+        let stray = stray.map(|(_, head)| format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"));
+        if let Some(stray) = &stray {
+            drop(stream.write_all(stray.as_bytes()).await);
+            tokio::time::sleep(STRAY_LEAD).await;
+        }
+        let status = stray.map_or(status, |_| "200");
         let reply = format!(
             "HTTP/1.1 {status} Status\r\n{}: {id}\r\n{}: stamp\r\nretry-after: 0.05\r\n\
              content-length: 3\r\n\r\nran",
             names.request, names.stamp
         );
-        seen.lock().unwrap().ran += 1;
         if stream.write_all(reply.as_bytes()).await.is_err() {
             return;
         }
@@ -194,6 +217,7 @@
 /once/ 404: 404 the server's, retry-after 0.05
 /once/ 408: 502 the tier's own, retry-after none
 /once/ 409: 409 the server's, retry-after 0.05
+/once/ 421: 502 the tier's own, retry-after none
 /once/ 425: 425 the server's, retry-after 0.05
 /once/ 429: 502 the tier's own, retry-after none
 /once/ 500: 500 the server's, retry-after 0.05
@@ -205,6 +229,7 @@
 /many/ 404: 404 the server's, retry-after 0.05
 /many/ 408: 502 the tier's own, retry-after none
 /many/ 409: 409 the server's, retry-after 0.05
+/many/ 421: 502 the tier's own, retry-after none
 /many/ 425: 425 the server's, retry-after 0.05
 /many/ 429: 502 the tier's own, retry-after none
 /many/ 500: 500 the server's, retry-after 0.05
@@ -277,3 +302,28 @@
 503: 502 \"status-503\" ran \"maybe\" replayed yes";
     assert_eq!(lines.join("\n"), expected);
 }
+
+/// Guards against a second run: bytes that name no request arrive where the answer to a request is due,
+/// and say that it has not run. Nor do such bytes say anything of their server.
+#[test]
+fn an_answer_that_names_no_request_proves_nothing() {
+    tier::run(async {
+        let seen = Shared::default();
+        let tier = start("promise-stray", 1, seen.clone()).await;
+        for (path, _) in STRAY {
+            let path = format!("/once/{path}");
+            for _ in 0..SERVERS {
+                let answer = run_once(&tier, 0, &path, &seen).await;
+                assert_eq!(answer.status, 502, "{path}");
+            }
+        }
+        for _ in 0..SERVERS {
+            let answer = run_once(&tier, 0, "/once/200", &seen).await;
+            assert_eq!(answer.status, 200);
+        }
+        let log = std::fs::read_to_string(tier::path("promise-stray").join("entry-0.log"));
+        let log = log.unwrap();
+        let believed = ["\"event\":708", "\"event\":722", "\"event\":723"];
+        assert!(!believed.iter().any(|event| log.contains(event)), "{log}");
+    });
+}
--- a/bins/tests/processes/tier.rs
+++ b/bins/tests/processes/tier.rs
@@ -37,9 +37,14 @@
     _list: watch::Sender<list::View>,
 }
 
+/// Path of the folder for the processes of a test.
+pub fn path(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
 /// An empty folder for the processes of a test.
 pub fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder = path(name);
     drop(std::fs::remove_dir_all(&folder));
     std::fs::create_dir_all(&folder).unwrap();
     folder
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod digest;
 pub mod endpoint;
 pub mod entry;
+pub mod evidence;
 pub mod exchange;
 pub mod fanout;
 pub mod feed;
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod contention;
 mod endpoint;
+mod evidence;
 mod fanout;
 mod fatal;
 mod feed;
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -143,10 +143,9 @@
         let id = id.to_owned();
         let instance = http::header_text(headers, self.headers.instance.as_str());
         if instance.is_some_and(|instance| *instance != *self.id) {
-            return Ok(http::text(
-                StatusCode::MISDIRECTED_REQUEST,
-                "another replica",
-            ));
+            let mut reply = http::text(StatusCode::MISDIRECTED_REQUEST, "another replica");
+            self.say_not_run(&mut reply, &id);
+            return Ok(reply);
         }
         let mode = *self.mode.borrow();
         let works = matches!(mode, Mode::Healthy | Mode::Slow);
@@ -172,7 +171,7 @@
         if let Some(wait) = overloaded {
             self.checker.lock().record_overloaded(&self.id, wait);
             let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
-            set_header(&mut reply, &self.headers.not_run, "true");
+            self.say_not_run(&mut reply, &id);
             set_header(&mut reply, &RETRY_AFTER, &wait.as_secs_f64().to_string());
             return Ok(reply);
         }
@@ -180,7 +179,7 @@
             Mode::Unresponsive => std::future::pending().await,
             Mode::Shedding => {
                 let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "busy");
-                set_header(&mut reply, &self.headers.not_run, "true");
+                self.say_not_run(&mut reply, &id);
                 self.name_limit(&mut reply);
                 Ok(reply)
             }
@@ -230,6 +229,12 @@
         reply
     }
 
+    /// Says in an answer that this request did not run.
+    fn say_not_run(&self, reply: &mut http::Reply, id: &str) {
+        set_header(reply, &self.headers.request, id);
+        set_header(reply, &self.headers.not_run, "true");
+    }
+
     /// Names the limit, if there is one, in an answer.
     fn name_limit(&self, reply: &mut http::Reply) {
         if let Some(limit) = *self.limit.borrow() {
