A group that loses a disk before all its voters have a seat goes on

Cause: a voter without its state is admitted, read and seated by three of five voters. Two seats were vacant and counted like voters that may know something.

Change: a vacant seat counts as a voter that holds nothing in a repair and, after a longer wait, in the check of a restarted voter; a state that was read tells whether it is vacant. Without a majority a voter returns to a process the seat that it held, and each voter admits one process an epoch. No message or record has a new form, no quorum changes, and the first manifest is acknowledged as early as before.

--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -297,7 +297,11 @@
 
 impl Controller {
     /// Restores a voter process from its stored records and returns its first actions.
-    pub fn new(now: Time, settings: Settings, records: Vec<Record>) -> (Controller, Vec<Action>) {
+    pub fn new(
+        now: Time,
+        mut settings: Settings,
+        records: Vec<Record>,
+    ) -> (Controller, Vec<Action>) {
         let mut out = Vec::new();
         let mut voter = open(now, &settings, &records);
         let own = settings
@@ -317,6 +321,11 @@
             out.push(Action::Replace(records));
         }
         let voter = voter.map(|voter| voter.with_timing(STARTUP_TIMING));
+        let assigned_seat = voter.as_ref().and_then(Voter::unused_seat);
+        if let Some(seat) = &assigned_seat {
+            // Goes on as the run that the seat was assigned to, which voted nowhere.
+            settings.nonce = seat.incarnation.nonce;
+        }
         let controller = Controller {
             written: voter.as_ref().map_or(0, Voter::written),
             confirmation: Confirmation::new(settings.address, settings.nonce),
@@ -324,7 +333,7 @@
             lacking: None,
             settings,
             voter,
-            assigned_seat: None,
+            assigned_seat: assigned_seat.map(|seat| (seat, now)),
             chosen: None,
             peers: BTreeMap::new(),
             entries: BTreeMap::new(),
@@ -676,14 +685,19 @@
     }
 }
 
-/// Revision of the state that a voter last accepted, whether chosen or not.
-pub(crate) fn accepted_revision(voter: &Voter) -> Option<u64> {
+/// The state that a voter last accepted, whether chosen or not.
+pub(crate) fn accepted_state(voter: &Voter) -> Option<&State> {
     match voter.accepted(&Key::Tier) {
-        Some(Value::Tier(state)) => Some(state.revision),
+        Some(Value::Tier(state)) => Some(state),
         _ => None,
     }
 }
 
+/// Its revision.
+pub(crate) fn accepted_revision(voter: &Voter) -> Option<u64> {
+    accepted_state(voter).map(|state| state.revision)
+}
+
 /// Restores the voter from its records; returns none if they assign no seat.
 fn open(now: Time, settings: &Settings, records: &[Record]) -> Option<Voter> {
     let seat = records.iter().find_map(|record| match record {
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -3,10 +3,18 @@
 //! A restarted voter first asks the others how many of its records they have seen synced.
 //! If its disk holds fewer, or nothing, the voter discards its state, announces a new
 //! incarnation and reads all cells back from a majority of the others before it votes.
+//!
+//! A seat that was never assigned is vacant. No voter accepted anything in it, so that it counts as
+//! one that holds nothing: in a group of five with two vacant seats each decision was accepted by all
+//! three voters, and each of them knows it. The same holds for the first holder of a seat until it
+//! votes. Without that rule a group that loses a disk before all its seats are assigned has no majority
+//! that could assign any.
 
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::register::Key;
+use crate::register::Value;
+use crate::tier::State;
 use crate::voter::Action;
 use crate::voter::Body;
 use crate::voter::Cell;
@@ -38,6 +46,10 @@
     }
 }
 
+/// Check timeouts for which a voter waits before vacant seats count as answers: other voters that
+/// start with it may still answer.
+const CHECK_TIMEOUTS_VACANT: u64 = 8;
+
 /// Maximum number of cells in one page.
 const PAGE_CELLS: usize = 256;
 
@@ -81,10 +93,15 @@
     /// Begins to vote once enough others answered the check. Until then sends the query
     /// whenever a retry is due.
     pub(crate) fn continue_check(&mut self, now: Time) -> Vec<Action> {
-        let timed_out = now.since(self.repair.started) >= self.repair.timing.check_timeout;
-        let is_majority = self.repair.answered.len() + 1 >= self.majority();
-        let all_answered = self.repair.answered.len() + 1 == self.group_size;
-        if all_answered || (timed_out && is_majority) {
+        let waited = now.since(self.repair.started);
+        let timeout = self.repair.timing.check_timeout;
+        let answered = self.repair.answered.len() + 1;
+        let all_answered = answered == self.group_size;
+        let is_majority = waited >= timeout && answered >= self.majority();
+        let with_vacant = answered + self.vacant_seats().len();
+        let alone = timeout.saturating_mul(CHECK_TIMEOUTS_VACANT);
+        let is_rest = waited >= alone && with_vacant >= self.majority();
+        if all_answered || is_majority || is_rest {
             self.mode = Mode::Voting;
             return Vec::new();
         }
@@ -118,6 +135,48 @@
         }
     }
 
+    /// Seats of others that were never assigned, as far as the own state and the cells read for a repair
+    /// tell; none where the settings list the voters.
+    pub(crate) fn vacant_seats(&self) -> BTreeSet<Id> {
+        if !self.seated {
+            return BTreeSet::new();
+        }
+        let is_vacant = |id: &Id| {
+            let known = self.incarnations.get(usize::from(*id)).into_iter();
+            let mut known = known.chain(self.assignments(*id));
+            known.all(Incarnation::is_vacant)
+        };
+        self.others().filter(is_vacant).collect()
+    }
+
+    /// What the own state and the cells read for a repair assign a seat to.
+    fn assignments(&self, id: Id) -> impl Iterator<Item = &Incarnation> {
+        let own = self.cells.get(&Key::Tier).map(|stored| &stored.cell);
+        let read = self.repair.cells.get(&Key::Tier);
+        let states = own.into_iter().chain(read).filter_map(assigning_state);
+        states.filter_map(move |state| state.seats.get(usize::from(id)))
+    }
+
+    /// Whether a state that was read assigns a seat to a later incarnation than the known one, which was
+    /// asked.
+    fn is_superseded(&self, id: Id) -> bool {
+        let known = self.incarnations[usize::from(id)].epoch;
+        self.assignments(id).any(|seat| seat.epoch > known)
+    }
+
+    /// Forgets what a repair has from a voter whose incarnation changed.
+    pub(crate) fn forget_answers(&mut self, id: Id) {
+        self.repair.admitted.remove(&id);
+        self.repair.finished.remove(&id);
+        self.repair.last_keys.remove(&id);
+    }
+
+    /// Whether this voter is the first holder of its seat and has not voted yet.
+    pub(crate) fn is_first_holder(&self) -> bool {
+        let first = self.repair.incarnation.epoch == Incarnation::FIRST_EPOCH;
+        self.seated && self.mode == Mode::Repairing && first
+    }
+
     /// Discards the whole state, because the disk is outdated, and begins a repair.
     pub(crate) fn discard_state(&mut self, now: Time) -> Vec<Action> {
         self.mode = Mode::Repairing;
@@ -197,7 +256,10 @@
             incarnations[usize::from(from)],
             self.incarnations[usize::from(from)],
         );
-        if self.mode != Mode::Voting || theirs.epoch < ours.epoch {
+        let is_rival = theirs.epoch == ours.epoch && theirs.nonce != ours.nonce;
+        let is_admissible = theirs.epoch >= ours.epoch && !(self.seated && is_rival);
+        let answers = self.mode == Mode::Voting || self.is_first_holder();
+        if !answers || !is_admissible {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -221,8 +283,11 @@
         )]
     }
 
-    /// Sends the cells after a key; only a voting voter answers.
+    /// Sends the cells after a key; only a voting voter answers, and one that never voted, with none.
     pub(crate) fn handle_query_page(&mut self, from: Id, after: Option<Key>) -> Vec<Action> {
+        if self.is_first_holder() {
+            return self.send_after_sync(from, Body::Cells(Vec::new(), true));
+        }
         if self.mode != Mode::Voting {
             return Vec::new();
         }
@@ -263,7 +328,10 @@
             )];
         }
         self.repair.finished.insert(from);
-        if self.repair.finished.len() < self.majority_of_others() || self.repair.restored {
+        let finished = self.repair.finished.iter();
+        let finished = finished.filter(|id| !self.is_superseded(**id));
+        let read = finished.count() + self.vacant_seats().len();
+        if read < self.majority_of_others() || self.repair.restored {
             return Vec::new();
         }
         self.restore(now)
@@ -296,6 +364,14 @@
     }
 }
 
+/// The state of the tier that a cell holds.
+fn assigning_state(cell: &Cell) -> Option<&State> {
+    match cell.accepted.as_ref()? {
+        (_, Value::Tier(state)) => Some(state),
+        _ => None,
+    }
+}
+
 impl Repair {
     /// Keeps the highest promise and the value accepted with the highest ballot.
     fn merge_cell(&mut self, key: Key, cell: Cell) {
--- a/decision/src/seats.rs
+++ b/decision/src/seats.rs
@@ -14,13 +14,14 @@
 use crate::controller::Peer;
 use crate::controller::Pending;
 use crate::controller::STARTUP_TIMING;
+use crate::controller::accepted_state;
 use crate::feed::Message;
 use crate::register::Change;
 use crate::tier;
 use crate::tier::Claim;
+use crate::voter::Id;
 use crate::voter::Incarnation;
 use crate::voter::Mode;
-use crate::voter::Record;
 use crate::voter::Seat;
 use crate::voter::Voter;
 
@@ -52,16 +53,12 @@
             .map(Voter::incarnations)
             .unwrap_or_default();
         let assigned = self.chosen.as_ref().map(|state| state.seats.as_slice());
-        let assigned = assigned.unwrap_or_default();
-        let newest = |(id, known): (usize, &Incarnation)| match assigned.get(id) {
-            Some(assigned) if assigned.epoch > known.epoch => *assigned,
-            _ => *known,
-        };
-        known.iter().enumerate().map(newest).collect()
+        newest_of(known.to_vec(), assigned.unwrap_or_default())
     }
 
     /// Proposes a seat for the process without state at `from`. Does nothing unless this voter
-    /// votes and is in contact with a majority, or while a request of that process is pending.
+    /// votes, or while a request of that process is pending. Without contact to a majority it can only
+    /// return the seat that the process held.
     pub(crate) fn propose_seat(
         &mut self,
         now: Time,
@@ -71,20 +68,21 @@
     ) {
         let is_pending =
             |p: &Pending| matches!(p, Pending::SeatRequest(address) if *address == from);
-        let can_propose = self.mode() == Some(Mode::Voting) && self.quorum;
+        let can_propose = self.mode() == Some(Mode::Voting);
         if !can_propose || self.pending.values().any(is_pending) {
             return;
         }
+        if !self.quorum {
+            return self.return_seat(from, nonce, out);
+        }
         let known = self.incarnations();
         self.track_peers(now, &known);
-        let vacant =
-            |incarnation: &Incarnation| incarnation.epoch == 0 && incarnation.address.is_none();
         let silent = |incarnation: &Incarnation| {
             let address = incarnation.address.filter(|_| incarnation.epoch > 0);
             address.is_some_and(|address| !self.is_responsive(now, address, SEAT_SILENCE_MAX))
         };
         let free = known.iter().zip(0..);
-        let free = free.filter(|(incarnation, _)| vacant(incarnation) || silent(incarnation));
+        let free = free.filter(|(incarnation, _)| incarnation.is_vacant() || silent(incarnation));
         let free = free.map(|(_, id)| id).collect::<Vec<_>>();
         let has_seat = known
             .iter()
@@ -102,6 +100,31 @@
         self.propose(now, Pending::SeatRequest(from), change, out);
     }
 
+    /// Returns to the process at `from`, which lost its state, the seat that it held, also one whose
+    /// assignment may not have been decided. No majority decides that, so the process votes only after a
+    /// majority of the others admitted its new incarnation, each of them one incarnation an epoch.
+    fn return_seat(&self, from: SocketAddr, nonce: u64, out: &mut Vec<Action>) {
+        let accepted = self.voter.as_ref().and_then(accepted_state);
+        let accepted = accepted.map_or(&[][..], |state| &state.seats);
+        let mut seats = newest_of(self.incarnations(), accepted);
+        let held = seats
+            .iter()
+            .position(|incarnation| incarnation.address == Some(from));
+        let Some(id) = held else {
+            return;
+        };
+        seats[id] = match seats[id].nonce == nonce {
+            true => seats[id],
+            false => seats[id].successor(from, nonce),
+        };
+        let seat = Seat {
+            id: id as Id,
+            incarnation: seats[id],
+            incarnations: seats,
+        };
+        out.push(Action::Send(from, Message::Seated(seat)));
+    }
+
     /// Adds the voters that have sent nothing yet to the peers. Their silence counts from now.
     fn track_peers(&mut self, now: Time, incarnations: &[Incarnation]) {
         let own = self.settings.address;
@@ -134,16 +157,7 @@
         {
             return;
         }
-        let records = seat
-            .incarnations
-            .iter()
-            .zip(0..)
-            .filter(|(_, id)| *id != seat.id)
-            .map(|(incarnation, id)| Record::Incarnation(id, *incarnation));
-        let own_seat = Record::Seat(seat.id, seat.incarnations.len() as u8);
-        let written = Record::RecordCount(self.written);
-        let records = std::iter::once(own_seat).chain(records).chain([written]);
-        out.push(Action::Replace(records.collect()));
+        out.push(Action::Replace(Voter::records_of_seat(&seat, self.written)));
         out.push(Action::Note(Note::Seated(seat.id)));
         let voter = Voter::for_seat(now, &seat, self.written);
         self.voter = Some(voter.with_timing(STARTUP_TIMING));
@@ -222,3 +236,13 @@
         }
     }
 }
+
+/// The known incarnations, with those of newer epochs that a state assigns.
+fn newest_of(mut known: Vec<Incarnation>, assigned: &[Incarnation]) -> Vec<Incarnation> {
+    for (known, assigned) in known.iter_mut().zip(assigned) {
+        if assigned.epoch > known.epoch {
+            *known = *assigned;
+        }
+    }
+    known
+}
--- a/decision/src/tier.rs
+++ b/decision/src/tier.rs
@@ -283,11 +283,7 @@
         let is_same_run =
             seats[id].address == Some(claim.address) && seats[id].nonce == claim.nonce;
         if !is_same_run {
-            seats[id] = Incarnation {
-                epoch: seats[id].epoch + 1,
-                nonce: claim.nonce,
-                address: Some(claim.address),
-            };
+            seats[id] = seats[id].successor(claim.address, claim.nonce);
         }
         let seat = Seat {
             id: id as Id,
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -63,6 +63,30 @@
     pub address: Option<SocketAddr>,
 }
 
+impl Incarnation {
+    /// Epoch of the first holder of a seat that was vacant before. Seats that were given to the first
+    /// voters of a group are assigned again under higher ones.
+    pub const FIRST_EPOCH: u64 = 1;
+
+    /// Whether the seat was never assigned.
+    pub fn is_vacant(&self) -> bool {
+        self.epoch == 0 && self.address.is_none()
+    }
+
+    /// The incarnation of a process that takes the seat after this one.
+    pub fn successor(&self, address: SocketAddr, nonce: u64) -> Incarnation {
+        let last = match self.is_vacant() {
+            true => 0,
+            false => self.epoch.max(Self::FIRST_EPOCH),
+        };
+        Incarnation {
+            epoch: last + 1,
+            nonce,
+            address: Some(address),
+        }
+    }
+}
+
 /// Acceptor state for one key.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Cell {
@@ -240,6 +264,22 @@
             .collect()
     }
 
+    /// Returns the first records of a voter for an assigned seat. Its own incarnation is discarded at
+    /// once, since it may not vote yet; a voter that restarts before it votes finds it there, see
+    /// [`Voter::unused_seat`].
+    pub fn records_of_seat(seat: &Seat, written: u64) -> Vec<Record> {
+        let own_seat = Record::Seat(seat.id, seat.incarnations.len() as u8);
+        let own = Record::Incarnation(seat.id, seat.incarnation);
+        let others = seat.incarnations.iter().zip(0..);
+        let others = others.filter(|(_, id)| *id != seat.id);
+        let others = others.map(|(incarnation, id)| Record::Incarnation(id, *incarnation));
+        let first = [own_seat, own, Record::Reset].into_iter();
+        first
+            .chain(others)
+            .chain([Record::RecordCount(written)])
+            .collect()
+    }
+
     /// Creates a voter without state for an assigned seat; it repairs itself from the others
     /// under the seat's incarnation. Its records are numbered from `written` on.
     pub fn for_seat(now: Time, seat: &Seat, written: u64) -> Voter {
@@ -285,6 +325,9 @@
         if voter.incarnations[usize::from(id)].epoch == 0 {
             voter.mode = Mode::Repairing;
         }
+        if !voter.is_first_holder() {
+            voter.repair.incarnation = Incarnation::default();
+        }
         voter
     }
 
@@ -299,8 +342,13 @@
         self.written += 1;
         match record {
             Record::Reset => {
+                let own = std::mem::take(&mut self.incarnations[usize::from(self.id)]);
+                if own.epoch > 0 {
+                    let is_unused = self.cells.is_empty();
+                    let unused = Some(own).filter(|_| is_unused);
+                    self.repair.incarnation = unused.unwrap_or_default();
+                }
                 self.cells.clear();
-                self.incarnations[usize::from(self.id)] = Incarnation::default();
             }
             Record::Incarnation(id, incarnation) => {
                 if let Some(known) = self.incarnations.get_mut(usize::from(id)) {
@@ -330,6 +378,10 @@
         if self.seated {
             records.push(Record::Seat(self.id, self.group_size as u8));
         }
+        if let Some(unused) = self.unused_incarnation() {
+            records.push(Record::Incarnation(self.id, unused));
+            records.push(Record::Reset);
+        }
         let known = self
             .incarnations
             .iter()
@@ -365,6 +417,21 @@
         self.written
     }
 
+    /// The incarnation as the first holder of the seat, under which this voter has not voted yet.
+    fn unused_incarnation(&self) -> Option<Incarnation> {
+        Some(self.repair.incarnation).filter(|_| self.is_first_holder())
+    }
+
+    /// The seat of which this voter is the first holder and in which it has not voted yet.
+    pub fn unused_seat(&self) -> Option<Seat> {
+        let incarnation = self.unused_incarnation()?;
+        Some(Seat {
+            id: self.id,
+            incarnation,
+            incarnations: self.incarnations.clone(),
+        })
+    }
+
     /// Whether the voter must repair itself but has no incarnation for that yet.
     pub fn lacks_incarnation(&self) -> bool {
         self.mode == Mode::Repairing && self.repair.incarnation.epoch == 0
@@ -406,11 +473,16 @@
         (0..self.group_size as Id).filter(move |id| *id != own)
     }
 
+    /// A message under the own incarnation; the first holder of a seat names it before it votes.
     pub(crate) fn message(&self, body: Body) -> Message {
+        let mut incarnations = self.incarnations.clone();
+        if self.is_first_holder() {
+            incarnations[usize::from(self.id)] = self.repair.incarnation;
+        }
         Message {
             from: self.id,
             synced: self.synced,
-            incarnations: self.incarnations.clone(),
+            incarnations,
             body,
         }
     }
@@ -594,6 +666,7 @@
             }
             self.incarnations[id] = *theirs;
             self.peer_synced[id] = 0;
+            self.forget_answers(id as Id);
             actions.push(self.persist(Record::Incarnation(id as Id, *theirs)));
         }
         if !is_recovery_request {
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -78,6 +78,11 @@
 impl Group {
     /// A new group of five started machines; the first three are the seeds.
     pub fn new() -> Group {
+        Group::of(5)
+    }
+
+    /// A new group of five of which this many machines have started.
+    pub fn of(machines: usize) -> Group {
         let mut group = Group {
             now: Time::from_us(1),
             answers: BTreeMap::new(),
@@ -95,7 +100,7 @@
             boots: 0,
             last_command: 0,
         };
-        for at in 0..5 {
+        for at in 0..machines {
             group.add(at, true);
         }
         group
@@ -111,6 +116,11 @@
         self.start(at);
     }
 
+    /// Number of machines, running or not.
+    pub fn machines(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Removes a machine with its disk.
     pub fn remove(&mut self, at: usize) {
         self.machines.remove(&address(at));
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -31,6 +31,7 @@
 mod rollout_model;
 mod rollouts;
 mod rotation;
+mod starts;
 mod state;
 mod stranded;
 mod uplink;
