Reads carry no state, and ballots have time for long values

Cause: each promise carried the state and wrote it once more, for reads too, and each decision sent it to voters that had it; a ballot had 150 ms for any value; changes at other voters took a ballot away while its value was on the way; and a repairing voter asked for its page, the whole state, each 50 ms.

Change: a ballot names the value that its voter holds, and the others promise without it. A read asks first whether a majority accepted that value last, and writes nothing. A chosen value is announced by its ballot. Ballots, proposals and seats under repair have time for the bytes under way, changes wait for a long value as reads do, and pages are asked for less and less often. Old voters get none of the new bodies; records have no new form.

--- a/decision/src/command.rs
+++ b/decision/src/command.rs
@@ -10,6 +10,8 @@
 use crate::controller::Action;
 use crate::controller::Controller;
 use crate::controller::Pending;
+use crate::proposer::TRANSFERS_MAX;
+use crate::proposer::transfer_time;
 use crate::register::Change;
 use crate::tier;
 use crate::tier::State;
@@ -18,7 +20,7 @@
 /// Time after which an operator's read is answered as unknown.
 const READ_TIMEOUT: Span = Span::from_ms(900);
 
-/// Time after which an operator's change is answered as unknown.
+/// Time after which an operator's change is answered as unknown, beyond that for its transfer.
 const CHANGE_TIMEOUT: Span = Span::from_ms(2_500);
 
 /// Command of an operator.
@@ -135,7 +137,7 @@
             } => {
                 let limit = match command {
                     Command::Read => READ_TIMEOUT,
-                    Command::Change(_) => CHANGE_TIMEOUT,
+                    Command::Change(change) => change_timeout(change),
                 };
                 now.since(*started) >= limit
             }
@@ -149,3 +151,13 @@
         }
     }
 }
+
+/// Time after which this change is answered as unknown. A long configuration takes its time on the way
+/// to all voters.
+fn change_timeout(change: &tier::Change) -> Span {
+    let bytes = match change {
+        tier::Change::Configure { document, .. } => document.len(),
+        _ => 0,
+    };
+    CHANGE_TIMEOUT + transfer_time(bytes).saturating_mul(TRANSFERS_MAX)
+}
--- a/decision/src/controller.rs
+++ b/decision/src/controller.rs
@@ -37,6 +37,7 @@
 use crate::tier::State;
 use crate::tier::Verdict;
 use crate::voter;
+use crate::voter::Ballot;
 use crate::voter::Id;
 use crate::voter::Mode;
 use crate::voter::Record;
@@ -436,6 +437,9 @@
             Message::Heartbeat(heartbeat) => self.handle_heartbeat(now, from, heartbeat, out),
             Message::Voter(message) => {
                 self.record_contact(now, from);
+                if let voter::Body::Chosen(Key::Tier, ballot) = message.body {
+                    return self.learn_ballot(now, from, ballot, out);
+                }
                 let actions = self.voter.as_mut().map(|voter| voter.receive(now, message));
                 self.voter_actions(now, actions.unwrap_or_default(), out);
             }
@@ -501,6 +505,51 @@
         self.push_feeds(now, out);
     }
 
+    /// Tells all other voters of a chosen state. Those that may have accepted it are told its ballot only;
+    /// one that has not asks for the state.
+    fn share_chosen(&self, state: &Arc<State>, out: &mut Vec<Action>) {
+        let accepted = self
+            .voter
+            .as_ref()
+            .and_then(|voter| Some((voter, voter.accepted_ballot(&Key::Tier)?)));
+        let announced = accepted.and_then(|(voter, (ballot, value))| match value {
+            Value::Tier(own) if own == state => Some((voter, *ballot)),
+            _ => None,
+        });
+        for (incarnation, id) in self.incarnations().iter().zip(0..) {
+            let own = self.settings.address;
+            let Some(address) = incarnation.address.filter(|address| *address != own) else {
+                continue;
+            };
+            let message = match announced {
+                Some((voter, ballot)) if voter.knows_hints(id) => {
+                    Message::Voter(voter.announce_chosen(Key::Tier, ballot))
+                }
+                _ => Message::Chosen(state.clone()),
+            };
+            out.push(Action::Send(address, message));
+        }
+    }
+
+    /// Adopts the state that this voter accepted with a ballot, which is chosen, or asks for it.
+    fn learn_ballot(&mut self, now: Time, from: SocketAddr, ballot: Ballot, out: &mut Vec<Action>) {
+        let accepted = self
+            .voter
+            .as_ref()
+            .and_then(|voter| voter.accepted_ballot(&Key::Tier));
+        match accepted {
+            Some((accepted, Value::Tier(state))) if *accepted == ballot => {
+                let state = state.clone();
+                self.learn_chosen(now, state, out);
+            }
+            Some((accepted, _)) if *accepted > ballot => {}
+            _ => {
+                let revision = self.chosen.as_ref().map_or(0, |state| state.revision);
+                out.push(Action::Send(from, Message::WantState(revision)));
+            }
+        }
+    }
+
     /// Sends a message to all other voters.
     pub(crate) fn broadcast(&self, message: &Message, out: &mut Vec<Action>) {
         let others = self.voters().into_iter();
@@ -572,7 +621,7 @@
         let is_newer = self.chosen.as_ref().map(|known| known.revision) < Some(state.revision);
         self.learn_chosen(now, state.clone(), out);
         if is_newer {
-            self.broadcast(&Message::Chosen(state.clone()), out);
+            self.share_chosen(&state, out);
         }
         let verdict = match decision {
             register::Decision::Tier(_, verdict) => Some(verdict),
--- a/decision/src/proposer.rs
+++ b/decision/src/proposer.rs
@@ -15,12 +15,22 @@
 use crate::register::Value;
 use crate::voter::Ballot;
 use crate::voter::Body;
+use crate::voter::Hint;
 use crate::voter::Id;
 use crate::voter::Incarnation;
 
 /// Time after which an unanswered ballot is restarted with a higher round.
 const BALLOT_TIMEOUT: Span = Span::from_ms(150);
 
+/// Transfer time from which a value counts as long.
+const TRANSFER_LONG: Span = Span::from_ms(10);
+
+/// Bytes of a value that reach all voters and their disks in a millisecond, at least.
+const TRANSFER_BYTES_PER_MS: u64 = 4 * 1024;
+
+/// Transfers of its value for which a proposal has time: promises and acceptances of two ballots.
+pub(crate) const TRANSFERS_MAX: u64 = 4;
+
 /// Time after which a voter ends a proposal with [`Decision::Unknown`].
 const PROPOSAL_TIMEOUT: Span = Span::from_ms(2_500);
 
@@ -71,6 +81,14 @@
     rejected_by: BTreeSet<Id>,
     /// Highest round that a rejection named.
     promised: u64,
+    /// Value that this voter had accepted last when the ballot began.
+    held: Option<(Ballot, Value)>,
+    /// Whether the ballot only asks if that is the newest value.
+    reads: bool,
+    /// Voters that accepted that value last, of a ballot that reads.
+    agreeing: BTreeSet<Id>,
+    /// Whether a ballot that only read found another value, or not enough answers.
+    reads_failed: bool,
 }
 
 /// A change that waits for the running proposal of its key.
@@ -94,6 +112,8 @@
     queues: BTreeMap<Key, VecDeque<Queued>>,
     /// When another voter last asked for a promise for a key, until a value is accepted.
     contended: BTreeMap<Key, Time>,
+    /// Time that the value of a key needs to reach all voters, for those with long values.
+    transfers: BTreeMap<Key, Span>,
 }
 
 impl Proposer {
@@ -109,6 +129,7 @@
             running: BTreeMap::new(),
             queues: BTreeMap::new(),
             contended: BTreeMap::new(),
+            transfers: BTreeMap::new(),
         }
     }
 
@@ -132,7 +153,7 @@
             started_at: now,
         };
         let running = self.running.get(&key);
-        let is_deferred = running.is_some_and(|running| running.is_deferred());
+        let is_deferred = running.is_some_and(Running::is_deferred_read);
         if is_deferred && queued.change != Change::Read {
             return self.overtake(now, key, queued, floor);
         }
@@ -163,27 +184,46 @@
         }
     }
 
-    /// Records that a value was accepted with this ballot: a read that waited for it begins above.
+    /// Records that a value was accepted with this ballot: a proposal that waited for it begins above,
+    /// once a long value can have reached the other voters too.
     pub fn release(&mut self, now: Time, key: Key, ballot: Ballot) {
         self.contended.remove(&key);
+        let transfer = self.transfers.get(&key).copied().unwrap_or_default();
         if let Some(proposal) = self.running.get_mut(&key)
             && let Stage::Deferred(_) = proposal.stage
         {
             proposal.ballot.round = proposal.ballot.round.max(ballot.round);
-            proposal.stage = Stage::Backoff(now);
+            proposal.stage = Stage::Backoff(now.after(transfer));
         }
     }
 
-    /// Longest time for which a read of this voter waits; others wait for other times, so that their
-    /// reads don't meet again.
-    fn defer_time(&self) -> Span {
-        DEFER_MAX.plus_steps(DEFER_STEP, self.id)
+    /// Records how long the value of a key is.
+    pub fn note_size(&mut self, key: Key, bytes: usize) {
+        match transfer_time(bytes) {
+            transfer if transfer >= TRANSFER_LONG => drop(self.transfers.insert(key, transfer)),
+            _ => drop(self.transfers.remove(&key)),
+        }
+    }
+
+    /// Longest time for which a proposal of this voter waits for another voter; others wait for other
+    /// times, so that they don't meet again.
+    fn defer_time(&self, key: &Key) -> Span {
+        let transfer = self.transfers.get(key).copied().unwrap_or_default();
+        let step = DEFER_STEP + transfer.divided_by(2);
+        (DEFER_MAX + transfer.saturating_mul(2)).plus_steps(step, self.id)
+    }
+
+    /// Whether a change of this key waits like a read: a ballot that gets between takes away the time
+    /// in which a long value was sent.
+    fn defers(&self, key: &Key, change: &Change) -> bool {
+        *change == Change::Read || self.transfers.contains_key(key)
     }
 
-    /// Time until which a read of a key waits; absent if it needn't.
+    /// Time until which a proposal for a key waits; absent if it needn't.
     fn deferred_until(&self, now: Time, key: &Key, change: &Change) -> Option<Time> {
-        let asked = self.contended.get(key).filter(|_| *change == Change::Read);
-        let until = asked.map(|at| at.after(self.defer_time()));
+        let asked = self.contended.get(key);
+        let asked = asked.filter(|_| self.defers(key, change));
+        let until = asked.map(|at| at.after(self.defer_time(key)));
         until.filter(|until| *until > now)
     }
 
@@ -203,11 +243,15 @@
             rejections: 0,
             rejected_by: BTreeSet::new(),
             promised: 0,
+            held: None,
+            reads: false,
+            agreeing: BTreeSet::new(),
+            reads_failed: false,
         };
         self.running.insert(key, proposal);
         match deferred {
             Some(_) => Vec::new(),
-            None => vec![Body::Prepare(key, ballot)],
+            None => vec![Body::Prepare(key, ballot, Hint::default().into())],
         }
     }
 
@@ -224,6 +268,68 @@
         self.running.iter_mut().map(restart).collect()
     }
 
+    /// Begins the ballot of a key with the value that this voter accepted last; returns what the other
+    /// voters are told of it. A read only asks them whether they accepted the same value last. If a
+    /// majority did, it is chosen, and none was chosen after it before the read began.
+    pub fn begin(&mut self, key: &Key, held: Option<(Ballot, Value)>) -> Hint {
+        let Some(proposal) = self.running.get_mut(key) else {
+            return Hint::default();
+        };
+        let may_read = proposal.change == Change::Read && !proposal.reads_failed;
+        proposal.reads = may_read && held.is_some();
+        proposal.agreeing.clear();
+        proposal.held = held;
+        Hint {
+            accepted: proposal.held.as_ref().map(|(ballot, _)| *ballot),
+            reads: proposal.reads,
+        }
+    }
+
+    /// Handles a promise of a voter that accepted the value of this ballot last, which this voter held
+    /// when its own ballot began.
+    pub fn handle_known(
+        &mut self,
+        now: Time,
+        from: Id,
+        key: Key,
+        ballot: Ballot,
+        accepted: Ballot,
+    ) -> Step {
+        let running = self.running.get(&key);
+        let held = running.and_then(|running| running.held.clone());
+        match held.filter(|(held, _)| *held == accepted) {
+            Some(held) => self.handle_promise(now, from, key, ballot, Some(held)),
+            None => Step::default(),
+        }
+    }
+
+    /// Handles the answer of a voter to a read, which accepted the value of this ballot last.
+    pub fn handle_unchanged(
+        &mut self,
+        now: Time,
+        from: Id,
+        key: Key,
+        ballot: Ballot,
+        accepted: Ballot,
+    ) -> Step {
+        let majority = self.majority();
+        let Some(proposal) = self
+            .running
+            .get_mut(&key)
+            .filter(|proposal| proposal.ballot == ballot && proposal.reads)
+        else {
+            return Step::default();
+        };
+        let Some((_, value)) = proposal.held.clone().filter(|(held, _)| *held == accepted) else {
+            return Step::default();
+        };
+        proposal.agreeing.insert(from);
+        if proposal.agreeing.len() < majority {
+            return Step::default();
+        }
+        self.finish(now, key, Decision::Value(Some(value)))
+    }
+
     /// Handles a promise. With a majority of promises the change is applied to the value of
     /// the highest ballot. An unchanged value is proposed again only if the promises do not
     /// show that a majority accepted it.
@@ -243,6 +349,14 @@
         else {
             return Step::default();
         };
+        if proposal.reads {
+            // A voter of an older build promises where a newer one only tells what it has.
+            let accepted = accepted.map(|(accepted, _)| accepted);
+            return match accepted {
+                Some(accepted) => self.handle_unchanged(now, from, key, ballot, accepted),
+                None => Step::default(),
+            };
+        }
         let Stage::Prepare(promises) = &mut proposal.stage else {
             return Step::default();
         };
@@ -324,7 +438,9 @@
         promised: Ballot,
     ) {
         let (id, rejections_max) = (u64::from(self.id), self.group_size - self.majority());
-        let defer_time = self.defer_time();
+        let defer_time = self.defer_time(&key);
+        let is_long = self.transfers.contains_key(&key);
+        let contended_until = self.deferred_until(now, &key, &Change::Read);
         let Some(proposal) = self
             .running
             .get_mut(&key)
@@ -338,11 +454,19 @@
         if matches!(proposal.stage, Stage::Accept(..)) && may_be_accepted {
             return;
         }
+        if proposal.reads {
+            if proposal.rejected_by.len() >= rejections_max {
+                proposal.reads_failed = contended_until.is_none();
+                proposal.stage = contended_until.map_or(Stage::Backoff(now), Stage::Deferred);
+            }
+            return;
+        }
         proposal.rejections += 1;
         let steps = (proposal.rejections * (id + 1)).min(BACKOFF_STEPS_MAX);
         let until = now.after(BACKOFF_UNIT.saturating_mul(steps));
         proposal.stage = match proposal.change {
             Change::Read => Stage::Deferred(now.after(defer_time)),
+            _ if is_long => Stage::Deferred(now.after(defer_time)),
             _ => Stage::Backoff(until),
         };
     }
@@ -354,7 +478,7 @@
             let Some(proposal) = self.running.get_mut(&key) else {
                 continue;
             };
-            if now.since(proposal.started_at) >= PROPOSAL_TIMEOUT {
+            if now.since(proposal.started_at) >= proposal.limit() {
                 let (bodies, decided) = self.finish(now, key, Decision::Unknown);
                 step.0.extend(bodies);
                 step.1.extend(decided);
@@ -367,29 +491,56 @@
 }
 
 impl Running {
-    /// Whether it waits for the ballot of another voter.
-    fn is_deferred(&self) -> bool {
-        matches!(self.stage, Stage::Deferred(_))
+    /// Whether it is a read that waits for the ballot of another voter.
+    fn is_deferred_read(&self) -> bool {
+        self.change == Change::Read && matches!(self.stage, Stage::Deferred(_))
+    }
+
+    /// Bytes of the value that is under way.
+    fn bytes(&self) -> usize {
+        let held = self.held.as_ref().map_or(0, |(_, value)| value.size());
+        match &self.stage {
+            Stage::Accept(_, decision) => decision.size().max(held),
+            _ => held,
+        }
+    }
+
+    /// Time for which the ballot waits for answers.
+    fn timeout(&self) -> Span {
+        BALLOT_TIMEOUT + transfer_time(self.bytes())
+    }
+
+    /// Time after which the proposal ends without a decision.
+    fn limit(&self) -> Span {
+        let transfers = transfer_time(self.bytes()).saturating_mul(TRANSFERS_MAX);
+        PROPOSAL_TIMEOUT + transfers
     }
 
     /// Whether the backoff is over or the ballot went unanswered for too long.
     fn is_due(&self, now: Time) -> bool {
         match self.stage {
             Stage::Backoff(until) | Stage::Deferred(until) => until <= now,
-            Stage::Prepare(_) | Stage::Accept(..) => now.since(self.sent_at) >= BALLOT_TIMEOUT,
+            Stage::Prepare(_) | Stage::Accept(..) => now.since(self.sent_at) >= self.timeout(),
         }
     }
 
     /// Starts the next round and returns its first body.
     fn restart(&mut self, now: Time, key: Key, lifetime: u64) -> Body {
+        let is_unanswered = matches!(self.stage, Stage::Prepare(_));
+        self.reads_failed |= self.reads && is_unanswered;
         self.ballot.round = round_above(self.ballot.round.max(self.promised), lifetime);
         self.rejected_by.clear();
         self.stage = Stage::Prepare(BTreeMap::new());
         self.sent_at = now;
-        Body::Prepare(key, self.ballot)
+        Body::Prepare(key, self.ballot, Hint::default().into())
     }
 }
 
+/// Time that a value of this many bytes needs to reach all voters and their disks.
+pub(crate) fn transfer_time(bytes: usize) -> Span {
+    Span::from_ms(bytes as u64 / TRANSFER_BYTES_PER_MS)
+}
+
 /// The next attempt above a round, in this lifetime of the proposer. Voters of earlier builds
 /// count up by one; their rounds compare as well.
 fn round_above(round: u64, lifetime: u64) -> u64 {
--- a/decision/src/register.rs
+++ b/decision/src/register.rs
@@ -55,6 +55,17 @@
     Tier(Arc<tier::State>),
 }
 
+impl Value {
+    /// Bytes of the parts that may be long.
+    pub fn size(&self) -> usize {
+        match self {
+            Value::File(file) => file.text.len(),
+            Value::Job(_) => 0,
+            Value::Tier(state) => state.document.len(),
+        }
+    }
+}
+
 /// A change of one key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Change {
@@ -138,6 +149,17 @@
     Unknown,
 }
 
+impl Decision {
+    /// Bytes of the parts that may be long.
+    pub fn size(&self) -> usize {
+        match self {
+            Decision::Value(Some(value)) => value.size(),
+            Decision::Tier(state, _) => state.document.len(),
+            Decision::Value(None) | Decision::File(_) | Decision::Job(_) | Decision::Unknown => 0,
+        }
+    }
+}
+
 impl Change {
     /// Applies the change to a value: returns the new value, or none if it stays, and the
     /// decision.
--- a/decision/src/repair.rs
+++ b/decision/src/repair.rs
@@ -50,6 +50,9 @@
 /// start with it may still answer.
 const CHECK_TIMEOUTS_VACANT: u64 = 8;
 
+/// Longest time between two requests of a page.
+const RETRY_MAX: Span = Span::from_ms(800);
+
 /// Maximum number of cells in one page.
 const PAGE_CELLS: usize = 256;
 
@@ -74,18 +77,22 @@
     pub(crate) restored: bool,
     pub(crate) started: Time,
     pub(crate) last_try: Option<Time>,
+    /// Requests since the last answer that brought the repair forward.
+    pub(crate) retries: u32,
+    /// When the last such answer came.
+    pub(crate) progressed: Option<Time>,
     pub(crate) timing: Timing,
 }
 
 impl Voter {
     /// Whether requests are due; if so, restarts the retry interval.
     fn is_retry_due(&mut self, now: Time) -> bool {
-        let due = self
-            .repair
-            .last_try
-            .is_none_or(|at| now.since(at) >= self.repair.timing.retry_every);
+        let wait = self.repair.retry_wait();
+        let last = self.repair.last_try;
+        let due = last.is_none_or(|at| now.since(at) >= wait);
         if due {
             self.repair.last_try = Some(now);
+            self.repair.retries += 1;
         }
         due
     }
@@ -316,6 +323,8 @@
         if self.mode != Mode::Repairing || !self.repair.admitted.contains(&from) {
             return Vec::new();
         }
+        self.repair.retries = 0;
+        self.repair.progressed = Some(now);
         let last_key = cells.last().map(|(key, _)| *key);
         cells
             .into_iter()
@@ -373,6 +382,18 @@
 }
 
 impl Repair {
+    /// Time between two requests. Pages can be long, so that one that is asked for is given more and
+    /// more time: each request would send it once more.
+    fn retry_wait(&self) -> Span {
+        let first = self.timing.retry_every;
+        let doublings = self.retries.min(u64::BITS / 2);
+        let doubled = first.saturating_mul(1 << doublings);
+        match self.admitted.is_empty() {
+            true => first,
+            false => doubled.min(RETRY_MAX.max(first)),
+        }
+    }
+
     /// Keeps the highest promise and the value accepted with the highest ballot.
     fn merge_cell(&mut self, key: Key, cell: Cell) {
         let merged = self.cells.entry(key).or_default();
--- a/decision/src/seats.rs
+++ b/decision/src/seats.rs
@@ -16,6 +16,8 @@
 use crate::controller::STARTUP_TIMING;
 use crate::controller::accepted_state;
 use crate::feed::Message;
+use crate::proposer::TRANSFERS_MAX;
+use crate::proposer::transfer_time;
 use crate::register::Change;
 use crate::tier;
 use crate::tier::Claim;
@@ -31,7 +33,8 @@
 /// Time between two requests for a seat.
 const SEAT_REQUEST_EVERY: Span = Span::from_ms(250);
 
-/// Time after which a process that does not vote in its new seat requests a seat again.
+/// Time without progress of its repair, beyond that for a long state, after which a process that does not
+/// vote in its new seat requests a seat again.
 const SEAT_TIMEOUT: Span = Span::from_ms(1_500);
 
 impl Controller {
@@ -214,10 +217,13 @@
             return;
         }
         let lacks_seat = self.voter.as_ref().is_none_or(Voter::lacks_incarnation);
-        let stuck = self
-            .assigned_seat
-            .as_ref()
-            .is_some_and(|(_, since)| now.since(*since) >= SEAT_TIMEOUT);
+        let bytes = self.chosen.as_ref().map_or(0, |state| state.document.len());
+        let timeout = SEAT_TIMEOUT + transfer_time(bytes).saturating_mul(TRANSFERS_MAX);
+        let progress = self.voter.as_ref().and_then(Voter::repair_progress);
+        let stuck = self.assigned_seat.as_ref().is_some_and(|(_, since)| {
+            let since = progress.map_or(*since, |progress| progress.max(*since));
+            now.since(since) >= timeout
+        });
         let due = self
             .last_seat_request
             .is_none_or(|at| now.since(at) >= SEAT_REQUEST_EVERY);
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -9,12 +9,14 @@
 //! from voting until it has read the state back from the others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::appended::Appended;
 use crate::clock::Span;
 use crate::clock::Time;
 use crate::proposer::Proposer;
@@ -118,8 +120,9 @@
 /// Content of a message between voters.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Body {
-    /// Asks for a promise to reject lower ballots.
-    Prepare(Key, Ballot),
+    /// Asks for a promise to reject lower ballots. Ends with what the proposer holds, which older builds
+    /// don't send.
+    Prepare(Key, Ballot, Appended<Hint>),
     /// A promise, with the value accepted before, if any.
     Promise(Key, Ballot, Option<(Ballot, Value)>),
     /// Asks to accept a value.
@@ -144,6 +147,21 @@
     QueryPage(Option<Key>),
     /// A page of cells, and whether it is the last one.
     Cells(Vec<(Key, Cell)>, bool),
+    /// A promise of a voter whose last accepted ballot is that of the hint; stands for its value.
+    PromiseKnown(Key, Ballot, Ballot),
+    /// Answers a read without a promise: the last accepted ballot is that of the hint.
+    Unchanged(Key, Ballot, Ballot),
+    /// The value that was accepted with this ballot is chosen.
+    Chosen(Key, Ballot),
+}
+
+/// What a proposer holds, so that voters with the same value needn't send it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hint {
+    /// Ballot of the value that it accepted last; absent for none, and from older builds.
+    pub accepted: Option<Ballot>,
+    /// Whether it only asks if that is the newest value. No promise is needed then.
+    pub reads: bool,
 }
 
 /// A message between voters.
@@ -232,6 +250,8 @@
     pub(crate) last_expiry: Time,
     /// Whether the group assigned the seat; false where the settings list the voters.
     pub(crate) seated: bool,
+    /// Voters whose messages show a build that knows hints.
+    with_hints: BTreeSet<Id>,
 }
 
 impl Voter {
@@ -317,6 +337,7 @@
             proposer: Proposer::new(id, group_size, nonce),
             last_expiry: now,
             seated: false,
+            with_hints: BTreeSet::new(),
         };
         records
             .into_iter()
@@ -437,6 +458,11 @@
         self.mode == Mode::Repairing && self.repair.incarnation.epoch == 0
     }
 
+    /// When the repair last came forward; absent before.
+    pub fn repair_progress(&self) -> Option<Time> {
+        self.repair.progressed
+    }
+
     /// Number of keys stored.
     pub fn len(&self) -> usize {
         self.cells.len()
@@ -558,9 +584,22 @@
         self.deliver_to_self(now, actions)
     }
 
+    /// Adds the value that this voter accepted last to a ballot that begins.
+    fn with_hint(&mut self, body: Body) -> Body {
+        let Body::Prepare(key, ballot, _) = body else {
+            return body;
+        };
+        let stored = self.cells.get(&key);
+        let accepted = stored.and_then(|stored| stored.cell.accepted.clone());
+        let hint = self.proposer.begin(&key, accepted);
+        Body::Prepare(key, ballot, hint.into())
+    }
+
     /// Sends each body to all voters, this one included.
-    fn broadcast(&self, bodies: Vec<Body>) -> Vec<Action> {
+    fn broadcast(&mut self, bodies: Vec<Body>) -> Vec<Action> {
         let all = 0..self.group_size as Id;
+        let bodies = bodies.into_iter().map(|body| self.with_hint(body));
+        let bodies = bodies.collect::<Vec<_>>();
         let messages = bodies.into_iter().flat_map(|body| {
             all.clone()
                 .map(move |to| (to, body.clone()))
@@ -595,9 +634,29 @@
         actions.extend(self.broadcast(restarted));
         let from = message.from;
         actions.extend(match message.body {
-            Body::Prepare(key, ballot) => {
-                self.handle_prepare(now, from, key, ballot, &message.incarnations)
+            Body::Prepare(key, ballot, hint) => {
+                self.note_hints(from, hint.accepted.is_some());
+                match hint.reads {
+                    true => self.handle_read(from, key, ballot, *hint, &message.incarnations),
+                    false => {
+                        let view = &message.incarnations;
+                        self.handle_prepare(now, from, key, ballot, *hint, view)
+                    }
+                }
+            }
+            Body::PromiseKnown(key, ballot, accepted) => {
+                self.note_hints(from, true);
+                let step = self.proposer.handle_known(now, from, key, ballot, accepted);
+                self.step_actions(step)
             }
+            Body::Unchanged(key, ballot, accepted) => {
+                self.note_hints(from, true);
+                let step = self
+                    .proposer
+                    .handle_unchanged(now, from, key, ballot, accepted);
+                self.step_actions(step)
+            }
+            Body::Chosen(..) => Vec::new(),
             Body::Accept(key, ballot, value) => {
                 self.handle_accept(now, from, key, (ballot, value), &message.incarnations)
             }
@@ -629,7 +688,7 @@
     }
 
     /// Turns a step of the proposer into actions.
-    fn step_actions(&self, step: (Vec<Body>, Vec<(u64, Decision)>)) -> Vec<Action> {
+    fn step_actions(&mut self, step: (Vec<Body>, Vec<(u64, Decision)>)) -> Vec<Action> {
         let (bodies, decided) = step;
         let mut actions = self.broadcast(bodies);
         let decided = decided
@@ -666,6 +725,7 @@
             }
             self.incarnations[id] = *theirs;
             self.peer_synced[id] = 0;
+            self.with_hints.remove(&(id as Id));
             self.forget_answers(id as Id);
             actions.push(self.persist(Record::Incarnation(id as Id, *theirs)));
         }
@@ -691,6 +751,9 @@
             cell: cell.clone(),
             changed_at: now,
         };
+        let accepted = cell.accepted.as_ref();
+        let bytes = accepted.map_or(0, |(_, value)| value.size());
+        self.proposer.note_size(key, bytes);
         self.cells.insert(key, stored);
         self.persist(Record::Cell(key, cell))
     }
@@ -703,6 +766,7 @@
         from: Id,
         key: Key,
         ballot: Ballot,
+        hint: Hint,
         view: &[Incarnation],
     ) -> Vec<Action> {
         if self.mode != Mode::Voting {
@@ -720,10 +784,62 @@
         let accepted = cell.accepted.clone();
         cell.promised = ballot;
         let mut actions = vec![self.store_cell(now, key, cell)];
-        actions.extend(self.send_after_sync(from, Body::Promise(key, ballot, accepted)));
+        let promise = match accepted {
+            Some((known, _)) if hint.accepted == Some(known) => {
+                Body::PromiseKnown(key, ballot, known)
+            }
+            accepted => Body::Promise(key, ballot, accepted),
+        };
+        actions.extend(self.send_after_sync(from, promise));
         actions
     }
 
+    /// Answers whether the proposer of a read holds the newest value as far as this voter knows. Writes
+    /// nothing.
+    fn handle_read(
+        &mut self,
+        from: Id,
+        key: Key,
+        ballot: Ballot,
+        hint: Hint,
+        view: &[Incarnation],
+    ) -> Vec<Action> {
+        if self.mode != Mode::Voting {
+            return Vec::new();
+        }
+        let cell = self.cells.get(&key).map(|stored| &stored.cell);
+        let accepted = cell.and_then(|cell| cell.accepted.as_ref());
+        let accepted = accepted.map(|(ballot, _)| *ballot);
+        let promised = cell.map(|cell| cell.promised).unwrap_or_default();
+        let answer = match accepted.filter(|_| !self.is_outdated_view(view)) {
+            Some(known) if hint.accepted == Some(known) => Body::Unchanged(key, ballot, known),
+            _ => Body::Reject(key, ballot, promised),
+        };
+        self.send_after_sync(from, answer)
+    }
+
+    /// Records that another voter is of a build that knows hints.
+    fn note_hints(&mut self, from: Id, knows: bool) {
+        if knows {
+            self.with_hints.insert(from);
+        }
+    }
+
+    /// Whether another voter is of a build that knows hints, as far as its messages tell.
+    pub fn knows_hints(&self, id: Id) -> bool {
+        self.with_hints.contains(&id)
+    }
+
+    /// The value that this voter last accepted for a key, with its ballot.
+    pub fn accepted_ballot(&self, key: &Key) -> Option<&(Ballot, Value)> {
+        self.cells.get(key)?.cell.accepted.as_ref()
+    }
+
+    /// Tells another voter that the value accepted with this ballot is chosen.
+    pub fn announce_chosen(&self, key: Key, ballot: Ballot) -> Message {
+        self.message(Body::Chosen(key, ballot))
+    }
+
     fn handle_accept(
         &mut self,
         now: Time,
--- a/decision/tests/properties/ballot.rs
+++ b/decision/tests/properties/ballot.rs
@@ -40,7 +40,7 @@
 fn proposed(group: &Group) -> BTreeSet<Ballot> {
     let bodies = group.messages.iter().map(|(_, message)| &message.body);
     let ballots = bodies.filter_map(|body| match body {
-        Body::Prepare(_, ballot) if ballot.voter == 0 => Some(*ballot),
+        Body::Prepare(_, ballot, _) if ballot.voter == 0 => Some(*ballot),
         _ => None,
     });
     ballots.collect()
--- a/decision/tests/tier/group.rs
+++ b/decision/tests/tier/group.rs
@@ -60,6 +60,10 @@
     pub fleet: Option<Fleet>,
     /// Number of messages that asked for a promise.
     pub ballots: u64,
+    /// Whether the bytes of records are counted in `written`.
+    pub counts_records: bool,
+    /// Bytes of the records written.
+    pub written: usize,
     /// Seeds of the processes started from now on.
     pub seeds: Vec<SocketAddr>,
     boots: u64,
@@ -96,6 +100,8 @@
             reads: Vec::new(),
             fleet: None,
             ballots: 0,
+            counts_records: false,
+            written: 0,
             seeds: (0..3).map(address).collect(),
             boots: 0,
             last_command: 0,
@@ -384,7 +390,13 @@
                     self.ballots += u64::from(is_prepare(&message));
                     self.messages.push((at, to, message));
                 }
-                Action::Persist(number, record) => machine.written.push((number, record)),
+                Action::Persist(number, record) => {
+                    if self.counts_records {
+                        let bytes = postcard::to_stdvec(&record).expect("a record");
+                        self.written += bytes.len();
+                    }
+                    machine.written.push((number, record));
+                }
                 Action::Replace(records) => {
                     machine.written.clear();
                     machine.synced = records;
--- a/decision/tests/tier/links.rs
+++ b/decision/tests/tier/links.rs
@@ -1,4 +1,4 @@
-//! Connections between simulated machines that lose long messages, or are read late.
+//! Connections between simulated machines that lose long messages, are slow, or are read late.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -20,10 +20,20 @@
     message_max: BTreeMap<SocketAddr, usize>,
     /// Machines that handle messages this long after they arrive.
     lags: BTreeMap<SocketAddr, Span>,
+    /// Bytes that each connection carries in a millisecond; absent without a limit.
+    bandwidth: Option<usize>,
+    /// When each connection has carried what was sent over it so far.
+    busy: BTreeMap<(SocketAddr, SocketAddr), Time>,
+    /// Bytes sent between machines so far; counted only with a limited bandwidth.
+    pub bytes: usize,
     /// Messages that arrived, and when they are handled.
     arrived: VecDeque<(Time, Letter)>,
 }
 
+fn length(message: &Message) -> usize {
+    postcard::to_stdvec(message).expect("a message").len()
+}
+
 impl Links {
     /// Loses all messages between a machine and the others that are longer than `bytes`, as
     /// connections do whose other end reads too slowly.
@@ -36,21 +46,37 @@
         self.lags.insert(address(at), lag);
     }
 
+    /// Limits the bytes that each connection carries in a millisecond.
+    pub fn set_bandwidth(&mut self, bytes_per_ms: usize) {
+        self.bandwidth = Some(bytes_per_ms);
+    }
+
+    /// Time at which a connection has carried a message that is sent now.
+    fn carried(&mut self, now: Time, from: SocketAddr, to: SocketAddr, message: &Message) -> Time {
+        let Some(bandwidth) = self.bandwidth else {
+            return now;
+        };
+        let bytes = length(message);
+        self.bytes += bytes;
+        let busy = self.busy.entry((from, to)).or_insert(now);
+        let micros = bytes as u64 * 1_000 / bandwidth as u64;
+        *busy = (*busy).max(now).after(Span::from_us(micros));
+        *busy
+    }
+
     /// Whether a message between two machines is lost.
     pub fn loses(&self, from: SocketAddr, to: SocketAddr, message: &Message) -> bool {
         let ends = [from, to].into_iter();
         let max = ends.filter_map(|end| self.message_max.get(&end)).min();
-        max.is_some_and(|max| {
-            let bytes = postcard::to_stdvec(message).expect("a message");
-            bytes.len() > *max
-        })
+        max.is_some_and(|max| length(message) > *max)
     }
 
     /// Receives a message.
     pub fn push(&mut self, now: Time, from: SocketAddr, to: SocketAddr, message: Message) {
         let lag = self.lags.get(&to).copied().unwrap_or_default();
+        let carried = self.carried(now, from, to, &message);
         self.arrived
-            .push_back((now.after(lag), (from, to, message)));
+            .push_back((carried.after(lag), (from, to, message)));
     }
 
     /// Takes the messages that are to be handled now.
--- a/decision/tests/tier/main.rs
+++ b/decision/tests/tier/main.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod group;
 mod hosts;
+mod large;
 mod learned;
 mod limited;
 mod links;
