A manifest that is too long for a record is refused with the limit

Operators saw: a manifest of just under 16 MiB got no answer, and each voter that took it stopped with "a record of bytes is too long for the store".

Cause: the check of its length, a stored record and a message had the same limit, and a record holds the rest of the state too.

Change: tier::DOCUMENT_MAX_BYTES, 15 MiB, is the limit at the door; a longer manifest gets 413 with the limit. The error of a rollout's request that is too long names its limit now; its status stays 400.

--- a/adapter/src/operator.rs
+++ b/adapter/src/operator.rs
@@ -22,6 +22,7 @@
 use wagtailbeam_decision::command::Outcome;
 use wagtailbeam_decision::name::Name;
 use wagtailbeam_decision::tier::Change;
+use wagtailbeam_decision::tier::DOCUMENT_MAX_BYTES;
 
 use crate::body;
 use crate::dialect;
@@ -31,9 +32,6 @@
 use crate::metered::Metered;
 use crate::metered::READ_AHEAD_MAX_BYTES;
 
-/// Largest configuration, in bytes.
-const CONFIGURATION_MAX_BYTES: usize = 16 * 1024 * 1024;
-
 /// Time limit for reading a request's head, and for reading its body.
 pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -134,7 +132,8 @@
 
     /// Reads and checks a configuration before it is submitted.
     async fn read_configuration(&self, request: Request<Incoming>) -> Result<Command, Refused> {
-        let document = read_body(request, CONFIGURATION_MAX_BYTES).await?;
+        let document =
+            read_body(request, DOCUMENT_MAX_BYTES, StatusCode::PAYLOAD_TOO_LARGE).await?;
         match self.dialect.catalog(&document) {
             Ok(catalog) => Ok(Command::Change(Change::Configure {
                 version: catalog.version,
@@ -175,12 +174,21 @@
     }
 }
 
-/// Reads the body of an operator's request, of at most `max` bytes.
-pub(crate) async fn read_body(request: Request<Incoming>, max: usize) -> Result<Bytes, Refused> {
+/// Reads the body of an operator's request, of at most `max` bytes; a longer one is refused with the
+/// status `too_long`.
+pub(crate) async fn read_body(
+    request: Request<Incoming>,
+    max: usize,
+    too_long: StatusCode,
+) -> Result<Bytes, Refused> {
     let meter = Meter::of(request.extensions());
     let body = body::read(request.into_body(), max, &meter);
     match tokio::time::timeout(READ_TIMEOUT, body).await {
         Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Error::TooLong)) => {
+            let detail = format!("the body is longer than {max} bytes\n");
+            Err(refuse(too_long, &detail))
+        }
         Ok(Err(error)) => {
             let detail = format!("the body can't be read: {error}\n");
             Err(refuse(StatusCode::BAD_REQUEST, &detail))
--- a/adapter/src/rollout.rs
+++ b/adapter/src/rollout.rs
@@ -45,7 +45,7 @@
     }
 
     async fn try_begin(&self, request: Request<Incoming>) -> Result<http::Reply, Refused> {
-        let body = read_body(request, REQUEST_MAX_BYTES).await?;
+        let body = read_body(request, REQUEST_MAX_BYTES, StatusCode::BAD_REQUEST).await?;
         let order = self.dialect.rollout(&body).map_err(|cause| {
             let detail = format!("{cause}\n");
             refuse(StatusCode::BAD_REQUEST, &detail)
--- a/bins/tests/processes/orders.rs
+++ b/bins/tests/processes/orders.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use wagtailbeam_decision::tier::DOCUMENT_MAX_BYTES;
+use wagtailbeam_platform::encode;
 use wagtailbeam_platform::encode::EVACUATIONS_PREFIX;
 use wagtailbeam_soak::deployment::Deployment;
 use wagtailbeam_soak::deployment::VOTERS;
@@ -74,3 +76,44 @@
         assert!(!log.contains("overtaken"), "{log}");
     });
 }
+
+/// A configuration that blanks at its end make as long as this.
+fn padded(tier: &Tier, version: u64, bytes: usize) -> String {
+    let document = tier.document(version, Vec::new());
+    let blanks = bytes - document.len();
+    document + &" ".repeat(blanks)
+}
+
+/// Guards against a configuration that passes the check of its length and then ends each voter, since
+/// its record doesn't fit into the store. A long one that fits is acknowledged and read back.
+#[test]
+fn a_configuration_that_is_too_long_is_refused_and_ends_no_voter() {
+    tier::run(async {
+        let folder = tier::folder("long-configuration");
+        let mut tier = Tier::start(Deployment::new(2, 1), &folder, Vec::new(), "").await;
+        tier.configure(1, Vec::new()).await;
+        wait_voting(&folder).await;
+        let path = encode::CONFIGURATION_PATH;
+        for bytes in [DOCUMENT_MAX_BYTES + 1, 16_777_200] {
+            let document = padded(&tier, 2, bytes);
+            let answer = tier.operate(0, "PUT", path, &document).await.unwrap();
+            assert_eq!(answer.status, 413, "{bytes} bytes");
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(body.contains(&DOCUMENT_MAX_BYTES.to_string()), "{body}");
+        }
+        tokio::time::sleep(SPREAD).await;
+        for voter in &mut tier.voters {
+            assert!(voter.is_running());
+        }
+        let longest = padded(&tier, 2, DOCUMENT_MAX_BYTES);
+        tier.put(longest.clone()).await;
+        let started = Instant::now();
+        loop {
+            let read = tier.operate(1, "GET", path, "").await;
+            if read.is_some_and(|answer| answer.body == longest.as_bytes()) {
+                return;
+            }
+            assert!(started.elapsed() < START_MAX, "not read back");
+        }
+    });
+}
--- a/decision/src/tier.rs
+++ b/decision/src/tier.rs
@@ -43,6 +43,10 @@
     pub switched: BTreeMap<Name, u64>,
 }
 
+/// Longest configuration in bytes. With the rest of the state it must fit into a record and a message
+/// of 16 MiB.
+pub const DOCUMENT_MAX_BYTES: usize = 15 * 1024 * 1024;
+
 /// A change of the state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Change {
