Soak: odd answers of replicas

--answers makes a quarter of the replicas' answers odd, each drawn from the seed: any status, the identifier of the request, another one or none, with or without stamp, "not run", a pause or leaving, and the request run or not. Callers' statuses are held against what ran; the four that promise "not run" count as that now.

Two seeds run in the tests. Not drawn: bytes beside an answer, odd lengths.

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -149,3 +149,20 @@
         }
     }
 }
+
+/// Guards against answers that are believed without proof: replicas answer with any status and
+/// identifier, and what they say of the request may belong to another one.
+#[test]
+fn odd_answers_are_no_false_promise_and_no_second_run() {
+    for seed in [61, 62] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
+            duration: FAULT_TIME,
+            answers: true,
+            ..Options::default()
+        };
+        let report = run::run(&options, seed).expect("a run");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.served > 0, "{report}");
+    }
+}
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -11,6 +11,7 @@
 use http_body_util::Empty;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header;
@@ -78,9 +79,11 @@
 }
 
 impl Answer {
-    /// Whether the answer says that the request did not run.
+    /// Whether the answer says that the request did not run, in its status or its body.
     fn is_refusal(&self) -> bool {
-        self.has_title(NOT_RUN_TITLE)
+        let status = StatusCode::from_u16(self.status);
+        status.is_ok_and(http::promises_not_run)
+            || self.has_title(NOT_RUN_TITLE)
             || self.has_title(QUARANTINED_TITLE)
             || ACCOUNT_TITLES.iter().any(|title| self.has_title(title))
     }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -193,6 +193,13 @@
         });
     }
 
+    /// Makes all replicas say this of themselves.
+    pub(crate) fn set_notices(&self, notice: Notice) {
+        for backend in &self.backends {
+            backend.notice.send_replace(notice);
+        }
+    }
+
     /// Kills and restarts all entry hosts, one after the other, then all voters at once.
     pub(crate) async fn restart_all(&mut self) -> Result<()> {
         for entry in &mut self.entry_hosts {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod list;
 pub mod moved;
 pub mod notice;
+pub mod odd;
 pub mod operator;
 pub mod process;
 pub mod proxy;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -42,6 +42,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Make replicas say that they leave or want no requests; with --entries 1"),
         )
+        .arg(
+            Arg::new("answers")
+                .long("answers")
+                .action(ArgAction::SetTrue)
+                .help("Make a share of the replicas' answers odd"),
+        )
         .arg(
             Arg::new("accounts")
                 .long("accounts")
@@ -82,6 +88,7 @@
         duration: Duration::from_secs(number("seconds")),
         cuts: matches.get_flag("cuts"),
         notices: matches.get_flag("notices"),
+        answers: matches.get_flag("answers"),
         accounts: matches.get_flag("accounts"),
         moves: matches.get_flag("moves"),
     };
--- a/soak/src/notice.rs
+++ b/soak/src/notice.rs
@@ -28,6 +28,8 @@
     Leaving,
     /// It runs nothing and wants no requests for this time.
     Overloaded(Duration),
+    /// A share of its answers is odd, drawn from this seed.
+    Odd(u64),
 }
 
 /// A replica that can say something of itself.
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -29,6 +29,7 @@
 use crate::checker;
 use crate::checker::Shared;
 use crate::notice::Notice;
+use crate::odd::Odd;
 
 /// Processing time of a request, except in [`Mode::Slow`] and [`Mode::WrongRequest`].
 const PROCESSING_TIME: Duration = Duration::from_millis(4);
@@ -153,7 +154,14 @@
             Notice::Overloaded(wait) if works => Some(wait),
             _ => None,
         };
+        let odd = match *self.notice.borrow() {
+            Notice::Odd(seed) if works => Odd::draw(seed, &self.id, &id),
+            _ => None,
+        };
+        let fatal = request.uri().path().ends_with(FATAL_SUFFIX);
+        let odd = odd.filter(|_| !fatal);
         let runs = !matches!(mode, Mode::Unresponsive | Mode::Shedding) && overloaded.is_none();
+        let runs = odd.map_or(runs, |odd| odd.runs);
         self.checker
             .lock()
             .record_arrival(&self.service, &self.id, &id, runs);
@@ -164,10 +172,16 @@
             headers: request.headers(),
             runs,
         });
-        if runs && request.uri().path().ends_with(FATAL_SUFFIX) {
+        if runs && fatal {
             self.end_process(request.uri().path(), &id);
             return Err(Disconnect);
         }
+        if let Some(odd) = odd {
+            tokio::time::sleep(PROCESSING_TIME).await;
+            let stamp = format!("{}/{id}", self.service);
+            let body = checker::records(&self.service, &id).concat();
+            return Ok(odd.reply(&self.headers, &id, &stamp, body));
+        }
         if let Some(wait) = overloaded {
             self.checker.lock().record_overloaded(&self.id, wait);
             let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -30,6 +30,7 @@
 use crate::moved;
 use crate::moved::Herds;
 use crate::notice;
+use crate::notice::Notice;
 use crate::operator::Operator;
 use crate::process::Process;
 
@@ -79,6 +80,8 @@
     /// Whether replicas say that they leave or want no requests. Meant for one entry host: with
     /// more it isn't known which one a replica told.
     pub notices: bool,
+    /// Whether a share of the replicas' answers is odd.
+    pub answers: bool,
     /// Whether configurations declare accounts, with keys and quotas that change.
     pub accounts: bool,
     /// Whether configurations move a route between services, while many entry hosts are killed at once.
@@ -94,6 +97,7 @@
             duration: Duration::from_secs(20),
             cuts: false,
             notices: false,
+            answers: false,
             accounts: false,
             moves: false,
         }
@@ -197,6 +201,9 @@
             stopped.clone(),
         ))
     });
+    if options.answers {
+        cluster.set_notices(Notice::Odd(seed));
+    }
     let moved = options.moves.then(|| {
         let (deployment, checker) = (cluster.deployment.clone(), cluster.checker.clone());
         tokio::spawn(moved::send(deployment, checker, stopped.clone()))
@@ -204,6 +211,9 @@
     let accounts = cluster.start_account_callers(seed, stopped.clone());
     cluster.inject_faults(&mut rng, options).await?;
     stop.send_replace(true);
+    if options.answers {
+        cluster.set_notices(Notice::None);
+    }
     if let Some(notices) = notices {
         notices.await.map_err(std::io::Error::other)?;
     }
