Soak: disks lost while a group forms

--starts starts the voters in random order, up to 0.3 s apart, has the first configuration acknowledged meanwhile, and takes the disks of one or two of them within 0.8 s.

--- a/bins/tests/soak.rs
+++ b/bins/tests/soak.rs
@@ -166,3 +166,20 @@
         assert!(report.served > 0, "{report}");
     }
 }
+
+/// Guards against a group that ends for good, or forgets what it acknowledged: disks of its voters are
+/// lost while it forms.
+#[test]
+fn a_group_outlives_disks_that_are_lost_while_it_forms() {
+    for seed in [71, 72, 73] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_wagtailbeamd").into(),
+            duration: Duration::from_secs(1),
+            starts: true,
+            ..Options::default()
+        };
+        let report = run::run(&options, seed).expect("a run");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.served > 0, "{report}");
+    }
+}
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -90,7 +90,8 @@
 }
 
 impl Cluster {
-    /// Starts the fakes, then all daemon processes. The voters form a new group.
+    /// Starts the fakes, then all daemon processes, but for the voters if their first start is part of the
+    /// run. The voters form a new group.
     /// If the options name an older program, every second process runs it.
     pub(crate) async fn start(options: &Options, rng: &mut ChaCha8Rng) -> Result<Cluster> {
         let folder = tempfile::tempdir()?;
@@ -153,8 +154,8 @@
             let entry = Process::new(program, cluster.folder.path(), &name, &settings)?;
             cluster.entry_hosts.push(entry);
         }
-        let all = cluster.voters.iter_mut().chain(&mut cluster.entry_hosts);
-        for process in all {
+        let voters = cluster.voters.iter_mut().filter(|_| !options.starts);
+        for process in voters.chain(&mut cluster.entry_hosts) {
             process.start()?;
         }
         Ok(cluster)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod proxy;
 pub mod replica;
 pub mod run;
+mod start;
 pub mod usage;
 mod verdict;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -48,6 +48,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Make a share of the replicas' answers odd"),
         )
+        .arg(
+            Arg::new("starts")
+                .long("starts")
+                .action(ArgAction::SetTrue)
+                .help("Take disks of voters right after the first acknowledgement"),
+        )
         .arg(
             Arg::new("accounts")
                 .long("accounts")
@@ -89,6 +95,7 @@
         cuts: matches.get_flag("cuts"),
         notices: matches.get_flag("notices"),
         answers: matches.get_flag("answers"),
+        starts: matches.get_flag("starts"),
         accounts: matches.get_flag("accounts"),
         moves: matches.get_flag("moves"),
     };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -82,6 +82,8 @@
     pub notices: bool,
     /// Whether a share of the replicas' answers is odd.
     pub answers: bool,
+    /// Whether voters lose their disks right after the first configuration was acknowledged.
+    pub starts: bool,
     /// Whether configurations declare accounts, with keys and quotas that change.
     pub accounts: bool,
     /// Whether configurations move a route between services, while many entry hosts are killed at once.
@@ -98,6 +100,7 @@
             cuts: false,
             notices: false,
             answers: false,
+            starts: false,
             accounts: false,
             moves: false,
         }
@@ -169,7 +172,7 @@
     let mut cluster = Cluster::start(options, &mut rng).await?;
     cluster.declare_accounts(seed);
     let mut operator = Operator::new(seed, &cluster.deployment, cluster.checker.clone());
-    cluster.bootstrap(&mut operator).await;
+    cluster.bootstrap(options, seed, &mut operator).await?;
     let (stop, stopped) = watch::channel(false);
     let callers = (0..CALLERS).map(|number| {
         let caller = Caller::new(number, seed, &cluster.deployment, cluster.checker.clone());
@@ -260,8 +263,18 @@
 impl Cluster {
     /// Applies the first configuration, waits until all entry hosts answer gathers, and
     /// rewrites the voters' settings with `found = false` for later restarts.
-    async fn bootstrap(&mut self, operator: &mut Operator) {
+    async fn bootstrap(
+        &mut self,
+        options: &Options,
+        seed: u64,
+        operator: &mut Operator,
+    ) -> Result<()> {
         let deadline = Instant::now() + RECOVERY_MAX;
+        if options.starts {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ !seed);
+            self.start_under_losses(&mut rng, operator, deadline)
+                .await?;
+        }
         while Instant::now() < deadline && !operator.configure(0).await {
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
@@ -276,6 +289,7 @@
                     .report_violation(format!("settings of voter-{index}: {error}"));
             }
         }
+        Ok(())
     }
 
     /// Waits until each entry host answers a gather with no missing shards. Reports a violation
