--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -4,6 +4,7 @@
 //! number. Time and seeds are arguments, and every effect is returned as data for the
 //! adapter to carry out.
 
+mod acceptor;
 pub mod account;
 pub mod admission;
 pub mod allowance;
@@ -68,10 +69,12 @@
 pub mod relay;
 pub mod repair;
 pub mod request;
+mod restore;
 pub mod rollout;
 pub mod roster;
 pub mod rotation;
 pub mod route;
+mod running;
 mod scatter;
 mod seats;
 pub mod silence;
@@ -82,5 +85,6 @@
 pub mod tier;
 pub mod trace;
 pub mod uplink;
+mod vacancy;
 pub mod voter;
 pub mod withdrawn;
--- a/decision/src/voter.rs
+++ b/decision/src/voter.rs
@@ -25,7 +25,6 @@
 use crate::register::Key;
 use crate::register::Value;
 use crate::repair::Repair;
-use crate::repair::Timing;
 
 /// Time for which a voter keeps a job after its last change.
 const JOB_RETENTION: Span = Span::from_secs(72 * 3_600);
@@ -233,7 +232,7 @@
     pub(crate) nonce: u64,
     pub(crate) mode: Mode,
     /// Mode to which a voter returns whose disk failed.
-    mode_before_failure: Mode,
+    pub(crate) mode_before_failure: Mode,
     /// Newest known incarnations, indexed by voter id.
     pub(crate) incarnations: Vec<Incarnation>,
     /// Records that each voter is known to have synced in its incarnation, by id.
@@ -251,173 +250,10 @@
     /// Whether the group assigned the seat; false where the settings list the voters.
     pub(crate) seated: bool,
     /// Voters whose messages show a build that knows hints.
-    with_hints: BTreeSet<Id>,
+    pub(crate) with_hints: BTreeSet<Id>,
 }
 
 impl Voter {
-    /// Returns the first records of voter `id` in a new group. Must not be used for a replaced
-    /// disk in an existing group: that voter must repair itself from an empty disk.
-    pub fn format(id: Id, nonce: u64) -> Vec<Record> {
-        let incarnation = Incarnation {
-            epoch: 1,
-            nonce,
-            address: None,
-        };
-        vec![Record::Incarnation(id, incarnation)]
-    }
-
-    /// Returns the first records of voter `own` in a new group of `group_size` whose first
-    /// voters have the given addresses, in order of their ids.
-    pub fn bootstrap(own: Id, group_size: u8, nonce: u64, addresses: &[SocketAddr]) -> Vec<Record> {
-        let first = addresses.iter().zip(0..).map(|(address, id)| {
-            let (epoch, nonce) = if id == own { (1, nonce) } else { (0, 0) };
-            let address = Some(*address);
-            let incarnation = Incarnation {
-                epoch,
-                nonce,
-                address,
-            };
-            Record::Incarnation(id, incarnation)
-        });
-        std::iter::once(Record::Seat(own, group_size))
-            .chain(first)
-            .collect()
-    }
-
-    /// Returns the first records of a voter for an assigned seat. Its own incarnation is discarded at
-    /// once, since it may not vote yet; a voter that restarts before it votes finds it there, see
-    /// [`Voter::unused_seat`].
-    pub fn records_of_seat(seat: &Seat, written: u64) -> Vec<Record> {
-        let own_seat = Record::Seat(seat.id, seat.incarnations.len() as u8);
-        let own = Record::Incarnation(seat.id, seat.incarnation);
-        let others = seat.incarnations.iter().zip(0..);
-        let others = others.filter(|(_, id)| *id != seat.id);
-        let others = others.map(|(incarnation, id)| Record::Incarnation(id, *incarnation));
-        let first = [own_seat, own, Record::Reset].into_iter();
-        first
-            .chain(others)
-            .chain([Record::RecordCount(written)])
-            .collect()
-    }
-
-    /// Creates a voter without state for an assigned seat; it repairs itself from the others
-    /// under the seat's incarnation. Its records are numbered from `written` on.
-    pub fn for_seat(now: Time, seat: &Seat, written: u64) -> Voter {
-        let nonce = seat.incarnation.nonce;
-        let mut voter = Voter::open(now, seat.id, seat.incarnations.len(), nonce, Vec::new());
-        voter.incarnations.clone_from(&seat.incarnations);
-        voter.incarnations[usize::from(seat.id)] = Incarnation::default();
-        voter.repair.incarnation = seat.incarnation;
-        voter.seated = true;
-        voter.written = written;
-        voter.synced = written;
-        voter
-    }
-
-    /// Restores a voter from its stored records; without any it repairs itself from the
-    /// others. `nonce` is a random number that differs between starts: of the incarnation that a
-    /// repair begins, and of the ballots.
-    pub fn open(now: Time, id: Id, group_size: usize, nonce: u64, records: Vec<Record>) -> Voter {
-        let mut voter = Voter {
-            id,
-            group_size,
-            nonce,
-            mode: Mode::Checking,
-            mode_before_failure: Mode::Checking,
-            incarnations: vec![Incarnation::default(); group_size],
-            peer_synced: vec![0; group_size],
-            cells: BTreeMap::new(),
-            written: 0,
-            synced: 0,
-            awaiting_sync: BTreeMap::new(),
-            repair: Repair {
-                started: now,
-                ..Repair::default()
-            },
-            proposer: Proposer::new(id, group_size, nonce),
-            last_expiry: now,
-            seated: false,
-            with_hints: BTreeSet::new(),
-        };
-        records
-            .into_iter()
-            .for_each(|record| voter.load(now, record));
-        voter.synced = voter.written;
-        if voter.incarnations[usize::from(id)].epoch == 0 {
-            voter.mode = Mode::Repairing;
-        }
-        if !voter.is_first_holder() {
-            voter.repair.incarnation = Incarnation::default();
-        }
-        voter
-    }
-
-    /// Sets the timeouts of the startup check and the repair.
-    pub fn with_timing(mut self, timing: Timing) -> Voter {
-        self.repair.timing = timing;
-        self
-    }
-
-    /// Applies a stored record.
-    fn load(&mut self, now: Time, record: Record) {
-        self.written += 1;
-        match record {
-            Record::Reset => {
-                let own = std::mem::take(&mut self.incarnations[usize::from(self.id)]);
-                if own.epoch > 0 {
-                    let is_unused = self.cells.is_empty();
-                    let unused = Some(own).filter(|_| is_unused);
-                    self.repair.incarnation = unused.unwrap_or_default();
-                }
-                self.cells.clear();
-            }
-            Record::Incarnation(id, incarnation) => {
-                if let Some(known) = self.incarnations.get_mut(usize::from(id)) {
-                    *known = incarnation;
-                }
-            }
-            Record::Cell(key, cell) => {
-                self.cells.insert(
-                    key,
-                    Stored {
-                        cell,
-                        changed_at: now,
-                    },
-                );
-            }
-            Record::Forget(key) => {
-                self.cells.remove(&key);
-            }
-            Record::RecordCount(count) => self.written = count,
-            Record::Seat(..) => self.seated = true,
-        }
-    }
-
-    /// Returns records that restore the whole state, for a snapshot.
-    pub fn snapshot(&self) -> Vec<Record> {
-        let mut records = Vec::with_capacity(self.cells.len() + self.group_size + 2);
-        if self.seated {
-            records.push(Record::Seat(self.id, self.group_size as u8));
-        }
-        if let Some(unused) = self.unused_incarnation() {
-            records.push(Record::Incarnation(self.id, unused));
-            records.push(Record::Reset);
-        }
-        let known = self
-            .incarnations
-            .iter()
-            .enumerate()
-            .filter(|(_, known)| known.epoch > 0 || known.address.is_some());
-        records.extend(known.map(|(id, known)| Record::Incarnation(id as Id, *known)));
-        let cells = self
-            .cells
-            .iter()
-            .map(|(key, stored)| Record::Cell(*key, stored.cell.clone()));
-        records.extend(cells);
-        records.push(Record::RecordCount(self.written));
-        records
-    }
-
     /// Whether the voter votes, and if not, why.
     pub fn mode(&self) -> Mode {
         self.mode
@@ -439,7 +275,7 @@
     }
 
     /// The incarnation as the first holder of the seat, under which this voter has not voted yet.
-    fn unused_incarnation(&self) -> Option<Incarnation> {
+    pub(crate) fn unused_incarnation(&self) -> Option<Incarnation> {
         Some(self.repair.incarnation).filter(|_| self.is_first_holder())
     }
 
@@ -736,140 +572,6 @@
         actions
     }
 
-    /// Whether a proposer's view of the incarnations holds an older one than this voter
-    /// knows, or a different one of the same epoch.
-    fn is_outdated_view(&self, theirs: &[Incarnation]) -> bool {
-        let differs = |(ours, theirs): (&Incarnation, &Incarnation)| {
-            theirs.epoch < ours.epoch || (theirs.epoch == ours.epoch && theirs != ours)
-        };
-        self.incarnations.iter().zip(theirs).any(differs)
-    }
-
-    /// Replaces a cell in memory and returns the action that persists it.
-    pub(crate) fn store_cell(&mut self, now: Time, key: Key, cell: Cell) -> Action {
-        let stored = Stored {
-            cell: cell.clone(),
-            changed_at: now,
-        };
-        let accepted = cell.accepted.as_ref();
-        let bytes = accepted.map_or(0, |(_, value)| value.size());
-        self.proposer.note_size(key, bytes);
-        self.cells.insert(key, stored);
-        self.persist(Record::Cell(key, cell))
-    }
-
-    /// Promises a ballot, once: a voter of an earlier build that lost its newest promise with the
-    /// power may give out a ballot again, for another value.
-    fn handle_prepare(
-        &mut self,
-        now: Time,
-        from: Id,
-        key: Key,
-        ballot: Ballot,
-        hint: Hint,
-        view: &[Incarnation],
-    ) -> Vec<Action> {
-        if self.mode != Mode::Voting {
-            return Vec::new();
-        }
-        let mut cell = self
-            .cells
-            .get(&key)
-            .map(|stored| stored.cell.clone())
-            .unwrap_or_default();
-        self.proposer.defer(now, key, ballot);
-        if cell.promised >= ballot || self.is_outdated_view(view) {
-            return self.send_after_sync(from, Body::Reject(key, ballot, cell.promised));
-        }
-        let accepted = cell.accepted.clone();
-        cell.promised = ballot;
-        let mut actions = vec![self.store_cell(now, key, cell)];
-        let promise = match accepted {
-            Some((known, _)) if hint.accepted == Some(known) => {
-                Body::PromiseKnown(key, ballot, known)
-            }
-            accepted => Body::Promise(key, ballot, accepted),
-        };
-        actions.extend(self.send_after_sync(from, promise));
-        actions
-    }
-
-    /// Answers whether the proposer of a read holds the newest value as far as this voter knows. Writes
-    /// nothing.
-    fn handle_read(
-        &mut self,
-        from: Id,
-        key: Key,
-        ballot: Ballot,
-        hint: Hint,
-        view: &[Incarnation],
-    ) -> Vec<Action> {
-        if self.mode != Mode::Voting {
-            return Vec::new();
-        }
-        let cell = self.cells.get(&key).map(|stored| &stored.cell);
-        let accepted = cell.and_then(|cell| cell.accepted.as_ref());
-        let accepted = accepted.map(|(ballot, _)| *ballot);
-        let promised = cell.map(|cell| cell.promised).unwrap_or_default();
-        let answer = match accepted.filter(|_| !self.is_outdated_view(view)) {
-            Some(known) if hint.accepted == Some(known) => Body::Unchanged(key, ballot, known),
-            _ => Body::Reject(key, ballot, promised),
-        };
-        self.send_after_sync(from, answer)
-    }
-
-    /// Records that another voter is of a build that knows hints.
-    fn note_hints(&mut self, from: Id, knows: bool) {
-        if knows {
-            self.with_hints.insert(from);
-        }
-    }
-
-    /// Whether another voter is of a build that knows hints, as far as its messages tell.
-    pub fn knows_hints(&self, id: Id) -> bool {
-        self.with_hints.contains(&id)
-    }
-
-    /// The value that this voter last accepted for a key, with its ballot.
-    pub fn accepted_ballot(&self, key: &Key) -> Option<&(Ballot, Value)> {
-        self.cells.get(key)?.cell.accepted.as_ref()
-    }
-
-    /// Tells another voter that the value accepted with this ballot is chosen.
-    pub fn announce_chosen(&self, key: Key, ballot: Ballot) -> Message {
-        self.message(Body::Chosen(key, ballot))
-    }
-
-    fn handle_accept(
-        &mut self,
-        now: Time,
-        from: Id,
-        key: Key,
-        value: (Ballot, Value),
-        view: &[Incarnation],
-    ) -> Vec<Action> {
-        if self.mode != Mode::Voting {
-            return Vec::new();
-        }
-        let ballot = value.0;
-        let promised = self
-            .cells
-            .get(&key)
-            .map(|stored| stored.cell.promised)
-            .unwrap_or_default();
-        if promised > ballot || self.is_outdated_view(view) {
-            return self.send_after_sync(from, Body::Reject(key, ballot, promised));
-        }
-        let cell = Cell {
-            promised: ballot,
-            accepted: Some(value),
-        };
-        let mut actions = vec![self.store_cell(now, key, cell)];
-        self.proposer.release(now, key, ballot);
-        actions.extend(self.send_after_sync(from, Body::Accepted(key, ballot)));
-        actions
-    }
-
     /// Retries unanswered ballots and repair requests and expires old jobs. To be called
     /// at short intervals.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
