--- a/decision/src/acceptor.rs
+++ b/decision/src/acceptor.rs
@@ -101,11 +101,12 @@
         self.send_after_sync(from, answer)
     }
 
-    /// Records that another voter is of a build that knows hints.
+    /// Records whether a message of another voter shows a build that knows hints.
     pub(crate) fn note_hints(&mut self, from: Id, knows: bool) {
-        if knows {
-            self.with_hints.insert(from);
-        }
+        match knows {
+            true => self.with_hints.insert(from),
+            false => self.with_hints.remove(&from),
+        };
     }
 
     /// Whether another voter is of a build that knows hints, as far as its messages tell.
