Tests: the longest configuration goes through the store, not through five voters

a_configuration_that_is_too_long_is_refused_and_ends_no_voter wrote a configuration of 15 MiB some ten times beside all other process tests. Slow syncs are suspected. The refusals are checked as before; that the longest configuration can be stored and read back is checked on a store.

--- a/adapter/tests/store.rs
+++ b/adapter/tests/store.rs
@@ -11,6 +11,8 @@
 use wagtailbeam_decision::register::File;
 use wagtailbeam_decision::register::Key;
 use wagtailbeam_decision::register::Value;
+use wagtailbeam_decision::tier::DOCUMENT_MAX_BYTES;
+use wagtailbeam_decision::tier::State;
 use wagtailbeam_decision::voter::Ballot;
 use wagtailbeam_decision::voter::Cell;
 use wagtailbeam_decision::voter::Record;
@@ -213,3 +215,24 @@
     let (_, records) = Store::open(folder.path()).unwrap();
     assert_eq!(records.len(), first.len() + 2);
 }
+
+/// Guards against a limit on configurations beyond what a voter can store.
+#[test]
+fn the_longest_configuration_is_stored_and_read_back() {
+    let folder = formatted_folder();
+    let (mut store, _) = Store::open(folder.path()).unwrap();
+    let state = State {
+        document: vec![b'x'; DOCUMENT_MAX_BYTES].into(),
+        ..State::default()
+    };
+    let value = Value::Tier(std::sync::Arc::new(state));
+    let cell = Cell {
+        promised: Ballot::default(),
+        accepted: Some((Ballot::default(), value)),
+    };
+    let record = Record::Cell(Key::Tier, cell);
+    store.append(std::slice::from_ref(&record)).unwrap();
+    drop(store);
+    let (_, records) = Store::open(folder.path()).unwrap();
+    assert_eq!(records.last(), Some(&record));
+}
